--- /dev/null
+++ b/src/callers/callerServer.ts
@@ -0,0 +1,124 @@
+import express, { NextFunction, Request, Response } from "express";
+import { createServer, Server } from "node:http";
+import { AddressInfo, Socket } from "node:net";
+import { Diagnostics } from "../common/diagnostics.js";
+import { Failure } from "../common/failure.js";
+import { createIdentifier } from "../common/identifiers.js";
+import { Verdict } from "../common/verdict.js";
+import { NetworkAddress } from "../config/types.js";
+import { serveCall } from "./commands/serveCall.js";
+import { CompletionInterface, serveCompletion } from "./commands/serveCompletion.js";
+import { parseChatBody, parseCompletionBody } from "./completionBody.js";
+import { createChatFormat, createCompletionFormat } from "./eventStream.js";
+import { sendProblem } from "./problem.js";
+import { serveModels } from "./queries/serveModels.js";
+import { serveRequestById } from "./queries/serveRequestById.js";
+import { CallerParts } from "./types.js";
+
+/** Idle time after which the system asks whether a caller is still there, in milliseconds. */
+const keepAliveProbeMilliseconds = 5_000;
+const idleConnectionMilliseconds = 5_000;
+const headerTimeoutMilliseconds = 10_000;
+const bodyTimeoutMilliseconds = 30_000;
+
+const completionInterface: CompletionInterface = { isChat: false, parseBody: parseCompletionBody, createFormat: createCompletionFormat };
+const chatInterface: CompletionInterface = { isChat: true, parseBody: parseChatBody, createFormat: createChatFormat };
+
+/** Listens for callers. */
+export class CallerServer {
+    private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
+
+    private constructor(parts: CallerParts) {
+        this.server = createServer({ maxHeaderSize: parts.limits.headerBytes }, createCallerApp(parts));
+        this.server.keepAliveTimeout = idleConnectionMilliseconds;
+        this.server.headersTimeout = headerTimeoutMilliseconds;
+        this.server.requestTimeout = bodyTimeoutMilliseconds;
+        this.server.on("connection", socket => {
+            socket.setNoDelay(true);
+            socket.setKeepAlive(true, keepAliveProbeMilliseconds);
+            this.sockets.add(socket);
+            socket.on("close", () => this.sockets.delete(socket));
+        });
+    }
+
+    static create(parts: CallerParts): CallerServer {
+        return new CallerServer(parts);
+    }
+
+    /** Starts listening; returns the address, whose port is a free one when 0 was asked for. */
+    async start(address: NetworkAddress): Promise<NetworkAddress> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(address.port, address.host, resolve);
+        });
+        const bound = this.server.address() as AddressInfo;
+        return { host: bound.address, port: bound.port };
+    }
+
+    /** Accepts no more connections; those with open requests go on. */
+    async stopAccepting(): Promise<void> {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    /** Ends every connection. */
+    closeConnections(): void {
+        this.sockets.forEach(socket => socket.destroy());
+    }
+}
+
+function createCallerApp(parts: CallerParts): express.Express {
+    const app = express();
+    app.disable("x-powered-by");
+    app.disable("etag");
+    app.use((_request, response, next) => checkOpenRequests(parts, response, next));
+    const readBody = express.raw({ type: () => true, limit: parts.limits.bodyBytes, inflate: false });
+    app.post("/v1/completions", readBody, (request, response) => serveCompletion(parts, completionInterface, request, response));
+    app.post("/v1/chat/completions", readBody, (request, response) => serveCompletion(parts, chatInterface, request, response));
+    app.get("/v1/models", (request, response) => serveModels(parts, request, response));
+    app.get("/v1/requests/:id", (request, response) => serveRequestById(parts, request, response));
+    app.all("/services/:service/{*path}", readBody, (request, response) => serveCall(parts, request, response));
+    app.use((request, response) => {
+        sendProblem(response, Failure.create(Verdict.NotRun, Diagnostics.Path_0_is_not_served, request.path), createIdentifier());
+    });
+    app.use((error: unknown, _request: Request, response: Response, next: NextFunction) => {
+        handleError(parts, error, response, next);
+    });
+    return app;
+}
+
+function checkOpenRequests(parts: CallerParts, response: Response, next: NextFunction): void {
+    if (parts.table.countActive() >= parts.limits.openRequests) {
+        const failure = Failure.create(Verdict.NotRun, Diagnostics.Queue_of_service_0_is_full, "*");
+        sendProblem(response, failure.setRetryAfter(1), createIdentifier());
+        return;
+    }
+    next();
+}
+
+/** Answers errors of reading the body. Everything else is a broken invariant, whose request may have run. */
+function handleError(parts: CallerParts, error: unknown, response: Response, next: NextFunction): void {
+    if (response.headersSent) {
+        next(error);
+        return;
+    }
+    const type = (error as { type?: string; }).type;
+    const status = (error as { status?: number; }).status ?? 500;
+    if (type === "entity.too.large") {
+        response.setHeader("connection", "close");
+        sendProblem(
+            response,
+            Failure.create(Verdict.NotRun, Diagnostics.Body_is_larger_than_0_bytes, parts.limits.bodyBytes),
+            createIdentifier(),
+        );
+        return;
+    }
+    if (status < 500) {
+        const text = error instanceof Error ? error.message : String(error);
+        sendProblem(response, Failure.create(Verdict.NotRun, Diagnostics.Body_does_not_match_the_interface_0, text), createIdentifier());
+        return;
+    }
+    const failure = Failure.create(Verdict.MayHaveRun, Diagnostics.Connection_was_lost_after_the_request_was_sent_0, "the node failed");
+    sendProblem(response, failure, createIdentifier());
+}
--- /dev/null
+++ b/src/cli/baseCommand.ts
@@ -0,0 +1,100 @@
+import { Command, Flags, ux } from "@oclif/core";
+import Table from "cli-table3";
+import { readFileSync } from "node:fs";
+import { Diagnostic, DiagnosticCategory, formatDiagnostic } from "../common/diagnostics.js";
+import { Metrics } from "../common/metrics.js";
+import { HttpObjectStore } from "../platform/httpObjectStore.js";
+import { ExitCode } from "./exitCodes.js";
+import { OperatorClient } from "./operatorClient.js";
+
+const platformTimeoutMilliseconds = 5_000;
+
+/** Flags of commands that ask a node. */
+export const operatorFlags = {
+    node: Flags.string({
+        char: "n",
+        description: "URL of a node's operator listener",
+        env: "CORIANDERWARD_NODE",
+        default: "http://127.0.0.1:7102",
+    }),
+    "token-file": Flags.string({ description: "file with the operator token; CORIANDERWARD_OPERATOR_TOKEN holds the token itself" }),
+};
+
+/** Flags of commands that write to the platform. */
+export const platformFlags = {
+    platform: Flags.string({
+        char: "p",
+        description: "URL of the platform's object API",
+        env: "CORIANDERWARD_PLATFORM",
+        default: "http://127.0.0.1:7400/as/operator",
+    }),
+    "platform-token-file": Flags.string({ description: "file with the platform token" }),
+};
+
+/** What every command shares: diagnostics, tables, exit codes, JSON. */
+export abstract class BaseCommand extends Command {
+    static override enableJsonFlag = true;
+
+    /** Prints diagnostics to standard error, errors in red on a terminal. */
+    protected printDiagnostics(diagnostics: readonly Diagnostic[]): void {
+        for (const diagnostic of diagnostics) {
+            const text = formatDiagnostic(diagnostic);
+            const isRed = diagnostic.message.category === DiagnosticCategory.Error && process.stderr.isTTY;
+            this.logToStderr(isRed ? ux.colorize("red", text) : text);
+        }
+    }
+
+    /** Ends the command with diagnostics and an exit code. */
+    protected failWith(code: ExitCode, diagnostics: readonly Diagnostic[]): never {
+        if (this.jsonEnabled()) {
+            this.logJson({
+                errors: diagnostics.map(diagnostic => ({
+                    code: `CW${diagnostic.message.code}`,
+                    text: diagnostic.text,
+                    file: diagnostic.file,
+                    line: diagnostic.line,
+                })),
+            });
+        }
+        else {
+            this.printDiagnostics(diagnostics);
+        }
+        this.exit(code);
+    }
+
+    /** Prints a table for people. */
+    protected printTable(head: readonly string[], rows: readonly (readonly string[])[]): void {
+        const style = process.stdout.isTTY ? { head: ["bold"], border: ["grey"] } : { head: [], border: [] };
+        const table = new Table({ head: [...head], style, chars: { "mid": "", "left-mid": "", "mid-mid": "", "right-mid": "" } });
+        rows.forEach(row => table.push([...row]));
+        this.log(table.toString());
+    }
+
+    /** Shows on standard error that something goes on, for work that may take more than a moment. */
+    protected startProgress(text: string): void {
+        if (!this.jsonEnabled()) {
+            ux.action.start(text);
+        }
+    }
+
+    protected endProgress(text: string): void {
+        if (!this.jsonEnabled()) {
+            ux.action.stop(text);
+        }
+    }
+
+    /** Creates the client of a node from the operator flags. */
+    protected createOperatorClient(flags: { readonly node: string; readonly "token-file"?: string; }): OperatorClient {
+        const fromFile = flags["token-file"] === undefined ? undefined : readFileSync(flags["token-file"], "utf8").trim();
+        return OperatorClient.create(flags.node, fromFile ?? process.env["CORIANDERWARD_OPERATOR_TOKEN"]);
+    }
+
+    /** Creates the client of the platform from the platform flags. */
+    protected createObjectStore(flags: { readonly platform: string; readonly "platform-token-file"?: string; }): HttpObjectStore {
+        const token = flags["platform-token-file"] === undefined ? undefined : readFileSync(flags["platform-token-file"], "utf8").trim();
+        return HttpObjectStore.create(
+            { url: flags.platform, token, timeout: platformTimeoutMilliseconds, watchSilence: platformTimeoutMilliseconds },
+            Metrics.create(),
+        );
+    }
+}
--- /dev/null
+++ b/src/common/hashing.ts
@@ -0,0 +1,23 @@
+import { createHash, timingSafeEqual } from "node:crypto";
+
+/** Returns the SHA-256 hash of a text or of bytes, in lower-case hexadecimal. */
+export function hashSha256(content: string | Uint8Array): string {
+    return createHash("sha256").update(content).digest("hex");
+}
+
+/** Compares two hexadecimal hashes in constant time. */
+export function compareHashes(left: string, right: string): boolean {
+    const leftBytes = Buffer.from(left, "utf8");
+    const rightBytes = Buffer.from(right, "utf8");
+    if (leftBytes.length !== rightBytes.length) {
+        return false;
+    }
+    return timingSafeEqual(leftBytes, rightBytes);
+}
+
+/** Orders candidates for a key by rendezvous hashing, the best first. */
+export function selectByRendezvous<T>(key: string, candidates: readonly T[], getName: (candidate: T) => string): T[] {
+    const scored = candidates.map(candidate => ({ candidate, score: hashSha256(`${key}\n${getName(candidate)}`) }));
+    scored.sort((left, right) => (left.score < right.score ? 1 : -1));
+    return scored.map(entry => entry.candidate);
+}
--- /dev/null
+++ b/src/common/logging.ts
@@ -0,0 +1,18 @@
+import { createLogger, format, Logger, transports } from "winston";
+
+export type { Logger } from "winston";
+
+/** Creates a logger that writes one JSON object a line to standard error. */
+export function createJsonLogger(level: string, node: string): Logger {
+    return createLogger({
+        level,
+        defaultMeta: { node },
+        format: format.combine(format.timestamp(), format.json()),
+        transports: [new transports.Console({ stderrLevels: ["error", "warn", "info", "debug"] })],
+    });
+}
+
+/** Creates a logger that writes nothing. */
+export function createSilentLogger(): Logger {
+    return createLogger({ silent: true, transports: [new transports.Console()] });
+}
--- /dev/null
+++ b/src/control/commands/configurationKeeper.ts
@@ -0,0 +1,199 @@
+import { Clock } from "../../common/clock.js";
+import { selectByRendezvous } from "../../common/hashing.js";
+import { Logger } from "../../common/logging.js";
+import { Metrics } from "../../common/metrics.js";
+import { ConfigurationChange, ConfigurationSet } from "../../config/configurationSet.js";
+import { configurationPrefix } from "../../config/objectNames.js";
+import { teamConfigurationSchema } from "../../config/types.js";
+import { MemberDirectory } from "../../peers/memberDirectory.js";
+import { FetchConfigurationResponseInit, Member, NodeDigest, PeerLink, TeamRevision, UrgentNotifier } from "../../peers/types.js";
+import { ObjectStore } from "../../platform/objectStore.js";
+import { StoredObject, WatchEventKind } from "../../platform/types.js";
+import { HostListKeeper } from "./hostListKeeper.js";
+
+/** Nodes of a failure domain that watch the platform; the others learn from them. */
+const watchersPerDomain = 2;
+/** Pause between two tries to watch, and between two looks at whether to watch, in milliseconds. */
+const retryPauseMilliseconds = 300;
+/** Pause between two tries to learn the configuration from peers at the start, in milliseconds. */
+const bootPauseMilliseconds = 200;
+/** Time after which a node that learned nothing from a watcher watches for itself, in milliseconds. */
+const lonelyMilliseconds = 3_000;
+
+/** Learns of a configuration that came into force. */
+export interface ConfigurationListener {
+    handleConfiguration(team: string): void;
+}
+
+/** Keeps the configuration in force: by a watch on the platform, and by what peers have. Revisions only ever rise. */
+export class ConfigurationKeeper {
+    private readonly stopping = new AbortController();
+    private readonly listeners = new Set<ConfigurationListener>();
+    private readonly fetching = new Set<string>();
+    private readonly startedAt: number;
+    private watchAbort = new AbortController();
+    private isWatching = false;
+
+    private constructor(
+        private readonly store: ObjectStore,
+        private readonly configuration: ConfigurationSet,
+        private readonly directory: MemberDirectory,
+        private readonly link: PeerLink,
+        private readonly hosts: HostListKeeper,
+        private readonly notifier: UrgentNotifier,
+        private readonly clock: Clock,
+        private readonly metrics: Metrics,
+        private readonly logger: Logger,
+    ) {
+        this.startedAt = clock.getMonotonicTime();
+    }
+
+    static create(
+        store: ObjectStore,
+        configuration: ConfigurationSet,
+        directory: MemberDirectory,
+        link: PeerLink,
+        hosts: HostListKeeper,
+        notifier: UrgentNotifier,
+        clock: Clock,
+        metrics: Metrics,
+        logger: Logger,
+    ): ConfigurationKeeper {
+        return new ConfigurationKeeper(store, configuration, directory, link, hosts, notifier, clock, metrics, logger);
+    }
+
+    addListener(listener: ConfigurationListener): void {
+        this.listeners.add(listener);
+    }
+
+    /** Runs until stop is called. */
+    async runWatch(): Promise<void> {
+        void this.runBoot();
+        void this.runWatcherChoice();
+        while (!this.stopping.signal.aborted) {
+            if (this.isWatcher()) {
+                await this.watchOnce();
+            }
+            await this.clock.sleep(retryPauseMilliseconds, this.stopping.signal);
+        }
+    }
+
+    stop(): void {
+        this.stopping.abort();
+        this.watchAbort.abort();
+    }
+
+    /** Returns the objects that a peer does not have yet, and the hosts. */
+    createAnswer(known: readonly TeamRevision[]): FetchConfigurationResponseInit {
+        const knownRevisions = new Map(known.map(entry => [entry.team, Number(entry.revision)]));
+        const newer = this.configuration.listObjects().filter(object => object.revision > (knownRevisions.get(object.team) ?? 0));
+        return {
+            objects: newer.map(object => ({
+                team: object.team,
+                revision: BigInt(object.revision),
+                valueJson: JSON.stringify(object.configuration),
+            })),
+            hostsJson: this.hosts.exportHosts(),
+        };
+    }
+
+    /** Fetches from a peer what its digest shows to be newer. */
+    applyDigest(digest: NodeDigest): void {
+        const isNewer = digest.revisions.some(entry => Number(entry.revision) > this.configuration.getRevision(entry.team));
+        const member = this.directory.findMember(digest.node);
+        if (isNewer && member !== undefined) {
+            void this.fetchFrom(member);
+        }
+    }
+
+    /** Says whether this node watches the platform itself. */
+    isWatcher(): boolean {
+        const { identity } = this.directory;
+        const others = this.directory.listLiveDomainMembers();
+        const names = [identity.name, ...others.map(member => member.name)];
+        const chosen = selectByRendezvous("configuration", names, name => name).slice(0, watchersPerDomain);
+        if (chosen.includes(identity.name)) {
+            return true;
+        }
+        // A node whose chosen watchers cannot reach the platform tries for itself.
+        const isServed = others.some(member => chosen.includes(member.name) && member.platformReachable);
+        return !isServed && this.clock.getMonotonicTime() - this.startedAt > lonelyMilliseconds;
+    }
+
+    private async runWatcherChoice(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await this.clock.sleep(lonelyMilliseconds, this.stopping.signal);
+            if (this.isWatching && !this.isWatcher()) {
+                this.watchAbort.abort();
+            }
+        }
+    }
+
+    /** Asks the peers for the configuration until the node has one from anywhere. */
+    private async runBoot(): Promise<void> {
+        while (!this.stopping.signal.aborted && !(this.configuration.hasConfiguration() && this.hosts.hasHosts())) {
+            const members = this.directory.listDomainMembers().concat(this.directory.listMembers());
+            await Promise.all(members.slice(0, 8).map(member => this.fetchFrom(member)));
+            await this.clock.sleep(bootPauseMilliseconds, this.stopping.signal);
+        }
+    }
+
+    private async fetchFrom(member: Member): Promise<void> {
+        if (this.fetching.has(member.name)) {
+            return;
+        }
+        this.fetching.add(member.name);
+        const known = this.configuration.listObjects().map(object => ({ team: object.team, revision: BigInt(object.revision) }));
+        const answer = await this.link.fetchConfiguration(member.address, known);
+        this.fetching.delete(member.name);
+        if (answer.err) {
+            return;
+        }
+        for (const object of answer.val.objects) {
+            this.applyValue(object.team, Number(object.revision), JSON.parse(object.valueJson));
+        }
+        this.hosts.importHosts(answer.val.hostsJson);
+    }
+
+    private async watchOnce(): Promise<void> {
+        const listed = await this.store.listObjects(configurationPrefix);
+        if (listed.err) {
+            return;
+        }
+        listed.val.objects.forEach(object => this.applyObject(object));
+        this.watchAbort = new AbortController();
+        this.isWatching = true;
+        for await (const event of this.store.watchObjects(configurationPrefix, listed.val.revision, this.watchAbort.signal)) {
+            if (event.kind === WatchEventKind.Expired) {
+                break;
+            }
+            if (event.kind === WatchEventKind.Changed && event.object !== undefined) {
+                this.applyObject(event.object);
+            }
+        }
+        this.isWatching = false;
+    }
+
+    private applyObject(object: StoredObject): void {
+        this.applyValue(object.name.slice(configurationPrefix.length), object.revision, object.value);
+    }
+
+    private applyValue(team: string, revision: number, value: unknown): void {
+        const parsed = teamConfigurationSchema.safeParse(value);
+        if (!parsed.success || parsed.data.team.name !== team) {
+            this.metrics.configurationRefused.inc({ reason: "unreadable" });
+            return;
+        }
+        const change = this.configuration.applyObject({ team, revision, configuration: parsed.data });
+        if (change === ConfigurationChange.RefusedLowerRevision) {
+            this.metrics.configurationRefused.inc({ reason: "lower-revision" });
+        }
+        if (change !== ConfigurationChange.Applied) {
+            return;
+        }
+        this.metrics.configurationRevision.set({ team }, revision);
+        this.logger.info("configuration in force", { team, revision });
+        this.listeners.forEach(listener => listener.handleConfiguration(team));
+        void this.notifier.sendUrgentDigest();
+    }
+}
--- /dev/null
+++ b/src/control/commands/hostListKeeper.ts
@@ -0,0 +1,144 @@
+import { z } from "zod";
+import { Clock } from "../../common/clock.js";
+import { Logger } from "../../common/logging.js";
+import { parseAddress } from "../../config/sectionReader.js";
+import { PeerSettings } from "../../config/types.js";
+import { EndpointDescription, EndpointEvidence } from "../../endpoints/types.js";
+import { MemberDirectory } from "../../peers/memberDirectory.js";
+import { Cloud } from "../../platform/cloud.js";
+import { HostList } from "../../platform/hostList.js";
+import { HostRole, hostSchema, ListedHost } from "../../platform/types.js";
+import { EndpointRegistry } from "../../requests/endpointRegistry.js";
+
+const hostsSchema = z.array(hostSchema);
+
+/** Keeps the node's endpoints and peers in step with the platform's host list and the cloud's notices. */
+export class HostListKeeper {
+    private readonly stopping = new AbortController();
+    private hosts: ListedHost[] | undefined;
+    private hasOwnList = false;
+
+    private constructor(
+        private readonly hostList: HostList,
+        private readonly cloud: Cloud | undefined,
+        private readonly registry: EndpointRegistry,
+        private readonly directory: MemberDirectory,
+        private readonly settingsPeers: readonly PeerSettings[],
+        private readonly clock: Clock,
+        private readonly logger: Logger,
+        private readonly interval: number,
+    ) {
+        this.updateMembers([]);
+    }
+
+    /** The interval is in milliseconds. */
+    static create(
+        hostList: HostList,
+        cloud: Cloud | undefined,
+        registry: EndpointRegistry,
+        directory: MemberDirectory,
+        settingsPeers: readonly PeerSettings[],
+        clock: Clock,
+        logger: Logger,
+        interval: number,
+    ): HostListKeeper {
+        return new HostListKeeper(hostList, cloud, registry, directory, settingsPeers, clock, logger, interval);
+    }
+
+    /** Runs until stop is called. */
+    async runRounds(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await Promise.all([this.updateHosts(), this.updateNotices()]);
+            await this.clock.sleep(this.interval, this.stopping.signal);
+        }
+    }
+
+    stop(): void {
+        this.stopping.abort();
+    }
+
+    hasHosts(): boolean {
+        return this.hosts !== undefined;
+    }
+
+    /** Returns the hosts known now, as JSON for a peer that cannot reach the platform. */
+    exportHosts(): string {
+        return this.hosts === undefined ? "" : JSON.stringify(this.hosts);
+    }
+
+    /** Takes over a peer's host list; used only until the platform has answered once. */
+    importHosts(hostsJson: string): void {
+        if (this.hasOwnList || hostsJson === "") {
+            return;
+        }
+        const parsed = hostsSchema.safeParse(JSON.parse(hostsJson));
+        if (parsed.success) {
+            this.logger.info("host list taken from a peer", { hosts: parsed.data.length });
+            this.applyHosts(parsed.data);
+        }
+    }
+
+    private async updateHosts(): Promise<void> {
+        const listed = await this.hostList.listHosts();
+        if (listed.err) {
+            return;
+        }
+        this.hasOwnList = true;
+        this.applyHosts(listed.val);
+    }
+
+    private async updateNotices(): Promise<void> {
+        const notices = await this.cloud?.listNotices();
+        if (notices === undefined || notices.err) {
+            return;
+        }
+        for (const notice of notices.val) {
+            this.registry.markLeaving(notice.host, EndpointEvidence.Notice, notice.leaves_at);
+        }
+    }
+
+    private applyHosts(hosts: ListedHost[]): void {
+        this.hosts = hosts;
+        const endpoints = hosts.filter(host => host.role === HostRole.Endpoint).map(createDescription);
+        this.registry.applyDescriptions(endpoints.filter(endpoint => endpoint !== undefined));
+        this.updateMembers(hosts.filter(host => host.role === HostRole.Entry));
+    }
+
+    private updateMembers(entryHosts: readonly ListedHost[]): void {
+        const { directory } = this;
+        for (const peer of this.settingsPeers) {
+            directory.addMember({ ...peer, region: directory.identity.region });
+        }
+        for (const host of entryHosts) {
+            const address = parseAddress(host.address);
+            if (address !== undefined) {
+                directory.addMember({ name: host.name, failureDomain: host.failure_domain, region: host.region, address });
+            }
+        }
+        const named = new Set([...this.settingsPeers.map(peer => peer.name), ...entryHosts.map(host => host.name)]);
+        for (const member of directory.listMembers()) {
+            // The list lags: a node that still answers stays a member.
+            if (!named.has(member.name) && !directory.isAlive(member)) {
+                directory.removeMember(member.name);
+            }
+        }
+    }
+}
+
+function createDescription(host: ListedHost): EndpointDescription | undefined {
+    const address = parseAddress(host.address);
+    if (address === undefined) {
+        return undefined;
+    }
+    return {
+        name: host.name,
+        address,
+        failureDomain: host.failure_domain,
+        region: host.region,
+        group: host.group,
+        purchase: host.purchase,
+        pricePerHour: host.price_per_hour,
+        state: host.state,
+        leavesAt: host.leaves_at,
+    };
+}
--- /dev/null
+++ b/src/control/types.ts
@@ -0,0 +1,9 @@
+import { NodeDigest, NodeDigestInit } from "../peers/types.js";
+
+/** What digests carry of version moves. */
+export interface MoveEvidenceExchange {
+    createEvidence(): NodeDigestInit["evidence"];
+    createGrants(): NodeDigestInit["grants"];
+    applyEvidence(evidence: NodeDigest["evidence"]): void;
+    applyGrants(grants: NodeDigest["grants"]): void;
+}
--- /dev/null
+++ b/src/daemon/main.ts
@@ -0,0 +1,58 @@
+import { Command, Flags } from "@oclif/core";
+import { createDiagnostic, DiagnosticCategory, Diagnostics, formatDiagnostic } from "../common/diagnostics.js";
+import { describeError } from "../common/failure.js";
+import { readNodeSettings } from "../config/settings.js";
+import { Keys } from "../node/composition.js";
+import { CorianderNode } from "../node/corianderNode.js";
+
+/** Exit codes of the daemon. */
+export enum DaemonExitCode {
+    Ok = 0,
+    Failed = 1,
+    BadSettings = 2,
+}
+
+/** Runs one node until it is told to stop. */
+export class DaemonCommand extends Command {
+    static override description = "Runs a node of corianderward. Stops gracefully on SIGTERM and SIGINT.";
+    static override examples = ["corianderwardd --settings node.ini", "corianderwardd --settings node.ini --check"];
+    static override flags = {
+        settings: Flags.string({ char: "s", description: "file with the node's settings", required: true }),
+        check: Flags.boolean({ description: "only check the settings" }),
+    };
+
+    async run(): Promise<void> {
+        const { flags } = await this.parse(DaemonCommand);
+        const settings = readNodeSettings(flags.settings, process.env);
+        if (settings.err) {
+            settings.val.forEach(fault => this.logToStderr(formatDiagnostic(fault)));
+            if (settings.val.some(fault => fault.message.category === DiagnosticCategory.Error)) {
+                this.exit(DaemonExitCode.BadSettings);
+            }
+            return;
+        }
+        if (flags.check) {
+            this.log(formatDiagnostic(createDiagnostic(Diagnostics.Settings_are_valid)));
+            return;
+        }
+        const node = CorianderNode.create(settings.val);
+        node.container.get(Keys.Metrics).addProcessMetrics();
+        try {
+            await node.start();
+        }
+        catch (error) {
+            this.logToStderr(describeError(error));
+            this.exit(DaemonExitCode.Failed);
+        }
+        await waitForSignal();
+        await node.stop();
+        process.exit(DaemonExitCode.Ok);
+    }
+}
+
+function waitForSignal(): Promise<void> {
+    return new Promise(resolve => {
+        process.once("SIGTERM", () => resolve());
+        process.once("SIGINT", () => resolve());
+    });
+}
--- /dev/null
+++ b/src/node/corianderNode.ts
@@ -0,0 +1,131 @@
+import { Container } from "inversify";
+import { NetworkAddress, NodeSettings } from "../config/types.js";
+import { createNodeContainer, Keys } from "./composition.js";
+
+/** Time between two looks at whether the running requests have ended, in milliseconds. */
+const drainPollMilliseconds = 25;
+/** Part of the drain limit that is kept for handing requests over, in milliseconds. */
+const handOverMilliseconds = 3_000;
+/** Time that callers get to read the last events after a handover, in milliseconds. */
+const lastEventsMilliseconds = 500;
+
+/** The addresses on which a node listens. */
+export interface NodeAddresses {
+    readonly callers: NetworkAddress;
+    readonly peers: NetworkAddress;
+    readonly operators: NetworkAddress;
+}
+
+/** A whole node. One process can hold several. */
+export class CorianderNode {
+    private addresses: NodeAddresses | undefined;
+    private isStopped = false;
+
+    private constructor(readonly settings: NodeSettings, readonly container: Container) {}
+
+    /** Creates a node from its settings, or from a container whose bindings were changed. */
+    static create(settings: NodeSettings, container = createNodeContainer(settings)): CorianderNode {
+        return new CorianderNode(settings, container);
+    }
+
+    /** Starts the listeners and every task of the node. */
+    async start(): Promise<NodeAddresses> {
+        const { container, settings } = this;
+        const registry = container.get(Keys.Registry);
+        registry.addListener(container.get(Keys.StreamMover));
+        container.get(Keys.Digests).setConfigurationKeeper(container.get(Keys.ConfigurationKeeper));
+        this.addresses = {
+            callers: await container.get(Keys.CallerServer).start(settings.callers),
+            peers: await container.get(Keys.PeerServer).start(settings.peersListen),
+            operators: await container.get(Keys.OperatorServer).start(settings.operators),
+        };
+        this.startTasks();
+        container.get(Keys.Logger).info("node started", { ...this.addresses });
+        return this.addresses;
+    }
+
+    getAddresses(): NodeAddresses {
+        if (this.addresses === undefined) {
+            throw new Error("The node has not started.");
+        }
+        return this.addresses;
+    }
+
+    /** Shuts down without cutting a request: readiness off, drain, hand over what is left, stop. */
+    async stop(): Promise<void> {
+        const { container, settings } = this;
+        const clock = container.get(Keys.Clock);
+        const startedAt = clock.getMonotonicTime();
+        container.get(Keys.Logger).info("node is shutting down", { active: container.get(Keys.Table).countActive() });
+        container.get(Keys.Gate).endReadiness();
+        container.get(Keys.Digests).markLeaving();
+        void container.get(Keys.Exchange).sendUrgentDigest();
+        await clock.sleep(settings.timing.readinessGrace);
+        container.get(Keys.Gate).close();
+        await container.get(Keys.CallerServer).stopAccepting();
+        await this.waitForRequests(startedAt + settings.timing.drainLimit - handOverMilliseconds);
+        if (this.countOpen() > 0) {
+            await container.get(Keys.HandOver).drainRequests();
+            await clock.sleep(lastEventsMilliseconds);
+        }
+        await this.waitForRequests(startedAt + settings.timing.drainLimit);
+        await this.kill();
+        container.get(Keys.Logger).info("node stopped");
+    }
+
+    /** Stops at once, as a killed process does. */
+    async kill(): Promise<void> {
+        if (this.isStopped) {
+            return;
+        }
+        this.isStopped = true;
+        const { container } = this;
+        container.get(Keys.CallerServer).closeConnections();
+        void container.get(Keys.CallerServer).stopAccepting();
+        for (const record of container.get(Keys.Table).listActive()) {
+            record.cancellation.abort();
+        }
+        container.get(Keys.Service).stop();
+        container.get(Keys.Exchange).stop();
+        container.get(Keys.HostListKeeper).stop();
+        container.get(Keys.ConfigurationKeeper).stop();
+        container.get(Keys.LoadObserver).stop();
+        container.get(Keys.Admission).stop();
+        container.get(Keys.Tls)?.stop();
+        await container.get(Keys.PeerServer).stop();
+        container.get(Keys.PeerLink).stop();
+        await container.get(Keys.OperatorServer).stop();
+        await container.get(Keys.Tracing).stop();
+    }
+
+    private startTasks(): void {
+        const { container } = this;
+        void container.get(Keys.HostListKeeper).runRounds();
+        void container.get(Keys.ConfigurationKeeper).runWatch();
+        void container.get(Keys.Exchange).runRounds();
+        void container.get(Keys.LoadObserver).runRounds();
+        void this.runMemberCount();
+    }
+
+    /** Keeps the number of nodes, by which team limits are divided, in step with the directory. */
+    private async runMemberCount(): Promise<void> {
+        const clock = this.container.get(Keys.Clock);
+        const directory = this.container.get(Keys.Directory);
+        while (!this.isStopped) {
+            const alive = directory.listMembers().filter(member => directory.isAlive(member) && !member.isLeaving);
+            this.container.get(Keys.Limiter).setNodeCount(alive.length + 1);
+            await clock.sleep(this.settings.timing.exchangeInterval);
+        }
+    }
+
+    private countOpen(): number {
+        return this.container.get(Keys.Table).countActive();
+    }
+
+    private async waitForRequests(until: number): Promise<void> {
+        const clock = this.container.get(Keys.Clock);
+        while (this.countOpen() > 0 && clock.getMonotonicTime() < until) {
+            await clock.sleep(drainPollMilliseconds);
+        }
+    }
+}
--- /dev/null
+++ b/src/operators/queries/nodeStatus.ts
@@ -0,0 +1,99 @@
+import { z } from "zod";
+import { OperatorParts } from "../types.js";
+
+const revisionSchema = z.object({ team: z.string(), revision: z.number() });
+
+/** The shape of a node's status. Times are Unix milliseconds unless the name says otherwise. */
+export const nodeStatusSchema = z.object({
+    node: z.string(),
+    failure_domain: z.string(),
+    region: z.string(),
+    incarnation: z.number(),
+    ready: z.boolean(),
+    unready_reasons: z.array(z.string()),
+    platform_reachable: z.boolean(),
+    revisions: z.array(revisionSchema),
+    services: z.array(z.object({
+        name: z.string(),
+        kind: z.string(),
+        version: z.string(),
+        group: z.string(),
+        waiting: z.number(),
+    })),
+    endpoints: z.array(z.object({
+        name: z.string(),
+        group: z.string(),
+        failure_domain: z.string(),
+        state: z.string(),
+        evidence: z.string(),
+        since: z.number(),
+        leaves_at: z.number().optional(),
+        running: z.number(),
+        limit: z.number(),
+        load_share: z.number(),
+        load_age_milliseconds: z.number().optional(),
+        price_per_hour: z.number(),
+    })),
+    nodes: z.array(z.object({
+        name: z.string(),
+        failure_domain: z.string(),
+        alive: z.boolean(),
+        leaving: z.boolean(),
+        silent_milliseconds: z.number().optional(),
+        platform_reachable: z.boolean(),
+        revisions: z.array(revisionSchema),
+        told_milliseconds: z.number().optional(),
+    })),
+    active_requests: z.number(),
+});
+export type NodeStatus = z.infer<typeof nodeStatusSchema>;
+
+/** Returns what a node knows now. */
+export function createNodeStatus(parts: OperatorParts): NodeStatus {
+    const { directory, configuration, registry } = parts;
+    const now = parts.clock.getMonotonicTime();
+    const reasons = parts.readiness.listUnreadyReasons();
+    const waiting = parts.admission.countWaiting();
+    return {
+        node: directory.identity.name,
+        failure_domain: directory.identity.failureDomain,
+        region: directory.identity.region,
+        incarnation: directory.identity.incarnation,
+        ready: reasons.length === 0,
+        unready_reasons: reasons,
+        platform_reachable: parts.store.isReachable(),
+        revisions: configuration.listObjects().map(object => ({ team: object.team, revision: object.revision })),
+        services: configuration.listServices().map(service => ({
+            name: service.name,
+            kind: service.kind,
+            version: service.version,
+            group: service.group,
+            waiting: waiting.get(service.name) ?? 0,
+        })),
+        endpoints: registry.listEntries().map(entry => ({
+            name: entry.name,
+            group: entry.description.group,
+            failure_domain: entry.description.failureDomain,
+            state: entry.state,
+            evidence: entry.evidence,
+            since: entry.since,
+            leaves_at: entry.leavesAt,
+            running: entry.running,
+            limit: entry.limit.getLimit(),
+            load_share: registry.getLoadShare(entry),
+            load_age_milliseconds: Number.isFinite(entry.loadAt) ? Math.round(now - entry.loadAt) : undefined,
+            price_per_hour: entry.description.pricePerHour,
+        })),
+        nodes: directory.listMembers().map(member => ({
+            name: member.name,
+            failure_domain: member.failureDomain,
+            alive: directory.isAlive(member),
+            leaving: member.isLeaving,
+            silent_milliseconds: Number.isFinite(member.lastHeardAt) ? Math.round(now - member.lastHeardAt) : undefined,
+            platform_reachable: member.platformReachable,
+            revisions: [...member.revisions].map(([team, revision]) => ({ team, revision })),
+            told_milliseconds: Number.isFinite(member.toldAt) ? Math.round(now - member.toldAt) : undefined,
+        })),
+        active_requests: parts.table.countActive(),
+    };
+}
--- /dev/null
+++ b/src/peers/memberDirectory.ts
@@ -0,0 +1,114 @@
+import { Clock } from "../common/clock.js";
+import { Logger } from "../common/logging.js";
+import { NetworkAddress } from "../config/types.js";
+import { Member } from "./types.js";
+
+/** Who this node is. */
+export interface NodeIdentity {
+    readonly name: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    /** Start time of the process in Unix milliseconds. */
+    readonly incarnation: number;
+}
+
+/** A node as the settings or the host list name it. */
+export interface MemberSource {
+    readonly name: string;
+    readonly failureDomain: string;
+    readonly region: string;
+    readonly address: NetworkAddress;
+}
+
+/** Time without news after which a member counts as lost, in multiples of the silence limit. */
+const lostFactor = 3;
+
+/** The other nodes: where they are, when they were last heard of, and which life of theirs it was. */
+export class MemberDirectory {
+    private readonly members = new Map<string, Member>();
+
+    private constructor(
+        readonly identity: NodeIdentity,
+        private readonly clock: Clock,
+        private readonly silenceLimit: number,
+        private readonly logger: Logger,
+    ) {}
+
+    /** The silence limit is in milliseconds. */
+    static create(identity: NodeIdentity, clock: Clock, silenceLimit: number, logger: Logger): MemberDirectory {
+        return new MemberDirectory(identity, clock, silenceLimit, logger);
+    }
+
+    /** Adds a node or changes its address. */
+    addMember(source: MemberSource): void {
+        if (source.name === this.identity.name) {
+            return;
+        }
+        const existing = this.members.get(source.name);
+        if (existing !== undefined && existing.address.host === source.address.host && existing.address.port === source.address.port) {
+            return;
+        }
+        this.members.set(source.name, {
+            ...source,
+            incarnation: 0,
+            lastHeardAt: -Infinity,
+            isLeaving: false,
+            platformReachable: false,
+            revisions: new Map(),
+            toldAt: -Infinity,
+        });
+    }
+
+    /** Removes a node that neither the settings nor the host list names any more. */
+    removeMember(name: string): void {
+        this.members.delete(name);
+    }
+
+    /** Records news of a member; the age is in milliseconds. News of an earlier life is dropped. */
+    recordBeat(name: string, incarnation: number, age: number, isLeaving: boolean): boolean {
+        const member = this.members.get(name);
+        if (member === undefined || incarnation < member.incarnation) {
+            return false;
+        }
+        if (incarnation > member.incarnation) {
+            if (member.incarnation !== 0) {
+                this.logger.info("peer was replaced", { peer: name, incarnation });
+            }
+            member.incarnation = incarnation;
+            member.isLeaving = isLeaving;
+        }
+        member.isLeaving = member.isLeaving || isLeaving;
+        member.lastHeardAt = Math.max(member.lastHeardAt, this.clock.getMonotonicTime() - age);
+        return true;
+    }
+
+    findMember(name: string): Member | undefined {
+        return this.members.get(name);
+    }
+
+    listMembers(): Member[] {
+        return [...this.members.values()];
+    }
+
+    /** Returns the other nodes of this node's failure domain. */
+    listDomainMembers(): Member[] {
+        return this.listMembers().filter(member => member.failureDomain === this.identity.failureDomain);
+    }
+
+    /** Says whether a member was heard of lately. */
+    isAlive(member: Member): boolean {
+        return this.clock.getMonotonicTime() - member.lastHeardAt < this.silenceLimit * lostFactor;
+    }
+
+    /** Returns the members of this failure domain that are alive and staying. */
+    listLiveDomainMembers(): Member[] {
+        return this.listDomainMembers().filter(member => this.isAlive(member) && !member.isLeaving);
+    }
+
+    /** Returns the failure domains of the other nodes. */
+    listOtherDomains(): string[] {
+        const domains = new Set(this.listMembers().map(member => member.failureDomain));
+        domains.delete(this.identity.failureDomain);
+        return [...domains];
+    }
+}
--- /dev/null
+++ b/src/peers/peerServer.ts
@@ -0,0 +1,79 @@
+import { ConnectRouter } from "@connectrpc/connect";
+import { connectNodeAdapter } from "@connectrpc/connect-node";
+import { createSecureServer, createServer, Http2SecureServer, Http2Server, ServerHttp2Session } from "node:http2";
+import { AddressInfo } from "node:net";
+import { NetworkAddress } from "../config/types.js";
+import { PeerService } from "../generated/corianderward/v1/peer_pb.js";
+import { TlsMaterial } from "./tlsMaterial.js";
+import { PeerHandler } from "./types.js";
+
+/** Answers the calls of peers. With certificates set, a peer without a valid one is refused. */
+export class PeerServer {
+    private readonly server: Http2Server | Http2SecureServer;
+    private readonly sessions = new Set<ServerHttp2Session>();
+
+    private constructor(handler: PeerHandler, tls: TlsMaterial | undefined) {
+        const listener = connectNodeAdapter({ routes: router => addRoutes(router, handler) });
+        this.server = createListeningServer(listener, tls);
+        this.server.on("session", session => {
+            this.sessions.add(session);
+            session.on("error", () => {});
+            session.on("close", () => this.sessions.delete(session));
+        });
+    }
+
+    static create(handler: PeerHandler, tls: TlsMaterial | undefined): PeerServer {
+        return new PeerServer(handler, tls);
+    }
+
+    /** Starts listening; returns the address, whose port is a free one when 0 was asked for. */
+    async start(address: NetworkAddress): Promise<NetworkAddress> {
+        await new Promise<void>((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(address.port, address.host, resolve);
+        });
+        const bound = this.server.address() as AddressInfo;
+        return { host: bound.address, port: bound.port };
+    }
+
+    /** Stops listening and ends every connection. */
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        for (const session of this.sessions) {
+            session.destroy();
+        }
+        await closed;
+    }
+}
+
+function createListeningServer(
+    listener: ReturnType<typeof connectNodeAdapter>,
+    tls: TlsMaterial | undefined,
+): Http2Server | Http2SecureServer {
+    if (tls === undefined) {
+        return createServer(listener);
+    }
+    const server = createSecureServer({ ...tls.getOptions(), requestCert: true, rejectUnauthorized: true }, listener);
+    server.on("tlsClientError", () => {});
+    tls.addListener(options => server.setSecureContext(options));
+    return server;
+}
+
+function addRoutes(router: ConnectRouter, handler: PeerHandler): void {
+    router.service(PeerService, {
+        exchange: request => {
+            if (request.digest === undefined) {
+                return {};
+            }
+            return { digest: handler.handleExchange(request.digest) };
+        },
+        fetchConfiguration: request => handler.createConfigurationAnswer(request.known),
+        adoptRequest: async request => ({ accepted: await handler.adoptRequest(request) }),
+        followRequest: (request, context) => handler.followRequest(request.requestId, request.offset, context.signal),
+        forwardCall: request => handler.forwardCall(request),
+        explainRequest: request => {
+            const recordJson = handler.describeRequest(request.requestId);
+            return { found: recordJson !== undefined, recordJson: recordJson ?? "" };
+        },
+    });
+}
--- /dev/null
+++ b/src/platform/httpObjectStore.ts
@@ -0,0 +1,230 @@
+import { createParser } from "eventsource-parser";
+import got, { Got, Response } from "got";
+import { Agent } from "node:http";
+import { z } from "zod";
+import { Diagnostics } from "../common/diagnostics.js";
+import { describeError, Failure, readErrorCode } from "../common/failure.js";
+import { Metrics } from "../common/metrics.js";
+import { Err, Ok, Result } from "../common/results.js";
+import { Verdict } from "../common/verdict.js";
+import { ObjectStore } from "./objectStore.js";
+import { ObjectList, StoredObject, WatchEvent, WatchEventKind, WriteFailure, WriteOutcome } from "./types.js";
+
+const storedObjectSchema = z.object({ name: z.string(), revision: z.number().int(), value: z.unknown() });
+const objectListSchema = z.object({ revision: z.number().int(), objects: z.array(storedObjectSchema) });
+const writeAnswerSchema = z.object({ revision: z.number().int() });
+const watchEventSchema = z.object({
+    kind: z.enum(WatchEventKind),
+    revision: z.number().int(),
+    object: storedObjectSchema.optional(),
+});
+
+const statusOk = 200;
+const statusCreated = 201;
+const statusNotFound = 404;
+const statusGone = 410;
+const statusPreconditionFailed = 412;
+const statusServerError = 500;
+const idleSocketMilliseconds = 4_000;
+const connectionRefusedCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH", "EADDRNOTAVAIL"]);
+
+/** How to reach the object API. Times are in milliseconds. */
+export interface HttpObjectStoreOptions {
+    readonly url: string;
+    readonly token: string | undefined;
+    readonly timeout: number;
+    readonly watchSilence: number;
+}
+
+/** Speaks the HTTP and JSON shape of the object API that docs/INTERFACES.md gives. */
+export class HttpObjectStore implements ObjectStore {
+    private reachable = true;
+
+    private constructor(
+        private readonly client: Got,
+        private readonly options: HttpObjectStoreOptions,
+        private readonly metrics: Metrics,
+    ) {}
+
+    static create(options: HttpObjectStoreOptions, metrics: Metrics): HttpObjectStore {
+        const headers = options.token === undefined ? {} : { authorization: `Bearer ${options.token}` };
+        const client = got.extend({
+            prefixUrl: options.url,
+            headers,
+            retry: { limit: 0 },
+            throwHttpErrors: false,
+            timeout: { request: options.timeout },
+            agent: { http: new Agent({ keepAlive: true, timeout: idleSocketMilliseconds }) },
+        });
+        return new HttpObjectStore(client, options, metrics);
+    }
+
+    isReachable(): boolean {
+        return this.reachable;
+    }
+
+    async getObject(name: string): Promise<Result<StoredObject | undefined, Failure>> {
+        const answer = await this.sendRead("get", `objects/${encodeURIComponent(name)}`);
+        if (answer.err) {
+            return answer;
+        }
+        if (answer.val.statusCode === statusNotFound) {
+            return Ok(undefined);
+        }
+        return this.parseAnswer(answer.val, storedObjectSchema);
+    }
+
+    async listObjects(prefix: string): Promise<Result<ObjectList, Failure>> {
+        const answer = await this.sendRead("list", `objects?prefix=${encodeURIComponent(prefix)}`);
+        if (answer.err) {
+            return answer;
+        }
+        return this.parseAnswer(answer.val, objectListSchema);
+    }
+
+    async createObject(name: string, value: unknown): Promise<Result<number, WriteFailure>> {
+        return this.sendWrite("create", name, "PUT", { "if-none-match": "*" }, value);
+    }
+
+    async replaceObject(name: string, value: unknown, expectedRevision: number): Promise<Result<number, WriteFailure>> {
+        return this.sendWrite("replace", name, "PUT", { "if-match": String(expectedRevision) }, value);
+    }
+
+    async removeObject(name: string, expectedRevision: number): Promise<Result<void, WriteFailure>> {
+        const written = await this.sendWrite("remove", name, "DELETE", { "if-match": String(expectedRevision) }, undefined);
+        return written.map(() => undefined);
+    }
+
+    async *watchObjects(prefix: string, afterRevision: number, signal: AbortSignal): AsyncIterable<WatchEvent> {
+        const events: WatchEvent[] = [];
+        const parser = createParser({
+            onEvent: event => {
+                const parsed = watchEventSchema.safeParse(JSON.parse(event.data));
+                if (parsed.success) {
+                    events.push(parsed.data as WatchEvent);
+                }
+            },
+        });
+        const path = `watch?prefix=${encodeURIComponent(prefix)}&after=${afterRevision}`;
+        const stream = this.client.stream(path, {
+            signal,
+            timeout: { connect: this.options.timeout, response: this.options.timeout, socket: this.options.watchSilence },
+        });
+        const decoder = new TextDecoder();
+        try {
+            stream.once("response", (response: Response) => {
+                if (response.statusCode === statusGone) {
+                    events.push({ kind: WatchEventKind.Expired, revision: afterRevision });
+                }
+            });
+            for await (const chunk of stream) {
+                parser.feed(decoder.decode(chunk as Buffer, { stream: true }));
+                this.markReachable(true);
+                yield* events.splice(0);
+            }
+            yield* events.splice(0);
+        }
+        catch (error) {
+            if (!signal.aborted) {
+                this.metrics.platformCalls.inc({ call: "watch", outcome: readErrorCode(error) || "error" });
+            }
+        }
+        finally {
+            stream.destroy();
+        }
+    }
+
+    private markReachable(reachable: boolean): void {
+        this.reachable = reachable;
+        this.metrics.platformReachable.set(reachable ? 1 : 0);
+    }
+
+    private async sendRead(call: string, path: string): Promise<Result<Response<string>, Failure>> {
+        try {
+            const answer = await this.client.get(path);
+            this.recordAnswer(call, answer.statusCode);
+            if (answer.statusCode >= statusServerError || (answer.statusCode !== statusOk && answer.statusCode !== statusNotFound)) {
+                return Err(Failure.create(Verdict.NotRun, Diagnostics.Platform_answered_with_status_0, answer.statusCode));
+            }
+            return Ok(answer);
+        }
+        catch (error) {
+            this.recordSilence(call, error);
+            return Err(Failure.create(Verdict.NotRun, Diagnostics.Platform_did_not_answer_0, describeError(error)));
+        }
+    }
+
+    private parseAnswer<T>(answer: Response<string>, schema: z.ZodType<T>): Result<T, Failure> {
+        const parsed = schema.safeParse(parseJson(answer.body));
+        if (!parsed.success) {
+            return Err(Failure.create(Verdict.NotRun, Diagnostics.Platform_did_not_answer_0, "the answer cannot be read"));
+        }
+        return Ok(parsed.data);
+    }
+
+    private async sendWrite(
+        call: string,
+        name: string,
+        method: "PUT" | "DELETE",
+        headers: Record<string, string>,
+        value: unknown,
+    ): Promise<Result<number, WriteFailure>> {
+        const body = value === undefined ? {} : { json: { value } };
+        try {
+            const answer = await this.client(`objects/${encodeURIComponent(name)}`, { method, headers, ...body });
+            this.recordAnswer(call, answer.statusCode);
+            return this.readWriteAnswer(name, answer);
+        }
+        catch (error) {
+            this.recordSilence(call, error);
+            // Only a connection that was never established proves that nothing was written.
+            const outcome = connectionRefusedCodes.has(readErrorCode(error)) ? WriteOutcome.NotWritten : WriteOutcome.Unknown;
+            const failure = Failure.create(Verdict.NotRun, Diagnostics.Write_of_0_has_an_unknown_outcome, name, describeError(error));
+            return Err({ outcome, failure });
+        }
+    }
+
+    private readWriteAnswer(name: string, answer: Response<string>): Result<number, WriteFailure> {
+        if (answer.statusCode === statusOk || answer.statusCode === statusCreated) {
+            const parsed = writeAnswerSchema.safeParse(parseJson(answer.body));
+            if (parsed.success) {
+                return Ok(parsed.data.revision);
+            }
+            const failure = Failure.create(
+                Verdict.NotRun,
+                Diagnostics.Write_of_0_has_an_unknown_outcome,
+                name,
+                "the answer cannot be read",
+            );
+            return Err({ outcome: WriteOutcome.Unknown, failure });
+        }
+        if (answer.statusCode === statusPreconditionFailed || answer.statusCode === statusNotFound) {
+            return Err({
+                outcome: WriteOutcome.Conflict,
+                failure: Failure.create(Verdict.NotRun, Diagnostics.Revision_conflict_on_0, name),
+            });
+        }
+        const failure = Failure.create(Verdict.NotRun, Diagnostics.Platform_answered_with_status_0, answer.statusCode);
+        const outcome = answer.statusCode >= statusServerError ? WriteOutcome.Unknown : WriteOutcome.NotWritten;
+        return Err({ outcome, failure });
+    }
+
+    private recordAnswer(call: string, status: number): void {
+        this.metrics.platformCalls.inc({ call, outcome: String(status) });
+        this.markReachable(status < statusServerError);
+    }
+
+    private recordSilence(call: string, error: unknown): void {
+        this.metrics.platformCalls.inc({ call, outcome: readErrorCode(error) || "error" });
+        this.markReachable(false);
+    }
+}
+
+function parseJson(text: string): unknown {
+    try {
+        return JSON.parse(text);
+    }
+    catch {
+        return undefined;
+    }
+}
--- /dev/null
+++ b/src/requests/commands/modelRequestRunner.ts
@@ -0,0 +1,587 @@
+import { Clock } from "../../common/clock.js";
+import { Diagnostics } from "../../common/diagnostics.js";
+import { Failure } from "../../common/failure.js";
+import { selectByRendezvous } from "../../common/hashing.js";
+import { createIdentifier } from "../../common/identifiers.js";
+import { Logger } from "../../common/logging.js";
+import { Metrics } from "../../common/metrics.js";
+import { Err, Ok, Result } from "../../common/results.js";
+import { Span, Tracing } from "../../common/tracing.js";
+import { millisecondsPerSecond } from "../../common/units.js";
+import { raiseVerdict, Verdict } from "../../common/verdict.js";
+import { ConfigurationSet } from "../../config/configurationSet.js";
+import { Priority, ServiceDeclaration } from "../../config/types.js";
+import { ModelEndpointClient, TokenSink } from "../../endpoints/modelEndpoint.js";
+import { EndpointEvidence, EndpointState, GenerationEnd } from "../../endpoints/types.js";
+import { ActiveAttempt, EndpointEntry, EndpointRegistry } from "../endpointRegistry.js";
+import { createPromptPrefixes, PrefixIndex, PromptPrefixes } from "../prefixIndex.js";
+import { QuarantineLedger } from "../quarantineLedger.js";
+import { EndpointQuery, listPossibleEndpoints } from "../queries/endpointSelector.js";
+import { RequestRecord } from "../requestRecord.js";
+import { RetryBudget } from "../retryBudget.js";
+import { SuspectLanes } from "../suspectLanes.js";
+import { AttemptOutcome, AttemptRecord, RequestOutcome, VersionObserver, VersionPolicy } from "../types.js";
+import { AdmissionQueue } from "./admissionQueue.js";
+import { EndpointProbe, ProbeResult } from "./endpointProbe.js";
+
+/** Most attempts at one request, whatever their reasons. */
+const attemptLimit = 12;
+/** Tokens that a request under suspicion must emit past the point of the death to be cleared. */
+const probationTokens = 8;
+/** Time limit of the export of a KV cache, in milliseconds. */
+const exportTimeLimitMilliseconds = 500;
+/** Target of the time between two tokens, in milliseconds. */
+export const tokenGapTargetMilliseconds = 45;
+/** Tokens that a request is expected to cost when nothing else is known of its prompt, for each 4 characters. */
+const charactersPerToken = 4;
+const priorityNumbers: Record<Priority, number> = { [Priority.Lookup]: 0, [Priority.Effect]: 1, [Priority.Draft]: 2 };
+
+/** Why an attempt did not finish the request. */
+enum ContinueReason {
+    Finished,
+    /** The endpoint leaves or was lost; the stream goes on elsewhere without charge to the retry budget. */
+    Resume,
+    /** The attempt failed; another one needs the retry budget. */
+    Retry,
+    /** Nothing more is to be tried. */
+    GiveUp,
+}
+
+interface AttemptResult {
+    readonly reason: ContinueReason;
+    readonly failure?: Failure;
+    readonly generation?: GenerationEnd;
+    readonly cacheHandle?: string;
+}
+
+interface Placement {
+    readonly entry: EndpointEntry;
+    readonly releaseLane: (() => void) | undefined;
+}
+
+/** The parts of a node that running a generation needs. */
+export interface ModelRequestRunnerParts {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+    readonly tracing: Tracing;
+    readonly configuration: ConfigurationSet;
+    readonly registry: EndpointRegistry;
+    readonly admission: AdmissionQueue;
+    readonly client: ModelEndpointClient;
+    readonly probe: EndpointProbe;
+    readonly ledger: QuarantineLedger;
+    readonly lanes: SuspectLanes;
+    readonly budget: RetryBudget;
+    readonly prefixIndex: PrefixIndex;
+    readonly versions: VersionPolicy;
+    readonly observer: VersionObserver;
+    readonly connectTimeout: number;
+}
+
+/** Runs generations to their ends: one attempt after another, each going on where the one before it stopped. */
+export class ModelRequestRunner {
+    private constructor(private readonly parts: ModelRequestRunnerParts) {}
+
+    static create(parts: ModelRequestRunnerParts): ModelRequestRunner {
+        return new ModelRequestRunner(parts);
+    }
+
+    /** Runs a request until its record has an end. */
+    async runRequest(record: RequestRecord, service: ServiceDeclaration): Promise<void> {
+        this.parts.budget.recordRequest();
+        const run = RequestRun.create(this.parts, record, service);
+        try {
+            await run.runAttempts();
+        }
+        finally {
+            run.stop();
+        }
+    }
+}
+
+/** The course of one request. */
+class RequestRun {
+    private readonly prefixes: PromptPrefixes;
+    private readonly excluded = new Set<string>();
+    private readonly deadlineTimer: NodeJS.Timeout;
+    private readonly version: string;
+    private readonly model: string;
+    private isPastDeadline = false;
+    private cacheHandle: string | undefined;
+    private isContinuation: boolean;
+
+    private constructor(
+        private readonly parts: ModelRequestRunnerParts,
+        private readonly record: RequestRecord,
+        private readonly service: ServiceDeclaration,
+    ) {
+        this.prefixes = createPromptPrefixes(record.request.prompt);
+        this.version = parts.versions.selectVersion(service, record.request.id);
+        this.model = service.versions.find(version => version.name === this.version)?.model ?? this.version;
+        this.isContinuation = record.tokens.length > 0;
+        const remaining = record.request.deadline - parts.clock.getWallTime();
+        this.deadlineTimer = setTimeout(() => {
+            this.isPastDeadline = true;
+            record.cancellation.abort();
+        }, Math.max(0, remaining)).unref();
+    }
+
+    static create(parts: ModelRequestRunnerParts, record: RequestRecord, service: ServiceDeclaration): RequestRun {
+        return new RequestRun(parts, record, service);
+    }
+
+    stop(): void {
+        clearTimeout(this.deadlineTimer);
+    }
+
+    async runAttempts(): Promise<void> {
+        const { record, parts } = this;
+        for (let count = 0; count < attemptLimit; count += 1) {
+            const refusal = this.checkQuarantine();
+            if (refusal !== undefined) {
+                record.finishWithFailure(refusal);
+                return;
+            }
+            const placement = await this.placeAttempt();
+            if (placement.err) {
+                this.finishUnplaced(placement.val);
+                return;
+            }
+            const result = await this.runPlacedAttempt(placement.val);
+            if (result.reason === ContinueReason.Finished) {
+                this.finishWithGeneration(result.generation as GenerationEnd);
+                return;
+            }
+            if (result.reason === ContinueReason.GiveUp || this.isEnded()) {
+                this.finishUnplaced(result.failure);
+                return;
+            }
+            if (result.reason === ContinueReason.Retry && !parts.budget.takeRetry()) {
+                record.finishWithFailure(result.failure ?? Failure.create(Verdict.MayHaveRun, Diagnostics.Retry_budget_is_spent));
+                return;
+            }
+            this.cacheHandle = result.cacheHandle;
+            this.isContinuation = true;
+        }
+        record.finishWithFailure(Failure.create(Verdict.MayHaveRun, Diagnostics.Retry_budget_is_spent));
+    }
+
+    private isEnded(): boolean {
+        return this.record.cancellation.signal.aborted || this.record.getEnd() !== undefined;
+    }
+
+    private finishUnplaced(failure: Failure | undefined): void {
+        if (this.isPastDeadline) {
+            this.record.finishWithFailure(Failure.create(Verdict.NotRun, Diagnostics.Deadline_passed));
+            return;
+        }
+        if (this.record.isHandedOver) {
+            this.record.finishWithoutAnswer(RequestOutcome.HandedOver);
+            return;
+        }
+        if (this.record.cancellation.signal.aborted) {
+            this.record.finishWithoutAnswer(RequestOutcome.Cancelled);
+            return;
+        }
+        this.record.finishWithFailure(
+            failure ?? Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, this.service.name),
+        );
+    }
+
+    private finishWithGeneration(generation: GenerationEnd): void {
+        this.parts.metrics.tokensRecomputed.inc({ service: this.service.name }, generation.recomputedTokens);
+        this.record.finish(generation);
+    }
+
+    private checkQuarantine(): Failure | undefined {
+        const { ledger, metrics } = this.parts;
+        const { fingerprint } = this.record.request;
+        if (!ledger.isQuarantined(fingerprint)) {
+            return undefined;
+        }
+        metrics.quarantines.inc({ service: this.service.name });
+        return Failure.create(
+            Verdict.NotRun,
+            Diagnostics.Request_is_quarantined_after_0_endpoint_failures,
+            ledger.countDeaths(fingerprint),
+        );
+    }
+
+    private createQuery(pinned: string | undefined): EndpointQuery {
+        const query: EndpointQuery = {
+            group: this.service.group,
+            model: this.model,
+            priority: this.service.priority,
+            weights: this.service.weights,
+            prefixes: this.prefixes,
+            excluded: this.excluded,
+            pinned,
+            mustStay: 0,
+        };
+        if (this.excluded.size > 0 && listPossibleEndpoints(this.parts.registry, query).length === 0) {
+            // Every endpoint has failed once; any of them is better than none.
+            this.excluded.clear();
+        }
+        return query;
+    }
+
+    private async placeAttempt(): Promise<Result<Placement, Failure>> {
+        const { parts, record } = this;
+        if (!parts.ledger.isSuspect(record.request.fingerprint)) {
+            const slot = await this.acquireSlot(undefined);
+            return slot.map(entry => ({ entry, releaseLane: undefined }));
+        }
+        return this.placeSuspect();
+    }
+
+    /** Gives a request under suspicion the one endpoint that every node chooses for it, alone among suspects. */
+    private async placeSuspect(): Promise<Result<Placement, Failure>> {
+        const { parts, record } = this;
+        for (;;) {
+            const possible = listPossibleEndpoints(parts.registry, this.createQuery(undefined));
+            const chosen = selectByRendezvous(record.request.fingerprint, possible, entry => entry.name)[0];
+            if (chosen === undefined) {
+                const slot = await this.acquireSlot(undefined);
+                return slot.map(entry => ({ entry, releaseLane: undefined }));
+            }
+            const releaseLane = await parts.lanes.acquireLane(chosen.name);
+            const refusal = this.checkQuarantine();
+            if (refusal !== undefined || this.isEnded()) {
+                releaseLane();
+                return Err(refusal ?? Failure.create(Verdict.NotRun, Diagnostics.Caller_closed_the_connection));
+            }
+            if (chosen.state === EndpointState.Leaving || chosen.state === EndpointState.Gone || this.excluded.has(chosen.name)) {
+                releaseLane();
+                continue;
+            }
+            const slot = await this.acquireSlot(chosen.name);
+            if (slot.err) {
+                releaseLane();
+                return slot;
+            }
+            return Ok({ entry: slot.val, releaseLane });
+        }
+    }
+
+    private async acquireSlot(pinned: string | undefined): Promise<Result<EndpointEntry, Failure>> {
+        const { parts, record, service } = this;
+        const { request } = record;
+        const remaining = request.deadline - parts.clock.getWallTime();
+        const now = parts.clock.getMonotonicTime();
+        const queueTime = this.isContinuation || request.isAsync ? remaining : Math.min(service.queueTimeLimit, remaining);
+        return parts.admission.acquireSlot({
+            requestId: request.id,
+            service: service.name,
+            team: request.team,
+            teamShare: parts.configuration.findTeam(request.team)?.share ?? 1,
+            query: this.createQuery(pinned),
+            queueDeadline: now + queueTime,
+            queueLimit: service.queueLimit,
+            isContinuation: this.isContinuation,
+            expectedWork: request.maxTokens + request.prompt.length / charactersPerToken,
+            signal: record.cancellation.signal,
+        });
+    }
+
+    private async runPlacedAttempt(placement: Placement): Promise<AttemptResult> {
+        const { parts, record } = this;
+        const { entry } = placement;
+        const attempt = AttemptRun.create(parts, record, this.service, entry, this.version, placement.releaseLane);
+        const expectedShare = parts.prefixIndex.getCachedShare(this.prefixes, entry.name);
+        parts.prefixIndex.addPrompt(this.prefixes, entry.name);
+        parts.metrics.running.inc({ service: this.service.name });
+        let result: Result<GenerationEnd, Failure>;
+        try {
+            result = await attempt.runGeneration(this.model, this.cacheHandle);
+        }
+        finally {
+            parts.metrics.running.dec({ service: this.service.name });
+        }
+        if (result.ok) {
+            const cachedShare = result.val.cachedTokens / Math.max(1, result.val.promptTokens);
+            parts.prefixIndex.recordCachedShare(entry.name, expectedShare, cachedShare);
+        }
+        const ended = await this.settleAttempt(attempt, result);
+        attempt.stop();
+        return ended;
+    }
+
+    private async settleAttempt(attempt: AttemptRun, result: Result<GenerationEnd, Failure>): Promise<AttemptResult> {
+        const { parts } = this;
+        if (result.ok) {
+            parts.registry.recordSuccess(attempt.entry);
+            attempt.finish(AttemptOutcome.Finished, Verdict.Ran, "");
+            attempt.recordObservation(true, parts);
+            return { reason: ContinueReason.Finished, generation: result.val };
+        }
+        if (attempt.isMoved()) {
+            attempt.finish(AttemptOutcome.Moved, Verdict.MayHaveRun, "the endpoint is leaving");
+            const cacheHandle = await attempt.getExportedCache();
+            this.recordResume(cacheHandle);
+            this.excluded.add(attempt.entry.name);
+            return { reason: ContinueReason.Resume, cacheHandle };
+        }
+        if (this.isEnded()) {
+            attempt.finish(AttemptOutcome.Cancelled, result.val.verdict, result.val.text);
+            void parts.client.cancelGeneration(attempt.entry.description.address, attempt.record.attemptId);
+            return { reason: ContinueReason.GiveUp, failure: result.val };
+        }
+        attempt.finish(AttemptOutcome.Failed, result.val.verdict, result.val.text);
+        return this.settleFailure(attempt, result.val);
+    }
+
+    private async settleFailure(attempt: AttemptRun, failure: Failure): Promise<AttemptResult> {
+        const { entry } = attempt;
+        const { registry, metrics, logger } = this.parts;
+        logger.debug("attempt failed", { request: this.record.request.id, endpoint: entry.name, text: failure.text });
+        switch (failure.message.code) {
+            case Diagnostics.Endpoint_is_leaving.code:
+                registry.markLeaving(entry.name, EndpointEvidence.OwnRefusal, undefined);
+                return { reason: ContinueReason.Resume, failure };
+            case Diagnostics.Endpoint_refused_the_connection_0.code:
+                registry.recordFailure(entry, EndpointEvidence.ConnectionFailure);
+                return { reason: ContinueReason.Resume, failure };
+            case Diagnostics.Endpoint_refused_before_running_0.code:
+                registry.recordRefusal(entry);
+                this.excluded.add(entry.name);
+                return { reason: ContinueReason.Retry, failure };
+            case Diagnostics.Endpoint_failed_with_status_0.code:
+                attempt.recordObservation(false, this.parts);
+                this.excluded.add(entry.name);
+                return { reason: ContinueReason.Retry, failure };
+            case Diagnostics.Endpoint_sent_nothing_for_0_milliseconds.code:
+                metrics.silences.inc({ hop: "endpoint" });
+                return this.settleLostConnection(attempt, failure);
+            case Diagnostics.Connection_was_lost_after_the_request_was_sent_0.code:
+                return this.settleLostConnection(attempt, failure);
+            default:
+                this.excluded.add(entry.name);
+                return { reason: ContinueReason.Retry, failure };
+        }
+    }
+
+    private async settleLostConnection(attempt: AttemptRun, failure: Failure): Promise<AttemptResult> {
+        const { entry } = attempt;
+        const probe = await this.parts.probe.checkEndpoint(entry);
+        if (probe !== ProbeResult.Alive) {
+            this.excluded.add(entry.name);
+            this.recordResume(undefined);
+            return { reason: ContinueReason.Resume, failure };
+        }
+        const exported = await this.parts.client.exportCache(
+            entry.description.address,
+            attempt.record.attemptId,
+            exportTimeLimitMilliseconds,
+        );
+        const cacheHandle = exported.ok ? exported.val : undefined;
+        await this.parts.client.cancelGeneration(entry.description.address, attempt.record.attemptId);
+        this.recordResume(cacheHandle);
+        return { reason: ContinueReason.Resume, failure, cacheHandle };
+    }
+
+    private recordResume(cacheHandle: string | undefined): void {
+        const way = this.record.tokens.length === 0 ? "restart" : cacheHandle === undefined ? "prompt" : "cache";
+        this.parts.metrics.resumes.inc({ service: this.service.name, way });
+    }
+}
+
+/** One attempt at one endpoint. */
+class AttemptRun implements TokenSink, ActiveAttempt {
+    readonly requestId: string;
+    readonly fingerprint: string;
+    readonly record: AttemptRecord;
+    private readonly abort = new AbortController();
+    private readonly span: Span;
+    private readonly startedAt: number;
+    private readonly startLoad: number;
+    private exportedCache: Promise<string | undefined> | undefined;
+    private emitted = 0;
+    private firstTokenAt: number | undefined;
+    private lastTokenAt: number | undefined;
+    private readonly handleCancel = () => this.abort.abort();
+
+    private constructor(
+        private readonly parts: ModelRequestRunnerParts,
+        private readonly request: RequestRecord,
+        private readonly service: ServiceDeclaration,
+        readonly entry: EndpointEntry,
+        version: string,
+        private releaseLane: (() => void) | undefined,
+    ) {
+        this.requestId = request.request.id;
+        this.fingerprint = request.request.fingerprint;
+        this.startLoad = parts.registry.getLoadShare(entry);
+        this.startedAt = parts.clock.getMonotonicTime();
+        this.span = parts.tracing.startChildSpan("endpoint", request.span);
+        this.span.setAttributes({ "corianderward.endpoint": entry.name, "corianderward.version": version });
+        const offset = request.tokens.length;
+        this.record = request.history.addAttempt(createIdentifier(), entry.name, version, parts.clock.getWallTime(), offset);
+        request.startAttempt(this.record);
+        request.cancellation.signal.addEventListener("abort", this.handleCancel, { once: true });
+        entry.attempts.add(this);
+    }
+
+    static create(
+        parts: ModelRequestRunnerParts,
+        request: RequestRecord,
+        service: ServiceDeclaration,
+        entry: EndpointEntry,
+        version: string,
+        releaseLane: (() => void) | undefined,
+    ): AttemptRun {
+        return new AttemptRun(parts, request, service, entry, version, releaseLane);
+    }
+
+    get holdsSuspectLane(): boolean {
+        return this.releaseLane !== undefined;
+    }
+
+    async runGeneration(model: string, cacheHandle: string | undefined): Promise<Result<GenerationEnd, Failure>> {
+        const { request } = this.request;
+        if (this.request.cancellation.signal.aborted) {
+            return Err(Failure.create(Verdict.NotRun, Diagnostics.Caller_closed_the_connection));
+        }
+        const attempt = {
+            requestId: request.id,
+            attemptId: this.record.attemptId,
+            model,
+            prompt: request.prompt,
+            maxTokens: request.maxTokens,
+            sampling: request.sampling,
+            priority: priorityNumbers[this.service.priority],
+            emittedTokens: [...this.request.tokens],
+            cacheHandle,
+            silenceLimit: this.service.silenceLimit,
+            connectTimeout: this.parts.connectTimeout,
+            traceHeaders: this.parts.tracing.createHeaders(this.span),
+        };
+        return this.parts.client.runGeneration(this.entry.description.address, attempt, this, this.abort.signal);
+    }
+
+    appendToken(text: string): void {
+        const now = this.parts.clock.getMonotonicTime();
+        if (!this.request.appendToken(this.record.attemptId, text)) {
+            this.parts.metrics.lateAnswers.inc({ service: this.service.name });
+            return;
+        }
+        this.emitted += 1;
+        if (this.firstTokenAt === undefined) {
+            this.recordFirstToken(now);
+        }
+        else {
+            this.parts.metrics.betweenTokens.observe(
+                { service: this.service.name },
+                (now - (this.lastTokenAt as number)) / millisecondsPerSecond,
+            );
+        }
+        this.lastTokenAt = now;
+        if (this.emitted === probationTokens && this.releaseLane !== undefined) {
+            this.finishProbation();
+        }
+    }
+
+    countTokens(): number {
+        return this.request.tokens.length + this.request.request.prompt.length / charactersPerToken;
+    }
+
+    countRemainingTokens(): number {
+        return this.request.request.maxTokens - this.request.tokens.length;
+    }
+
+    getTokenTime(): number {
+        return this.getMeanGap() ?? tokenGapTargetMilliseconds;
+    }
+
+    startMove(): void {
+        if (this.exportedCache !== undefined) {
+            return;
+        }
+        this.exportedCache = this.exportCache();
+        void this.exportedCache.then(() => this.abort.abort());
+    }
+
+    isMoved(): boolean {
+        return this.exportedCache !== undefined && !this.request.cancellation.signal.aborted;
+    }
+
+    async getExportedCache(): Promise<string | undefined> {
+        return this.exportedCache;
+    }
+
+    /** Records how the attempt ended. */
+    finish(outcome: AttemptOutcome, verdict: Verdict, text: string): void {
+        this.request.history.finishAttempt(this.record, outcome, verdict, text, this.parts.clock.getWallTime());
+        this.parts.metrics.attempts.inc({ service: this.service.name, outcome });
+        this.parts.metrics.tokens.inc({ service: this.service.name }, this.emitted);
+        if (outcome === AttemptOutcome.Failed) {
+            this.parts.tracing.recordFailure(this.span, text);
+        }
+        this.span.end();
+    }
+
+    /** Tells the judge of versions what the attempt showed. */
+    recordObservation(succeeded: boolean, parts: ModelRequestRunnerParts): void {
+        const gap = this.getMeanGap();
+        if (gap !== undefined) {
+            this.entry.limit.recordGap(gap, tokenGapTargetMilliseconds, parts.clock.getMonotonicTime());
+        }
+        parts.observer.recordObservation({
+            service: this.service.name,
+            version: this.record.version,
+            team: this.request.request.team,
+            endpoint: this.entry.name,
+            succeeded,
+            isComplete: this.request.tokens.length >= this.request.request.maxTokens,
+            firstToken: this.firstTokenAt === undefined ? undefined : this.firstTokenAt - this.startedAt,
+            betweenTokens: gap,
+            load: this.startLoad,
+        });
+    }
+
+    /** Gives back the slot and the lane; the last step of an attempt. */
+    stop(): void {
+        this.request.cancellation.signal.removeEventListener("abort", this.handleCancel);
+        this.entry.attempts.delete(this);
+        this.releaseLane?.();
+        this.releaseLane = undefined;
+        this.parts.admission.releaseSlot(this.entry);
+    }
+
+    private async exportCache(): Promise<string | undefined> {
+        const exported = await this.parts.client.exportCache(
+            this.entry.description.address,
+            this.record.attemptId,
+            exportTimeLimitMilliseconds,
+        );
+        return exported.ok ? exported.val : undefined;
+    }
+
+    private recordFirstToken(now: number): void {
+        this.firstTokenAt = now;
+        if (this.request.firstTokenAt !== undefined) {
+            return;
+        }
+        this.request.firstTokenAt = this.parts.clock.getWallTime();
+        const wait = (this.request.firstTokenAt - this.request.request.arrivedAt) / millisecondsPerSecond;
+        this.parts.metrics.firstToken.observe({ service: this.service.name }, wait);
+    }
+
+    private finishProbation(): void {
+        this.parts.ledger.removeSuspicion(this.fingerprint);
+        this.releaseLane?.();
+        this.releaseLane = undefined;
+    }
+
+    private getMeanGap(): number | undefined {
+        if (this.firstTokenAt === undefined || this.lastTokenAt === undefined || this.emitted < 2) {
+            return undefined;
+        }
+        return (this.lastTokenAt - this.firstTokenAt) / (this.emitted - 1);
+    }
+}
+
+/** Raises the verdict of a failure to that of earlier attempts. */
+export function createFinalFailure(failure: Failure, earlier: Verdict): Failure {
+    return failure.setVerdict(raiseVerdict(earlier, failure.verdict));
+}
