Replay recorded traces against stated outcomes; mend what the first replays showed

Cause 1: a request that ends endpoints ended 5 of them. Its resend reached a node of another domain before that domain knew. Ruled out: the count within one node (each node stopped at 2). A digest with new deaths is now passed on inside the receiving domain before it is answered. Cause 2: a draft failed with 'retry budget spent' after 12 attempts at one dead endpoint: a request under suspicion was pinned to it again and again. A refused connection now excludes the endpoint for the request.

--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,8 +1,11 @@
 import { CheckCommand } from "./check.js";
+import { DemoCommand } from "./demo.js";
 import { EndpointDrainCommand } from "./endpointDrain.js";
 import { PublishCommand } from "./publish.js";
+import { ReplayCommand } from "./replay.js";
 import { RequestExplainCommand } from "./requestExplain.js";
 import { StatusCommand } from "./status.js";
+import { TraceGenerateCommand } from "./traceGenerate.js";
 
 /** Every command of the command-line tool, by its id. */
 export const COMMANDS = {
@@ -11,4 +14,7 @@
     "status": StatusCommand,
     "request:explain": RequestExplainCommand,
     "endpoint:drain": EndpointDrainCommand,
+    "replay": ReplayCommand,
+    "demo": DemoCommand,
+    "trace:generate": TraceGenerateCommand,
 };
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -120,7 +120,7 @@
     Configuration_is_not_loaded: createError(3019, "The configuration is not loaded yet.", 503),
     Answer_is_larger_than_0_bytes: createError(3020, "The endpoint's answer is larger than {0} bytes.", 502),
     Endpoint_sent_an_answer_that_cannot_be_read: createError(3021, "The endpoint sent an answer that cannot be read.", 502),
-    Request_body_was_not_delivered_0: createError(3022, "The request body was not delivered whole: {0}.", 503),
+    Request_failed_at_0_attempts_last_1: createError(3022, "The request failed at {0} attempts; the last one: {1}", 502),
 
     // Platform.
     Revision_conflict_on_0: createError(4001, "Object '{0}' was changed by another writer.", 409),
--- a/src/node/composition.ts
+++ b/src/node/composition.ts
@@ -350,6 +350,7 @@
             table: context.get(Keys.Table),
             plainCalls: context.get(Keys.PlainCalls),
             gate: context.get(Keys.Gate) as AcceptanceGate,
+            notifier: context.get(Keys.Exchange),
         });
         return PeerServer.create(handler, context.get(Keys.Tls));
     });
--- a/src/node/nodeDigests.ts
+++ b/src/node/nodeDigests.ts
@@ -85,12 +85,12 @@
         };
     }
 
-    applyDigest(digest: NodeDigest): void {
+    applyDigest(digest: NodeDigest): boolean {
         const { directory, moves } = this.parts;
         const isCurrent = directory.recordBeat(digest.node, Number(digest.incarnation), 0, digest.leaving);
         const member = directory.findMember(digest.node);
         if (!isCurrent || member === undefined) {
-            return;
+            return false;
         }
         member.platformReachable = digest.platformReachable;
         member.revisions = new Map(digest.revisions.map(entry => [entry.team, Number(entry.revision)]));
@@ -99,13 +99,14 @@
             directory.recordBeat(beat.node, Number(beat.incarnation), beat.ageMilliseconds, beat.leaving);
         }
         this.applyLoads(digest);
-        this.applyQuarantines(digest);
+        const hasUrgentNews = this.applyQuarantines(digest);
         for (const demand of digest.demands) {
             this.parts.limiter.recordOtherDemand(demand.team, digest.node, demand.requestsPerKilosecond / demandUnit);
         }
         moves.applyEvidence(digest.evidence);
         moves.applyGrants(digest.grants);
         this.keeper?.applyDigest(digest);
+        return hasUrgentNews;
     }
 
     private createLoads(): NodeDigestInit["loads"] {
@@ -163,14 +164,18 @@
         }));
     }
 
-    private applyQuarantines(digest: NodeDigest): void {
+    /** Takes over a peer's knowledge of requests that end endpoints; returns whether any of it was new. */
+    private applyQuarantines(digest: NodeDigest): boolean {
+        let hasNews = false;
         for (const record of digest.quarantines) {
-            this.parts.ledger.mergeRecord({
+            const isNew = this.parts.ledger.mergeRecord({
                 fingerprint: record.fingerprint,
                 endpoints: record.endpoints,
                 until: Number(record.untilMilliseconds),
             });
+            hasNews = hasNews || isNew;
         }
+        return hasNews;
     }
 
     private createMembers(): NodeDigestInit["members"] {
--- a/src/node/nodePeerHandler.ts
+++ b/src/node/nodePeerHandler.ts
@@ -17,6 +17,7 @@
     NodeDigestInit,
     PeerHandler,
     TeamRevision,
+    UrgentNotifier,
 } from "../peers/types.js";
 import { PlainCallRunner } from "../requests/commands/plainCallRunner.js";
 import { decodeRequest, storedRequestSchema } from "../requests/requestCodec.js";
@@ -36,6 +37,7 @@
     readonly table: RequestTable;
     readonly plainCalls: PlainCallRunner;
     readonly gate: AcceptanceGate;
+    readonly notifier: UrgentNotifier;
 }
 
 /** What this node does when a peer calls it. */
@@ -46,8 +48,12 @@
         return new NodePeerHandler(parts);
     }
 
-    handleExchange(digest: NodeDigest): NodeDigestInit {
-        this.parts.digests.applyDigest(digest);
+    async handleExchange(digest: NodeDigest): Promise<NodeDigestInit> {
+        const hasUrgentNews = this.parts.digests.applyDigest(digest);
+        if (hasUrgentNews) {
+            // The sender waits for this answer before it lets the request go on: by then the whole domain knows.
+            await this.parts.notifier.sendUrgentDigest();
+        }
         return this.parts.digests.createDigest();
     }
 
--- a/src/peers/exchangeLoop.ts
+++ b/src/peers/exchangeLoop.ts
@@ -69,7 +69,9 @@
         if (answer.err || this.stopping.signal.aborted) {
             return false;
         }
-        this.digests.applyDigest(answer.val);
+        if (this.digests.applyDigest(answer.val)) {
+            void this.sendUrgentDigest();
+        }
         return true;
     }
 
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -61,11 +61,11 @@
 
 function addRoutes(router: ConnectRouter, handler: PeerHandler): void {
     router.service(PeerService, {
-        exchange: request => {
+        exchange: async request => {
             if (request.digest === undefined) {
                 return {};
             }
-            return { digest: handler.handleExchange(request.digest) };
+            return { digest: await handler.handleExchange(request.digest) };
         },
         fetchConfiguration: request => handler.createConfigurationAnswer(request.known),
         adoptRequest: async request => ({ accepted: await handler.adoptRequest(request) }),
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -68,7 +68,7 @@
 
 /** What a node does when a peer calls it. */
 export interface PeerHandler {
-    handleExchange(digest: NodeDigest): NodeDigestInit;
+    handleExchange(digest: NodeDigest): Promise<NodeDigestInit>;
     createConfigurationAnswer(known: readonly TeamRevision[]): FetchConfigurationResponseInit;
     adoptRequest(request: AdoptRequestRequest): Promise<boolean>;
     followRequest(requestId: string, offset: number, signal: AbortSignal): AsyncIterable<FollowRequestEventInit>;
@@ -79,8 +79,8 @@
 /** Builds and takes over digests. */
 export interface DigestExchange {
     createDigest(): NodeDigestInit;
-    /** Takes over a peer's digest. */
-    applyDigest(digest: NodeDigest): void;
+    /** Takes over a peer's digest; returns whether it held news that the node's other peers need at once. */
+    applyDigest(digest: NodeDigest): boolean;
 }
 
 /** Tells the other nodes at once of a change that must not wait for the next exchange. */
--- a/src/requests/commands/modelRequestRunner.ts
+++ b/src/requests/commands/modelRequestRunner.ts
@@ -137,6 +137,7 @@
 
     async runAttempts(): Promise<void> {
         const { record, parts } = this;
+        let lastText = "";
         for (let count = 0; count < attemptLimit; count += 1) {
             const refusal = this.checkQuarantine();
             if (refusal !== undefined) {
@@ -163,8 +164,11 @@
             }
             this.cacheHandle = result.cacheHandle;
             this.isContinuation = true;
+            lastText = result.failure?.text ?? lastText;
         }
-        record.finishWithFailure(Failure.create(Verdict.MayHaveRun, Diagnostics.Retry_budget_is_spent));
+        record.finishWithFailure(
+            Failure.create(Verdict.MayHaveRun, Diagnostics.Request_failed_at_0_attempts_last_1, attemptLimit, lastText),
+        );
     }
 
     private isEnded(): boolean {
@@ -341,6 +345,7 @@
                 return { reason: ContinueReason.Resume, failure };
             case Diagnostics.Endpoint_refused_the_connection_0.code:
                 registry.recordFailure(entry, EndpointEvidence.ConnectionFailure);
+                this.excluded.add(entry.name);
                 return { reason: ContinueReason.Resume, failure };
             case Diagnostics.Endpoint_refused_before_running_0.code:
                 registry.recordRefusal(entry);
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -117,6 +117,10 @@
     canExport = true;
     isLeaving = false;
     isDead = false;
+    /** Set when a request ended the engine. */
+    diedOfRequest = false;
+    /** Unix milliseconds at which the last generation arrived, accepted or not; 0 for none. */
+    lastArrivalAt = 0;
     refusesNewWork = false;
     tokensRecomputed = 0;
     tokensPrefilled = 0;
@@ -212,7 +216,9 @@
             resume_tokens?: string[];
             cache_handle?: string;
         };
+        this.lastArrivalAt = Date.now();
         if (body.prompt.includes(killerText)) {
+            this.diedOfRequest = true;
             void this.kill();
             return;
         }
--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -1,4 +1,5 @@
 import { Container } from "inversify";
+import { SystemClock } from "../common/clock.js";
 import { hashSha256 } from "../common/hashing.js";
 import { createSilentLogger } from "../common/logging.js";
 import { SeededRandom } from "../common/random.js";
@@ -11,6 +12,7 @@
 import { CacheExchange, EngineOptions, StandInEngine } from "../standins/engine.js";
 import { StandInPlainService } from "../standins/plainService.js";
 import { StandInPlatform } from "../standins/platform.js";
+import { CuttableModelClient, CuttablePeerLink, CuttablePlainClient, NetworkCuts } from "./networkCuts.js";
 
 /** How a deployment of stand-ins and nodes is laid out. */
 export interface DeploymentOptions {
@@ -18,6 +20,9 @@
     readonly nodesPerDomain: number;
     readonly enginesPerDomain: number;
     readonly plainPerDomain: number;
+    readonly plainGroup: string;
+    readonly regions: Readonly<Record<string, string>>;
+    readonly prices: Readonly<Record<string, number>>;
     readonly engine: Partial<EngineOptions>;
     readonly teams: readonly TeamConfiguration[];
     readonly seed: number;
@@ -83,6 +88,9 @@
     nodesPerDomain: 1,
     enginesPerDomain: 2,
     plainPerDomain: 1,
+    plainGroup: "plain",
+    regions: {},
+    prices: {},
     engine: {},
     teams: createDefaultTeams(),
     seed: 1,
@@ -98,6 +106,9 @@
     readonly plainServices: StandInPlainService[] = [];
     readonly nodes: CorianderNode[] = [];
     readonly cacheExchange = CacheExchange.create();
+    readonly cuts = NetworkCuts.create(SystemClock.create());
+    /** Unix milliseconds at which the reclaim of an endpoint was announced, by its name. */
+    readonly announcedAt = new Map<string, number>();
     private nodeCount = 0;
 
     private constructor(readonly options: DeploymentOptions, readonly platform: StandInPlatform) {}
@@ -135,6 +146,7 @@
         );
         await engine.start();
         this.engines.push(engine);
+        this.cuts.addAddress(engine.getAddress(), domain);
         this.addHost(name, domain, "engines", formatAddress(engine.getAddress()));
         return engine;
     }
@@ -145,21 +157,25 @@
         const service = StandInPlainService.create(name);
         await service.start();
         this.plainServices.push(service);
-        this.addHost(name, domain, "plain", formatAddress(service.getAddress()));
+        this.cuts.addAddress(service.getAddress(), domain);
+        this.addHost(name, domain, this.options.plainGroup, formatAddress(service.getAddress()));
         return service;
     }
 
     /** Starts a node and shows it in the host list. */
-    async addNode(domain: string, region = "home"): Promise<CorianderNode> {
+    async addNode(domain: string): Promise<CorianderNode> {
+        const region = this.options.regions[domain] ?? "home";
         this.nodeCount += 1;
         const settings = this.createSettings(`node-${domain}-${this.nodeCount}`, domain, region);
         const container = createNodeContainer(settings);
         replaceBinding(container, Keys.Logger, createSilentLogger());
         replaceBinding(container, Keys.Random, SeededRandom.create(this.options.seed * 1_000 + this.nodeCount));
+        addCuts(container, domain, this.cuts);
         this.options.customize?.(container, settings);
         const node = CorianderNode.create(settings, container);
         const addresses = await node.start();
         this.nodes.push(node);
+        this.cuts.addAddress(addresses.peers, domain);
         this.platform.hosts.push({
             name: settings.name,
             role: "entry",
@@ -173,9 +189,10 @@
     }
 
     /** Announces the reclaim of an endpoint and kills it when the notice runs out. */
-    async removeEngine(engine: StandInEngine, noticeMilliseconds: number): Promise<void> {
+    async removeEngine(engine: StandInEngine, noticeMilliseconds: number, refusesWork = true): Promise<void> {
+        this.announcedAt.set(engine.options.name, Date.now());
         this.markHostLeaving(engine.options.name, Date.now() + noticeMilliseconds);
-        engine.isLeaving = true;
+        engine.isLeaving = refusesWork;
         await new Promise(resolve => setTimeout(resolve, noticeMilliseconds));
         await engine.kill();
         this.removeHost(engine.options.name);
@@ -231,7 +248,16 @@
     }
 
     private addHost(name: string, domain: string, group: string, address: string): void {
-        this.platform.hosts.push({ name, role: "endpoint", failure_domain: domain, address, group, state: "live", price_per_hour: 1 });
+        this.platform.hosts.push({
+            name,
+            role: "endpoint",
+            failure_domain: domain,
+            region: this.options.regions[domain] ?? "home",
+            address,
+            group,
+            state: "live",
+            price_per_hour: this.options.prices[domain] ?? 1,
+        });
         this.platform.publishHosts();
     }
 
@@ -275,3 +301,10 @@
         };
     }
 }
+
+/** Wraps a node's clients so that they respect cuts between failure domains. */
+function addCuts(container: Container, domain: string, cuts: NetworkCuts): void {
+    replaceBinding(container, Keys.PeerLink, CuttablePeerLink.create(container.get(Keys.PeerLink), domain, cuts));
+    replaceBinding(container, Keys.ModelClient, CuttableModelClient.create(container.get(Keys.ModelClient), domain, cuts));
+    replaceBinding(container, Keys.PlainClient, CuttablePlainClient.create(container.get(Keys.PlainClient), domain, cuts));
+}
