--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,6 +1,7 @@
 import { CheckCommand } from "./check.js";
 import { DemoCommand } from "./demo.js";
 import { EndpointDrainCommand } from "./endpointDrain.js";
+import { MoveAbortCommand, MoveShowCommand, MoveStartCommand } from "./moves.js";
 import { PublishCommand } from "./publish.js";
 import { ReplayCommand } from "./replay.js";
 import { RequestExplainCommand } from "./requestExplain.js";
@@ -14,6 +15,9 @@
     "status": StatusCommand,
     "request:explain": RequestExplainCommand,
     "endpoint:drain": EndpointDrainCommand,
+    "move:start": MoveStartCommand,
+    "move:abort": MoveAbortCommand,
+    "move:show": MoveShowCommand,
     "replay": ReplayCommand,
     "demo": DemoCommand,
     "trace:generate": TraceGenerateCommand,
--- a/src/cli/commands/status.ts
+++ b/src/cli/commands/status.ts
@@ -25,8 +25,10 @@
         const platform = status.platform_reachable ? "platform reachable" : "platform not reachable";
         this.log(`${status.node} in ${status.failure_domain}: ${ready}; ${platform}; ${status.active_requests} requests running`);
         this.printTable(
-            ["service", "kind", "version", "endpoint group", "waiting"],
-            status.services.map(service => [service.name, service.kind, service.version, service.group, String(service.waiting)]),
+            ["service", "kind", "version", "move", "endpoint group", "waiting"],
+            status.services.map(
+                service => [service.name, service.kind, service.version, service.move ?? "-", service.group, String(service.waiting)],
+            ),
         );
         this.printTable(
             ["endpoint", "group", "failure domain", "state", "evidence", "running", "limit", "load", "load age"],
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -129,6 +129,8 @@
     Object_0_is_not_found: createError(4004, "Object '{0}' is not found.", 404),
     Write_of_0_has_an_unknown_outcome: createError(4005, "The write of object '{0}' has an unknown outcome: {1}.", 503),
 
+    Lease_0_is_not_held: createError(4006, "Lease '{0}' is not held.", 503),
+
     // Operators.
     Operator_token_is_not_known: createError(5001, "The operator token is missing or not known.", 401),
     Endpoint_0_is_not_known: createError(5002, "Endpoint '{0}' is not known.", 404),
--- a/src/config/serviceFiles.ts
+++ b/src/config/serviceFiles.ts
@@ -113,7 +113,9 @@
         for (const { reader, parts } of openSections("version")) {
             const service = parts[0] as string;
             const name = parts[1] as string;
-            result.push({ service, declaration: { name, model: reader.readText("model", "the name that engines use", /^\S.*$/, name) } });
+            const model = reader.readText("model", "the name that engines use", /^\S.*$/, name);
+            const group = reader.readOptionalText("endpoint-group");
+            result.push({ service, declaration: group === undefined ? { name, model } : { name, model, group } });
             reader.checkUnknownKeys();
             checkServiceExists(reader, service);
         }
--- a/src/config/types.ts
+++ b/src/config/types.ts
@@ -23,6 +23,8 @@
     name: nameSchema,
     /** Name under which engines serve the version. */
     model: z.string().min(1),
+    /** Endpoint group of the version, where it differs from the service's. */
+    group: nameSchema.optional(),
 });
 
 /** How much a service's routing weighs each concern; only the proportions matter. */
--- /dev/null
+++ b/src/control/commands/configurationConsumer.ts
@@ -0,0 +1,39 @@
+import { Metrics } from "../../common/metrics.js";
+import { ConfigurationSet } from "../../config/configurationSet.js";
+import { configurationPrefix } from "../../config/objectNames.js";
+import { teamConfigurationSchema } from "../../config/types.js";
+import { StoredObject } from "../../platform/types.js";
+import { SharedObjectConsumer } from "../sharedObjects.js";
+
+/** Learns of a configuration that came into force. */
+export interface ConfigurationListener {
+    handleConfiguration(team: string, revision: number): void;
+}
+
+/** Puts the teams' configuration objects in force. */
+export class ConfigurationConsumer implements SharedObjectConsumer {
+    readonly prefix = configurationPrefix;
+    private readonly listeners = new Set<ConfigurationListener>();
+
+    private constructor(private readonly configuration: ConfigurationSet, private readonly metrics: Metrics) {}
+
+    static create(configuration: ConfigurationSet, metrics: Metrics): ConfigurationConsumer {
+        return new ConfigurationConsumer(configuration, metrics);
+    }
+
+    addListener(listener: ConfigurationListener): void {
+        this.listeners.add(listener);
+    }
+
+    applyObject(object: StoredObject): boolean {
+        const team = object.name.slice(this.prefix.length);
+        const parsed = teamConfigurationSchema.safeParse(object.value);
+        if (!parsed.success || parsed.data.team.name !== team) {
+            return false;
+        }
+        this.configuration.applyObject({ team, revision: object.revision, configuration: parsed.data });
+        this.metrics.configurationRevision.set({ team }, object.revision);
+        this.listeners.forEach(listener => listener.handleConfiguration(team, object.revision));
+        return true;
+    }
+}
--- /dev/null
+++ b/src/control/commands/quarantineKeeper.ts
@@ -0,0 +1,58 @@
+import { z } from "zod";
+import { Clock } from "../../common/clock.js";
+import { quarantinePrefix } from "../../config/objectNames.js";
+import { ObjectStore } from "../../platform/objectStore.js";
+import { StoredObject } from "../../platform/types.js";
+import { QuarantineLedger } from "../../requests/quarantineLedger.js";
+import { SharedObjectConsumer } from "../sharedObjects.js";
+
+const checkIntervalMilliseconds = 100;
+const storedSchema = z.object({ endpoints: z.array(z.string()), until: z.number() });
+
+/** Shares quarantines through the platform, for failure domains that cannot reach one another. */
+export class QuarantineKeeper implements SharedObjectConsumer {
+    readonly prefix = quarantinePrefix;
+    private readonly stopping = new AbortController();
+    private readonly stored = new Map<string, number>();
+
+    private constructor(private readonly store: ObjectStore, private readonly ledger: QuarantineLedger, private readonly clock: Clock) {}
+
+    static create(store: ObjectStore, ledger: QuarantineLedger, clock: Clock): QuarantineKeeper {
+        return new QuarantineKeeper(store, ledger, clock);
+    }
+
+    applyObject(object: StoredObject): boolean {
+        const parsed = storedSchema.safeParse(object.value);
+        if (!parsed.success) {
+            return false;
+        }
+        const fingerprint = object.name.slice(this.prefix.length);
+        this.stored.set(fingerprint, parsed.data.endpoints.length);
+        this.ledger.mergeRecord({ fingerprint, ...parsed.data });
+        return true;
+    }
+
+    /** Writes new quarantines to the platform until stop is called. */
+    async runRounds(): Promise<void> {
+        while (!this.stopping.signal.aborted) {
+            await this.storeQuarantines();
+            await this.clock.sleep(checkIntervalMilliseconds, this.stopping.signal);
+        }
+    }
+
+    stop(): void {
+        this.stopping.abort();
+    }
+
+    private async storeQuarantines(): Promise<void> {
+        for (const record of this.ledger.listRecords()) {
+            const isKnown = (this.stored.get(record.fingerprint) ?? 0) > 0;
+            if (isKnown || !this.ledger.isQuarantined(record.fingerprint)) {
+                continue;
+            }
+            // Whoever is first writes it; a conflict means that it stands there already.
+            await this.store.createObject(quarantinePrefix + record.fingerprint, { endpoints: record.endpoints, until: record.until });
+            this.stored.set(record.fingerprint, record.endpoints.length);
+        }
+    }
+}
--- a/src/control/commands/configurationKeeper.ts
+++ b/src/control/commands/sharedObjectKeeper.ts
@@ -2,13 +2,12 @@
 import { selectByRendezvous } from "../../common/hashing.js";
 import { Logger } from "../../common/logging.js";
 import { Metrics } from "../../common/metrics.js";
-import { ConfigurationChange, ConfigurationSet } from "../../config/configurationSet.js";
-import { configurationPrefix } from "../../config/objectNames.js";
-import { teamConfigurationSchema } from "../../config/types.js";
+import { sharedPrefix } from "../../config/objectNames.js";
 import { MemberDirectory } from "../../peers/memberDirectory.js";
-import { FetchConfigurationResponseInit, Member, NodeDigest, PeerLink, TeamRevision, UrgentNotifier } from "../../peers/types.js";
+import { FetchSharedObjectsResponseInit, Member, NodeDigest, ObjectRevision, PeerLink, UrgentNotifier } from "../../peers/types.js";
 import { ObjectStore } from "../../platform/objectStore.js";
 import { StoredObject, WatchEventKind } from "../../platform/types.js";
+import { SharedObjectChange, SharedObjects } from "../sharedObjects.js";
 import { HostListKeeper } from "./hostListKeeper.js";
 
 /** Nodes of a failure domain that watch the platform; the others learn from them. */
@@ -20,15 +19,9 @@
 /** Time after which a node that learned nothing from a watcher watches for itself, in milliseconds. */
 const lonelyMilliseconds = 3_000;
 
-/** Learns of a configuration that came into force. */
-export interface ConfigurationListener {
-    handleConfiguration(team: string): void;
-}
-
-/** Keeps the configuration in force: by a watch on the platform, and by what peers have. Revisions only ever rise. */
-export class ConfigurationKeeper {
+/** Keeps the node's copies of the shared objects in step: by a watch on the platform, and by what peers have. */
+export class SharedObjectKeeper {
     private readonly stopping = new AbortController();
-    private readonly listeners = new Set<ConfigurationListener>();
     private readonly fetching = new Set<string>();
     private readonly startedAt: number;
     private watchAbort = new AbortController();
@@ -36,7 +29,7 @@
 
     private constructor(
         private readonly store: ObjectStore,
-        private readonly configuration: ConfigurationSet,
+        private readonly objects: SharedObjects,
         private readonly directory: MemberDirectory,
         private readonly link: PeerLink,
         private readonly hosts: HostListKeeper,
@@ -50,7 +43,7 @@
 
     static create(
         store: ObjectStore,
-        configuration: ConfigurationSet,
+        objects: SharedObjects,
         directory: MemberDirectory,
         link: PeerLink,
         hosts: HostListKeeper,
@@ -58,12 +51,8 @@
         clock: Clock,
         metrics: Metrics,
         logger: Logger,
-    ): ConfigurationKeeper {
-        return new ConfigurationKeeper(store, configuration, directory, link, hosts, notifier, clock, metrics, logger);
-    }
-
-    addListener(listener: ConfigurationListener): void {
-        this.listeners.add(listener);
+    ): SharedObjectKeeper {
+        return new SharedObjectKeeper(store, objects, directory, link, hosts, notifier, clock, metrics, logger);
     }
 
     /** Runs until stop is called. */
@@ -84,24 +73,25 @@
     }
 
     /** Returns the objects that a peer does not have yet, and the hosts. */
-    createAnswer(known: readonly TeamRevision[]): FetchConfigurationResponseInit {
-        const knownRevisions = new Map(known.map(entry => [entry.team, Number(entry.revision)]));
-        const newer = this.configuration.listObjects().filter(object => object.revision > (knownRevisions.get(object.team) ?? 0));
+    createAnswer(known: readonly ObjectRevision[]): FetchSharedObjectsResponseInit {
+        const knownRevisions = new Map(known.map(entry => [entry.name, Number(entry.revision)]));
+        const newer = this.objects.listObjects().filter(object => object.revision > (knownRevisions.get(object.name) ?? 0));
         return {
             objects: newer.map(object => ({
-                team: object.team,
+                name: object.name,
                 revision: BigInt(object.revision),
-                valueJson: JSON.stringify(object.configuration),
+                valueJson: JSON.stringify(object.value),
             })),
             hostsJson: this.hosts.exportHosts(),
         };
     }
 
-    /** Fetches from a peer what its digest shows to be newer. */
+    /** Fetches from a peer what its digest shows to be different. */
     applyDigest(digest: NodeDigest): void {
-        const isNewer = digest.revisions.some(entry => Number(entry.revision) > this.configuration.getRevision(entry.team));
         const member = this.directory.findMember(digest.node);
-        if (isNewer && member !== undefined) {
+        const isNewer = digest.revisions.some(entry => Number(entry.revision) > this.objects.getRevision(entry.name));
+        const isDifferent = digest.revisions.length === 0 && digest.objectsChecksum !== this.objects.getChecksum();
+        if (member !== undefined && (isNewer || isDifferent)) {
             void this.fetchFrom(member);
         }
     }
@@ -131,7 +121,7 @@
 
     /** Asks the peers for the configuration until the node has one from anywhere. */
     private async runBoot(): Promise<void> {
-        while (!this.stopping.signal.aborted && !(this.configuration.hasConfiguration() && this.hosts.hasHosts())) {
+        while (!this.stopping.signal.aborted && !(this.objects.hasObjects() && this.hosts.hasHosts())) {
             const members = this.directory.listDomainMembers().concat(this.directory.listMembers());
             await Promise.all(members.slice(0, 8).map(member => this.fetchFrom(member)));
             await this.clock.sleep(bootPauseMilliseconds, this.stopping.signal);
@@ -143,27 +133,27 @@
             return;
         }
         this.fetching.add(member.name);
-        const known = this.configuration.listObjects().map(object => ({ team: object.team, revision: BigInt(object.revision) }));
-        const answer = await this.link.fetchConfiguration(member.address, known);
+        const known = this.objects.listObjects().map(object => ({ name: object.name, revision: BigInt(object.revision) }));
+        const answer = await this.link.fetchSharedObjects(member.address, known);
         this.fetching.delete(member.name);
         if (answer.err) {
             return;
         }
         for (const object of answer.val.objects) {
-            this.applyValue(object.team, Number(object.revision), JSON.parse(object.valueJson));
+            this.applyObject({ name: object.name, revision: Number(object.revision), value: JSON.parse(object.valueJson) as unknown });
         }
         this.hosts.importHosts(answer.val.hostsJson);
     }
 
     private async watchOnce(): Promise<void> {
-        const listed = await this.store.listObjects(configurationPrefix);
+        const listed = await this.store.listObjects(sharedPrefix);
         if (listed.err) {
             return;
         }
         listed.val.objects.forEach(object => this.applyObject(object));
         this.watchAbort = new AbortController();
         this.isWatching = true;
-        for await (const event of this.store.watchObjects(configurationPrefix, listed.val.revision, this.watchAbort.signal)) {
+        for await (const event of this.store.watchObjects(sharedPrefix, listed.val.revision, this.watchAbort.signal)) {
             if (event.kind === WatchEventKind.Expired) {
                 break;
             }
@@ -175,25 +165,14 @@
     }
 
     private applyObject(object: StoredObject): void {
-        this.applyValue(object.name.slice(configurationPrefix.length), object.revision, object.value);
-    }
-
-    private applyValue(team: string, revision: number, value: unknown): void {
-        const parsed = teamConfigurationSchema.safeParse(value);
-        if (!parsed.success || parsed.data.team.name !== team) {
-            this.metrics.configurationRefused.inc({ reason: "unreadable" });
-            return;
-        }
-        const change = this.configuration.applyObject({ team, revision, configuration: parsed.data });
-        if (change === ConfigurationChange.RefusedLowerRevision) {
-            this.metrics.configurationRefused.inc({ reason: "lower-revision" });
+        const change = this.objects.applyObject(object);
+        if (change === SharedObjectChange.RefusedLowerRevision || change === SharedObjectChange.RefusedUnreadable) {
+            this.metrics.configurationRefused.inc({ reason: change });
         }
-        if (change !== ConfigurationChange.Applied) {
+        if (change !== SharedObjectChange.Applied) {
             return;
         }
-        this.metrics.configurationRevision.set({ team }, revision);
-        this.logger.info("configuration in force", { team, revision });
-        this.listeners.forEach(listener => listener.handleConfiguration(team));
+        this.logger.info("shared object in force", { object: object.name, revision: object.revision });
         void this.notifier.sendUrgentDigest();
     }
 }
--- /dev/null
+++ b/src/control/moves/moveWebhook.ts
@@ -0,0 +1,34 @@
+import got from "got";
+import { describeError } from "../../common/failure.js";
+import { Logger } from "../../common/logging.js";
+import { MoveListener } from "./moveKeeper.js";
+import { MoveRecord } from "./moveRecord.js";
+
+const timeoutMilliseconds = 5_000;
+const retryLimit = 3;
+
+/** Tells a URL of the operators' choice when a move ends. Every node tells it; the record's id tells repeats apart. */
+export class MoveWebhook implements MoveListener {
+    private constructor(private readonly url: string, private readonly node: string, private readonly logger: Logger) {}
+
+    static create(url: string, node: string, logger: Logger): MoveWebhook {
+        return new MoveWebhook(url, node, logger);
+    }
+
+    handleMoveEnd(record: MoveRecord): void {
+        void this.send(record);
+    }
+
+    private async send(record: MoveRecord): Promise<void> {
+        try {
+            await got.post(this.url, {
+                json: { event: "move-ended", node: this.node, move: record },
+                timeout: { request: timeoutMilliseconds },
+                retry: { limit: retryLimit, methods: ["POST"] },
+            });
+        }
+        catch (error) {
+            this.logger.warn("webhook did not take the end of a move", { service: record.service, text: describeError(error) });
+        }
+    }
+}
--- a/src/control/types.ts
+++ b/src/control/types.ts
@@ -5,5 +5,6 @@
     createEvidence(): NodeDigestInit["evidence"];
     createGrants(): NodeDigestInit["grants"];
     applyEvidence(evidence: NodeDigest["evidence"]): void;
-    applyGrants(grants: NodeDigest["grants"]): void;
+    /** Returns whether a grant held news that other nodes need at once. */
+    applyGrants(grants: NodeDigest["grants"]): boolean;
 }
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -55,7 +55,11 @@
 }
 
 function createCallHeaders(call: PlainCall): Record<string, string> {
-    const headers: Record<string, string> = { "x-request-id": call.requestId, "x-attempt-id": call.attemptId };
+    const headers: Record<string, string> = {
+        "x-request-id": call.requestId,
+        "x-attempt-id": call.attemptId,
+        "x-service-version": call.version,
+    };
     if (call.contentType !== undefined) {
         headers["content-type"] = call.contentType;
     }
--- a/src/endpoints/types.ts
+++ b/src/endpoints/types.ts
@@ -86,6 +86,8 @@
 export interface PlainCall {
     readonly requestId: string;
     readonly attemptId: string;
+    /** Version of the service that is asked for. */
+    readonly version: string;
     readonly method: string;
     readonly path: string;
     readonly contentType: string | undefined;
--- a/src/node/composition.ts
+++ b/src/node/composition.ts
@@ -1,5 +1,5 @@
 import "reflect-metadata";
-import { Container, ServiceIdentifier } from "inversify";
+import { Container, ResolutionContext, ServiceIdentifier } from "inversify";
 import { CallerServer } from "../callers/callerServer.js";
 import { AcceptanceGate } from "../callers/types.js";
 import { Clock, SystemClock } from "../common/clock.js";
@@ -8,10 +8,20 @@
 import { RandomSource, SeededRandom } from "../common/random.js";
 import { Tracing } from "../common/tracing.js";
 import { ConfigurationSet } from "../config/configurationSet.js";
+import { leasePrefix } from "../config/objectNames.js";
 import { NodeSettings } from "../config/types.js";
-import { ConfigurationKeeper } from "../control/commands/configurationKeeper.js";
+import { ConfigurationConsumer } from "../control/commands/configurationConsumer.js";
+import { DomainDuty } from "../control/commands/domainDuty.js";
 import { HostListKeeper } from "../control/commands/hostListKeeper.js";
-import { DeclaredVersionPolicy } from "../control/queries/declaredVersionPolicy.js";
+import { LeaseKeeper } from "../control/commands/leaseKeeper.js";
+import { OrderSender } from "../control/commands/orderSender.js";
+import { QuarantineKeeper } from "../control/commands/quarantineKeeper.js";
+import { SharedObjectKeeper } from "../control/commands/sharedObjectKeeper.js";
+import { ClockMonitor } from "../control/moves/clockMonitor.js";
+import { MoveDuty } from "../control/moves/moveDuty.js";
+import { MoveKeeper } from "../control/moves/moveKeeper.js";
+import { MoveOperations } from "../control/moves/moveOperations.js";
+import { SharedObjects } from "../control/sharedObjects.js";
 import { MoveEvidenceExchange } from "../control/types.js";
 import { HttpModelEndpointClient } from "../endpoints/httpModelEndpoint.js";
 import { ModelEndpointClient } from "../endpoints/modelEndpoint.js";
@@ -28,6 +38,7 @@
 import { HostList, HttpHostList } from "../platform/hostList.js";
 import { HttpObjectStore } from "../platform/httpObjectStore.js";
 import { ObjectStore } from "../platform/objectStore.js";
+import { HttpWeightStore, WeightStore } from "../platform/weightStore.js";
 import { AdmissionQueue } from "../requests/commands/admissionQueue.js";
 import { ClaimStore } from "../requests/commands/claimStore.js";
 import { DraftStore } from "../requests/commands/draftStore.js";
@@ -52,6 +63,9 @@
 import { NodePeerHandler } from "./nodePeerHandler.js";
 import { PeerRequests } from "./peerRequests.js";
 
+/** Longest time in which a write takes effect or never does, in multiples of the platform timeout. */
+const writeSettleFactor = 2;
+
 function createKey<T>(name: string): ServiceIdentifier<T> {
     return Symbol.for(`corianderward.${name}`);
 }
@@ -77,7 +91,7 @@
     Digests: createKey<NodeDigests>("Digests"),
     Exchange: createKey<ExchangeLoop>("Exchange"),
     HostListKeeper: createKey<HostListKeeper>("HostListKeeper"),
-    ConfigurationKeeper: createKey<ConfigurationKeeper>("ConfigurationKeeper"),
+    SharedObjectKeeper: createKey<SharedObjectKeeper>("SharedObjectKeeper"),
     ModelClient: createKey<ModelEndpointClient>("ModelClient"),
     PlainClient: createKey<PlainEndpointClient>("PlainClient"),
     PrefixIndex: createKey<PrefixIndex>("PrefixIndex"),
@@ -88,9 +102,17 @@
     Claims: createKey<ClaimStore>("Claims"),
     Drafts: createKey<DraftStore>("Drafts"),
     Table: createKey<RequestTable>("Table"),
-    Versions: createKey<VersionPolicy>("Versions"),
-    Observer: createKey<VersionObserver>("Observer"),
-    Moves: createKey<MoveEvidenceExchange>("Moves"),
+    WeightStore: createKey<WeightStore | undefined>("WeightStore"),
+    Objects: createKey<SharedObjects>("Objects"),
+    ConfigurationConsumer: createKey<ConfigurationConsumer>("ConfigurationConsumer"),
+    QuarantineKeeper: createKey<QuarantineKeeper>("QuarantineKeeper"),
+    Clocks: createKey<ClockMonitor>("Clocks"),
+    Moves: createKey<MoveKeeper>("Moves"),
+    MoveDuty: createKey<MoveDuty>("MoveDuty"),
+    MoveOperations: createKey<MoveOperations>("MoveOperations"),
+    DomainLease: createKey<LeaseKeeper>("DomainLease"),
+    FleetLease: createKey<LeaseKeeper>("FleetLease"),
+    DomainDuty: createKey<DomainDuty>("DomainDuty"),
     ModelRunner: createKey<ModelRequestRunner>("ModelRunner"),
     PlainCalls: createKey<PlainCallRunner>("PlainCalls"),
     Service: createKey<RequestService>("Service"),
@@ -143,6 +165,9 @@
         )
     );
     container.bind(Keys.HostList).toDynamicValue(() => HttpHostList.create(settings.hostListUrl, timeout));
+    container.bind(Keys.WeightStore).toDynamicValue(() =>
+        settings.weightStoreUrl === undefined ? undefined : HttpWeightStore.create(settings.weightStoreUrl, timeout)
+    );
     container.bind(Keys.Cloud).toDynamicValue(
         () => (settings.cloudUrl === undefined ? undefined : HttpCloud.create(settings.cloudUrl, timeout)),
     );
@@ -168,7 +193,8 @@
             clock: context.get(Keys.Clock),
             random: context.get(Keys.Random),
             directory: context.get(Keys.Directory),
-            configuration: context.get(Keys.Configuration),
+            objects: context.get(Keys.Objects),
+            clocks: context.get(Keys.Clocks),
             registry: context.get(Keys.Registry),
             ledger: context.get(Keys.Ledger),
             limiter: context.get(Keys.Limiter),
@@ -243,8 +269,8 @@
             lanes: SuspectLanes.create(),
             budget: context.get(Keys.Budget),
             prefixIndex: context.get(Keys.PrefixIndex),
-            versions: context.get(Keys.Versions),
-            observer: context.get(Keys.Observer),
+            versions: context.get(Keys.Moves),
+            observer: context.get(Keys.Moves),
             connectTimeout: settings.timing.connectTimeout,
         })
     );
@@ -262,8 +288,8 @@
             budget: context.get(Keys.Budget),
             claims: context.get(Keys.Claims),
             forwarder: context.get(Keys.PeerRequests),
-            versions: context.get(Keys.Versions),
-            observer: context.get(Keys.Observer),
+            versions: context.get(Keys.Moves),
+            observer: context.get(Keys.Moves),
             connectTimeout: settings.timing.connectTimeout,
             answerBytes: settings.limits.answerBytes,
         })
@@ -314,10 +340,10 @@
             settings.timing.hostListInterval,
         )
     );
-    container.bind(Keys.ConfigurationKeeper).toDynamicValue(context =>
-        ConfigurationKeeper.create(
+    container.bind(Keys.SharedObjectKeeper).toDynamicValue(context =>
+        SharedObjectKeeper.create(
             context.get(Keys.ObjectStore),
-            context.get(Keys.Configuration),
+            context.get(Keys.Objects),
             context.get(Keys.Directory),
             context.get(Keys.PeerLink),
             context.get(Keys.HostListKeeper),
@@ -327,13 +353,96 @@
             context.get(Keys.Logger),
         )
     );
-    container.bind(Keys.Versions).toDynamicValue(() => DeclaredVersionPolicy.create());
-    container.bind(Keys.Observer).toConstantValue({ recordObservation: () => {} });
-    container.bind(Keys.Moves).toConstantValue({
-        createEvidence: () => [],
-        createGrants: () => [],
-        applyEvidence: () => {},
-        applyGrants: () => {},
+    addMoveBindings(container, settings);
+    addDutyBindings(container, settings);
+}
+
+function addMoveBindings(container: Container, settings: NodeSettings): void {
+    container.bind(Keys.Objects).toDynamicValue(context => {
+        const clock = context.get(Keys.Clock);
+        const objects = SharedObjects.create(() => clock.getMonotonicTime());
+        objects.addConsumer(context.get(Keys.ConfigurationConsumer));
+        objects.addConsumer(context.get(Keys.Moves));
+        objects.addConsumer(context.get(Keys.QuarantineKeeper));
+        return objects;
+    });
+    container.bind(Keys.ConfigurationConsumer).toDynamicValue(context =>
+        ConfigurationConsumer.create(context.get(Keys.Configuration), context.get(Keys.Metrics))
+    );
+    container.bind(Keys.QuarantineKeeper).toDynamicValue(context =>
+        QuarantineKeeper.create(context.get(Keys.ObjectStore), context.get(Keys.Ledger), context.get(Keys.Clock))
+    );
+    container.bind(Keys.Clocks).toDynamicValue(context => ClockMonitor.create(context.get(Keys.Clock)));
+    container.bind(Keys.Moves).toDynamicValue(context => {
+        const notifier: UrgentNotifier = { sendUrgentDigest: () => context.get(Keys.Exchange).sendUrgentDigest() };
+        return MoveKeeper.create(
+            context.get(Keys.Directory).identity,
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+            notifier,
+            context.get(Keys.Metrics),
+            context.get(Keys.Logger),
+        );
+    });
+    container.bind(Keys.MoveDuty).toDynamicValue(context =>
+        MoveDuty.create({
+            store: context.get(Keys.ObjectStore),
+            objects: context.get(Keys.Objects),
+            keeper: context.get(Keys.Moves),
+            lease: context.get(Keys.FleetLease),
+            configuration: context.get(Keys.Configuration),
+            registry: context.get(Keys.Registry),
+            directory: context.get(Keys.Directory),
+            clocks: context.get(Keys.Clocks),
+            clock: context.get(Keys.Clock),
+            logger: context.get(Keys.Logger),
+            writeSettleTime: settings.timing.platformTimeout * writeSettleFactor,
+        })
+    );
+    container.bind(Keys.MoveOperations).toDynamicValue(context =>
+        MoveOperations.create(
+            context.get(Keys.ObjectStore),
+            context.get(Keys.Objects),
+            context.get(Keys.Configuration),
+            context.get(Keys.Clock),
+            context.get(Keys.MoveDuty).getMargin(),
+        )
+    );
+}
+
+function createLease(context: ResolutionContext, settings: NodeSettings, name: string): LeaseKeeper {
+    return LeaseKeeper.create(
+        context.get(Keys.ObjectStore),
+        context.get(Keys.Clock),
+        context.get(Keys.Directory).identity,
+        leasePrefix + name,
+        settings.timing.leaseTerm,
+        context.get(Keys.Metrics),
+        context.get(Keys.Logger),
+    );
+}
+
+function addDutyBindings(container: Container, settings: NodeSettings): void {
+    container.bind(Keys.FleetLease).toDynamicValue(context => createLease(context, settings, "fleet"));
+    container.bind(Keys.DomainLease).toDynamicValue(context => createLease(context, settings, `domain-${settings.failureDomain}`));
+    container.bind(Keys.DomainDuty).toDynamicValue(context => {
+        const checksFencing = (group: string) => settings.groups.find(entry => entry.name === group)?.checksFencing ?? false;
+        const client = context.get(Keys.ModelClient);
+        return DomainDuty.create({
+            clock: context.get(Keys.Clock),
+            logger: context.get(Keys.Logger),
+            lease: context.get(Keys.DomainLease),
+            orders: OrderSender.create(client, context.get(Keys.DomainLease), context.get(Keys.Clock), checksFencing),
+            client,
+            store: context.get(Keys.ObjectStore),
+            weightStore: context.get(Keys.WeightStore),
+            configuration: context.get(Keys.Configuration),
+            moves: context.get(Keys.Moves),
+            registry: context.get(Keys.Registry),
+            directory: context.get(Keys.Directory),
+            drafts: context.get(Keys.Drafts),
+            service: context.get(Keys.Service),
+        });
     });
 }
 
@@ -345,7 +454,7 @@
             tracing: context.get(Keys.Tracing),
             configuration: context.get(Keys.Configuration),
             digests: context.get(Keys.Digests),
-            keeper: context.get(Keys.ConfigurationKeeper),
+            keeper: context.get(Keys.SharedObjectKeeper),
             service: context.get(Keys.Service),
             table: context.get(Keys.Table),
             plainCalls: context.get(Keys.PlainCalls),
@@ -382,6 +491,9 @@
             admission: context.get(Keys.Admission),
             table: context.get(Keys.Table),
             readiness: context.get(Keys.Gate) as ReadinessSource,
+            moves: context.get(Keys.Moves),
+            moveOperations: context.get(Keys.MoveOperations),
+            clocks: context.get(Keys.Clocks),
             operatorTokenHash: settings.operatorTokenHash,
         })
     );
--- a/src/node/corianderNode.ts
+++ b/src/node/corianderNode.ts
@@ -1,5 +1,6 @@
 import { Container } from "inversify";
 import { NetworkAddress, NodeSettings } from "../config/types.js";
+import { MoveWebhook } from "../control/moves/moveWebhook.js";
 import { createNodeContainer, Keys } from "./composition.js";
 
 /** Time between two looks at whether the running requests have ended, in milliseconds. */
@@ -33,7 +34,10 @@
         const { container, settings } = this;
         const registry = container.get(Keys.Registry);
         registry.addListener(container.get(Keys.StreamMover));
-        container.get(Keys.Digests).setConfigurationKeeper(container.get(Keys.ConfigurationKeeper));
+        if (settings.webhookUrl !== undefined) {
+            container.get(Keys.Moves).addListener(MoveWebhook.create(settings.webhookUrl, settings.name, container.get(Keys.Logger)));
+        }
+        container.get(Keys.Digests).setKeeper(container.get(Keys.SharedObjectKeeper));
         this.addresses = {
             callers: await container.get(Keys.CallerServer).start(settings.callers),
             peers: await container.get(Keys.PeerServer).start(settings.peersListen),
@@ -62,6 +66,8 @@
         void container.get(Keys.Exchange).sendUrgentDigest();
         await clock.sleep(settings.timing.readinessGrace);
         container.get(Keys.Gate).close();
+        void container.get(Keys.DomainLease).release();
+        void container.get(Keys.FleetLease).release();
         await container.get(Keys.CallerServer).stopAccepting();
         await this.waitForRequests(startedAt + settings.timing.drainLimit - handOverMilliseconds);
         if (this.countOpen() > 0) {
@@ -88,8 +94,13 @@
         container.get(Keys.Service).stop();
         container.get(Keys.Exchange).stop();
         container.get(Keys.HostListKeeper).stop();
-        container.get(Keys.ConfigurationKeeper).stop();
+        container.get(Keys.SharedObjectKeeper).stop();
         container.get(Keys.LoadObserver).stop();
+        container.get(Keys.QuarantineKeeper).stop();
+        container.get(Keys.DomainDuty).stop();
+        container.get(Keys.MoveDuty).stop();
+        container.get(Keys.DomainLease).stop();
+        container.get(Keys.FleetLease).stop();
         container.get(Keys.Admission).stop();
         container.get(Keys.Tls)?.stop();
         await container.get(Keys.PeerServer).stop();
@@ -101,9 +112,14 @@
     private startTasks(): void {
         const { container } = this;
         void container.get(Keys.HostListKeeper).runRounds();
-        void container.get(Keys.ConfigurationKeeper).runWatch();
+        void container.get(Keys.SharedObjectKeeper).runWatch();
         void container.get(Keys.Exchange).runRounds();
         void container.get(Keys.LoadObserver).runRounds();
+        void container.get(Keys.QuarantineKeeper).runRounds();
+        void container.get(Keys.DomainLease).runRounds();
+        void container.get(Keys.FleetLease).runRounds();
+        void container.get(Keys.DomainDuty).runRounds();
+        void container.get(Keys.MoveDuty).runRounds();
         void this.runMemberCount();
     }
 
--- a/src/node/nodeDigests.ts
+++ b/src/node/nodeDigests.ts
@@ -1,8 +1,9 @@
 import { createHash } from "node:crypto";
 import { Clock } from "../common/clock.js";
 import { RandomSource } from "../common/random.js";
-import { ConfigurationSet } from "../config/configurationSet.js";
-import { ConfigurationKeeper } from "../control/commands/configurationKeeper.js";
+import { SharedObjectKeeper } from "../control/commands/sharedObjectKeeper.js";
+import { ClockMonitor } from "../control/moves/clockMonitor.js";
+import { SharedObjects } from "../control/sharedObjects.js";
 import { MoveEvidenceExchange } from "../control/types.js";
 import { EndpointEvidence, EndpointState } from "../endpoints/types.js";
 import { MemberDirectory } from "../peers/memberDirectory.js";
@@ -18,6 +19,9 @@
 const quarantineLimit = 16;
 const demandLimit = 8;
 const revisionLimit = 64;
+/** Time for which a change of the revisions is told in every digest, in milliseconds; later in one digest of several. */
+const revisionNewsMilliseconds = 5_000;
+const revisionEvery = 8;
 /** Age from which a load is no longer passed on, in milliseconds. */
 const loadAgeLimitMilliseconds = 3_000;
 const demandUnit = 1_000;
@@ -27,7 +31,8 @@
     readonly clock: Clock;
     readonly random: RandomSource;
     readonly directory: MemberDirectory;
-    readonly configuration: ConfigurationSet;
+    readonly objects: SharedObjects;
+    readonly clocks: ClockMonitor;
     readonly registry: EndpointRegistry;
     readonly ledger: QuarantineLedger;
     readonly limiter: TeamLimiter;
@@ -42,7 +47,7 @@
 
 /** Builds the node's digests and takes over those of its peers. */
 export class NodeDigests implements DigestExchange {
-    private keeper: ConfigurationKeeper | undefined;
+    private keeper: SharedObjectKeeper | undefined;
     private isLeaving = false;
 
     private constructor(private readonly parts: NodeDigestParts) {}
@@ -52,7 +57,7 @@
     }
 
     /** Sets the keeper that learns of newer revisions; it is created after the digests. */
-    setConfigurationKeeper(keeper: ConfigurationKeeper): void {
+    setKeeper(keeper: SharedObjectKeeper): void {
         this.keeper = keeper;
     }
 
@@ -62,7 +67,7 @@
     }
 
     createDigest(): NodeDigestInit {
-        const { directory, configuration, store, clock, moves } = this.parts;
+        const { directory, objects, store, clock, moves } = this.parts;
         const { identity } = directory;
         return {
             node: identity.name,
@@ -70,10 +75,8 @@
             region: identity.region,
             incarnation: BigInt(identity.incarnation),
             leaving: this.isLeaving,
-            revisions: configuration.listObjects().slice(0, revisionLimit).map(object => ({
-                team: object.team,
-                revision: BigInt(object.revision),
-            })),
+            revisions: this.createRevisions(),
+            objectsChecksum: objects.getChecksum(),
             loads: this.createLoads(),
             quarantines: this.createQuarantines(),
             members: this.createMembers(),
@@ -93,7 +96,10 @@
             return false;
         }
         member.platformReachable = digest.platformReachable;
-        member.revisions = new Map(digest.revisions.map(entry => [entry.team, Number(entry.revision)]));
+        for (const entry of digest.revisions) {
+            member.revisions.set(entry.name, Number(entry.revision));
+        }
+        this.parts.clocks.recordSendTime(digest.node, Number(digest.sentAtMilliseconds));
         member.toldAt = this.parts.clock.getMonotonicTime();
         for (const beat of digest.members) {
             directory.recordBeat(beat.node, Number(beat.incarnation), beat.ageMilliseconds, beat.leaving);
@@ -104,9 +110,19 @@
             this.parts.limiter.recordOtherDemand(demand.team, digest.node, demand.requestsPerKilosecond / demandUnit);
         }
         moves.applyEvidence(digest.evidence);
-        moves.applyGrants(digest.grants);
+        const hasTakeBack = moves.applyGrants(digest.grants);
         this.keeper?.applyDigest(digest);
-        return hasUrgentNews;
+        return hasUrgentNews || hasTakeBack;
+    }
+
+    /** Lists the revisions in force while they are news, and now and then after. */
+    private createRevisions(): NodeDigestInit["revisions"] {
+        const { objects, clock, random } = this.parts;
+        const isNews = clock.getMonotonicTime() - objects.getChangeTime() < revisionNewsMilliseconds;
+        if (!isNews && random.pickIndex(revisionEvery) !== 0) {
+            return [];
+        }
+        return objects.listObjects().slice(-revisionLimit).map(object => ({ name: object.name, revision: BigInt(object.revision) }));
     }
 
     private createLoads(): NodeDigestInit["loads"] {
--- a/src/node/nodePeerHandler.ts
+++ b/src/node/nodePeerHandler.ts
@@ -5,18 +5,18 @@
 import { Tracing } from "../common/tracing.js";
 import { Verdict } from "../common/verdict.js";
 import { ConfigurationSet } from "../config/configurationSet.js";
-import { ConfigurationKeeper } from "../control/commands/configurationKeeper.js";
+import { SharedObjectKeeper } from "../control/commands/sharedObjectKeeper.js";
 import {
     AdoptRequestRequest,
     DigestExchange,
-    FetchConfigurationResponseInit,
+    FetchSharedObjectsResponseInit,
     FollowRequestEventInit,
     ForwardCallRequest,
     ForwardCallResponseInit,
     NodeDigest,
     NodeDigestInit,
+    ObjectRevision,
     PeerHandler,
-    TeamRevision,
     UrgentNotifier,
 } from "../peers/types.js";
 import { PlainCallRunner } from "../requests/commands/plainCallRunner.js";
@@ -32,7 +32,7 @@
     readonly tracing: Tracing;
     readonly configuration: ConfigurationSet;
     readonly digests: DigestExchange;
-    readonly keeper: ConfigurationKeeper;
+    readonly keeper: SharedObjectKeeper;
     readonly service: RequestService;
     readonly table: RequestTable;
     readonly plainCalls: PlainCallRunner;
@@ -57,7 +57,7 @@
         return this.parts.digests.createDigest();
     }
 
-    createConfigurationAnswer(known: readonly TeamRevision[]): FetchConfigurationResponseInit {
+    createSharedObjectsAnswer(known: readonly ObjectRevision[]): FetchSharedObjectsResponseInit {
         return this.parts.keeper.createAnswer(known);
     }
 
--- a/src/operators/operatorServer.ts
+++ b/src/operators/operatorServer.ts
@@ -7,6 +7,8 @@
 import { Verdict } from "../common/verdict.js";
 import { NetworkAddress } from "../config/types.js";
 import { EndpointEvidence } from "../endpoints/types.js";
+import { addMoveRoutes } from "./commands/moveRoutes.js";
+import { sendOperatorProblem } from "./operatorProblem.js";
 import { findRequestExplanation } from "./queries/explainRequest.js";
 import { createNodeStatus } from "./queries/nodeStatus.js";
 import { OperatorParts } from "./types.js";
@@ -75,6 +77,7 @@
         parts.registry.markLeaving(name, EndpointEvidence.Operator, undefined);
         response.json({ endpoint: name, state: "leaving" });
     });
+    addMoveRoutes(app, parts);
     app.use((request, response) => {
         sendOperatorProblem(response, Failure.create(Verdict.NotRun, Diagnostics.Path_0_is_not_served, request.path));
     });
@@ -93,10 +96,3 @@
     }
     next();
 }
-
-/** Answers an operator with a failure. */
-export function sendOperatorProblem(response: Response, failure: Failure): void {
-    const code = `CW${failure.message.code}`;
-    const body = { type: `urn:corianderward:${code}`, title: failure.text, status: failure.message.status, verdict: failure.verdict };
-    response.status(failure.message.status).type("application/problem+json").send(JSON.stringify(body));
-}
--- a/src/operators/queries/nodeStatus.ts
+++ b/src/operators/queries/nodeStatus.ts
@@ -1,4 +1,5 @@
 import { z } from "zod";
+import { configurationPrefix } from "../../config/objectNames.js";
 import { OperatorParts } from "../types.js";
 
 const revisionSchema = z.object({ team: z.string(), revision: z.number() });
@@ -17,6 +18,7 @@
         name: z.string(),
         kind: z.string(),
         version: z.string(),
+        move: z.string().optional(),
         group: z.string(),
         waiting: z.number(),
     })),
@@ -45,6 +47,9 @@
         told_milliseconds: z.number().optional(),
     })),
     active_requests: z.number(),
+    /** Median difference of this node's clock to its peers', in milliseconds. */
+    clock_difference_milliseconds: z.number(),
+    clock_within_bounds: z.boolean(),
 });
 export type NodeStatus = z.infer<typeof nodeStatusSchema>;
 
@@ -66,7 +71,8 @@
         services: configuration.listServices().map(service => ({
             name: service.name,
             kind: service.kind,
-            version: service.version,
+            version: parts.moves.getServingVersion(service),
+            move: formatMove(parts, service.name),
             group: service.group,
             waiting: waiting.get(service.name) ?? 0,
         })),
@@ -91,9 +97,24 @@
             leaving: member.isLeaving,
             silent_milliseconds: Number.isFinite(member.lastHeardAt) ? Math.round(now - member.lastHeardAt) : undefined,
             platform_reachable: member.platformReachable,
-            revisions: [...member.revisions].map(([team, revision]) => ({ team, revision })),
+            revisions: listTeamRevisions(member.revisions),
             told_milliseconds: Number.isFinite(member.toldAt) ? Math.round(now - member.toldAt) : undefined,
         })),
         active_requests: parts.table.countActive(),
+        clock_difference_milliseconds: parts.clocks.getDifference(),
+        clock_within_bounds: parts.clocks.isWithinBounds(),
     };
 }
+
+function formatMove(parts: OperatorParts, service: string): string | undefined {
+    const record = parts.moves.findRecord(service);
+    if (record === undefined) {
+        return undefined;
+    }
+    return `${record.to} ${record.state} ${Math.round(parts.moves.getCurrentShare(service) * 100)} %`;
+}
+
+function listTeamRevisions(revisions: ReadonlyMap<string, number>): { team: string; revision: number; }[] {
+    const own = [...revisions].filter(([name]) => name.startsWith(configurationPrefix));
+    return own.map(([name, revision]) => ({ team: name.slice(configurationPrefix.length), revision }));
+}
--- a/src/operators/types.ts
+++ b/src/operators/types.ts
@@ -1,6 +1,9 @@
 import { Clock } from "../common/clock.js";
 import { Metrics } from "../common/metrics.js";
 import { ConfigurationSet } from "../config/configurationSet.js";
+import { ClockMonitor } from "../control/moves/clockMonitor.js";
+import { MoveKeeper } from "../control/moves/moveKeeper.js";
+import { MoveOperations } from "../control/moves/moveOperations.js";
 import { MemberDirectory } from "../peers/memberDirectory.js";
 import { PeerLink } from "../peers/types.js";
 import { ObjectStore } from "../platform/objectStore.js";
@@ -26,5 +29,8 @@
     readonly admission: AdmissionQueue;
     readonly table: RequestTable;
     readonly readiness: ReadinessSource;
+    readonly moves: MoveKeeper;
+    readonly moveOperations: MoveOperations;
+    readonly clocks: ClockMonitor;
     readonly operatorTokenHash: string | undefined;
 }
--- a/src/peers/connectPeerLink.ts
+++ b/src/peers/connectPeerLink.ts
@@ -13,15 +13,15 @@
 import {
     AdoptRequestInit,
     ExplainRequestResponse,
-    FetchConfigurationResponse,
+    FetchSharedObjectsResponse,
     FollowRequestEvent,
     ForwardCallInit,
     ForwardCallResponse,
     NodeDigest,
     NodeDigestInit,
+    ObjectRevisionInit,
     PeerLink,
     PeerResult,
-    TeamRevisionInit,
 } from "./types.js";
 
 /** Time limit of a short call between nodes, in milliseconds. */
@@ -63,8 +63,11 @@
         return Ok(answer.val.digest);
     }
 
-    async fetchConfiguration(address: NetworkAddress, known: readonly TeamRevisionInit[]): Promise<PeerResult<FetchConfigurationResponse>> {
-        return this.send(address, client => client.fetchConfiguration({ known: [...known] }, { timeoutMs: shortCallMilliseconds }));
+    async fetchSharedObjects(
+        address: NetworkAddress,
+        known: readonly ObjectRevisionInit[],
+    ): Promise<PeerResult<FetchSharedObjectsResponse>> {
+        return this.send(address, client => client.fetchSharedObjects({ known: [...known] }, { timeoutMs: shortCallMilliseconds }));
     }
 
     async adoptRequest(address: NetworkAddress, request: AdoptRequestInit): Promise<PeerResult<boolean>> {
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -67,7 +67,7 @@
             }
             return { digest: await handler.handleExchange(request.digest) };
         },
-        fetchConfiguration: request => handler.createConfigurationAnswer(request.known),
+        fetchSharedObjects: request => handler.createSharedObjectsAnswer(request.known),
         adoptRequest: async request => ({ accepted: await handler.adoptRequest(request) }),
         followRequest: (request, context) => handler.followRequest(request.requestId, request.offset, context.signal),
         forwardCall: request => handler.forwardCall(request),
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -4,34 +4,36 @@
 import { NetworkAddress } from "../config/types.js";
 import {
     AdoptRequestRequest,
-    ConfigurationObject,
     ExplainRequestResponse,
-    FetchConfigurationResponse,
+    FetchSharedObjectsResponse,
     FollowRequestEvent,
     ForwardCallRequest,
     ForwardCallResponse,
     NodeDigest,
-    TeamRevision,
+    ObjectRevision,
+    SharedObject,
 } from "../generated/corianderward/v1/peer_pb.js";
 import {
     AdoptRequestRequestSchema,
-    FetchConfigurationResponseSchema,
+    FetchSharedObjectsResponseSchema,
     FollowRequestEventSchema,
     ForwardCallRequestSchema,
     ForwardCallResponseSchema,
     NodeDigestSchema,
-    TeamRevisionSchema,
+    ObjectRevisionSchema,
+    ShareGrantSchema,
 } from "../generated/corianderward/v1/peer_pb.js";
 
 export type { AdoptRequestRequest, ExplainRequestResponse, FollowRequestEvent, ForwardCallRequest, ForwardCallResponse, NodeDigest };
-export type { ConfigurationObject, FetchConfigurationResponse, TeamRevision };
+export type { FetchSharedObjectsResponse, ObjectRevision, SharedObject };
 export type NodeDigestInit = MessageInitShape<typeof NodeDigestSchema>;
+export type ShareGrantInit = MessageInitShape<typeof ShareGrantSchema>;
 export type AdoptRequestInit = MessageInitShape<typeof AdoptRequestRequestSchema>;
 export type ForwardCallInit = MessageInitShape<typeof ForwardCallRequestSchema>;
 export type ForwardCallResponseInit = MessageInitShape<typeof ForwardCallResponseSchema>;
-export type FetchConfigurationResponseInit = MessageInitShape<typeof FetchConfigurationResponseSchema>;
+export type FetchSharedObjectsResponseInit = MessageInitShape<typeof FetchSharedObjectsResponseSchema>;
 export type FollowRequestEventInit = MessageInitShape<typeof FollowRequestEventSchema>;
-export type TeamRevisionInit = MessageInitShape<typeof TeamRevisionSchema>;
+export type ObjectRevisionInit = MessageInitShape<typeof ObjectRevisionSchema>;
 
 /** Where another node is and what it was last known to be. */
 export interface Member {
@@ -46,7 +48,7 @@
     isLeaving: boolean;
     platformReachable: boolean;
     /** Revisions that it had in force when it was last heard of directly. */
-    revisions: ReadonlyMap<string, number>;
+    readonly revisions: Map<string, number>;
     /** Monotonic milliseconds at which it was last heard of directly. */
     toldAt: number;
 }
@@ -57,7 +59,7 @@
 /** The calls that a node makes on its peers. */
 export interface PeerLink {
     exchangeDigests(address: NetworkAddress, digest: NodeDigestInit): Promise<PeerResult<NodeDigest>>;
-    fetchConfiguration(address: NetworkAddress, known: readonly TeamRevisionInit[]): Promise<PeerResult<FetchConfigurationResponse>>;
+    fetchSharedObjects(address: NetworkAddress, known: readonly ObjectRevisionInit[]): Promise<PeerResult<FetchSharedObjectsResponse>>;
     adoptRequest(address: NetworkAddress, request: AdoptRequestInit): Promise<PeerResult<boolean>>;
     followRequest(address: NetworkAddress, requestId: string, offset: number, signal: AbortSignal): AsyncIterable<FollowRequestEvent>;
     /** The time limit is in milliseconds. */
@@ -69,7 +71,7 @@
 /** What a node does when a peer calls it. */
 export interface PeerHandler {
     handleExchange(digest: NodeDigest): Promise<NodeDigestInit>;
-    createConfigurationAnswer(known: readonly TeamRevision[]): FetchConfigurationResponseInit;
+    createSharedObjectsAnswer(known: readonly ObjectRevision[]): FetchSharedObjectsResponseInit;
     adoptRequest(request: AdoptRequestRequest): Promise<boolean>;
     followRequest(requestId: string, offset: number, signal: AbortSignal): AsyncIterable<FollowRequestEventInit>;
     forwardCall(call: ForwardCallRequest): Promise<ForwardCallResponseInit>;
--- a/src/replay/embeddedTarget.ts
+++ b/src/replay/embeddedTarget.ts
@@ -3,23 +3,26 @@
 import { Diagnostic } from "../common/diagnostics.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { millisecondsPerHour, millisecondsPerSecond } from "../common/units.js";
-import { configurationPrefix } from "../config/objectNames.js";
+import { configurationPrefix, movePrefix } from "../config/objectNames.js";
 import { formatAddress } from "../config/sectionReader.js";
 import { readServiceFiles } from "../config/serviceFiles.js";
 import { ServiceKind, TeamConfiguration } from "../config/types.js";
+import { MoveRecord, MoveState } from "../control/moves/moveRecord.js";
 import { Keys } from "../node/composition.js";
 import { CorianderNode } from "../node/corianderNode.js";
 import { StandInEngine } from "../standins/engine.js";
 import { CallFault } from "../standins/plainService.js";
 import { Deployment } from "../testing/deployment.js";
 import { BalancedNode } from "./balancer.js";
-import { StandInTruth } from "./report.js";
-import { FaultKind, Trace, TraceFault, TraceHead } from "./types.js";
+import { MoveTruth, StandInTruth } from "./report.js";
+import { FaultKind, Trace, TraceFault, TraceHead, TraceMove } from "./types.js";
 
 const defaultPlainGroup = "plain";
 /** Time for which, and pause with which, a publish is tried again while the platform is away, in milliseconds. */
 const publishLimitMilliseconds = 20_000;
 const publishPauseMilliseconds = 300;
+/** Time after a move's deadline at which its end is judged, in milliseconds. */
+const settleMilliseconds = 1_000;
 /** Time for which the host list still shows a host that died, in milliseconds. */
 const hostListLagMilliseconds = 5_000;
 
@@ -29,7 +32,9 @@
     injectFault(fault: TraceFault): Promise<void>;
     /** Publishes a team's configuration with a small change. */
     publishTeam(team: string): Promise<void>;
-    collectTruth(): StandInTruth;
+    /** Starts a version move. */
+    startMove(move: TraceMove): Promise<void>;
+    readTruth(): StandInTruth;
     stop(): Promise<void>;
 }
 
@@ -39,6 +44,7 @@
     private readonly stoppedNodes = new Set<CorianderNode>();
     private readonly inForceAt = new Map<string, number[]>();
     private readonly badModels = new Set<string>();
+    private readonly moves: { service: string; to: string; deadline: number; }[] = [];
     private publishCount = 0;
 
     private constructor(
@@ -142,6 +148,15 @@
         }
     }
 
+    async startMove(move: TraceMove): Promise<void> {
+        const deadline = Date.now() + move.deadline_seconds * millisecondsPerSecond;
+        this.moves.push({ service: move.service, to: move.to, deadline });
+        const node = this.deployment.nodes[0] as CorianderNode;
+        await node.container.get(Keys.MoveOperations).startMove(move.service, move.to, deadline, false);
+        // The run lasts until the move's deadline, so that its end can be judged.
+        await sleep(move.deadline_seconds * millisecondsPerSecond + settleMilliseconds);
+    }
+
     async publishTeam(name: string): Promise<void> {
         const team = this.teams.find(candidate => candidate.team.name === name);
         if (team === undefined) {
@@ -162,7 +177,7 @@
         }
     }
 
-    collectTruth(): StandInTruth {
+    readTruth(): StandInTruth {
         const { deployment } = this;
         const effects = deployment.plainServices.flatMap(service => service.effects);
         const attempts = deployment.engines.flatMap(engine => engine.attempts);
@@ -178,7 +193,7 @@
             endpointsKilledByRequests: deployment.engines.filter(engine => engine.diedOfRequest).length,
             longestWorkAfterLeavingSeconds: this.computeWorkAfterLeaving(),
             hostCost: this.computeHostCost(),
-            moves: [],
+            moves: this.listMoveTruths(),
             badVersionRequests: attempts.filter(attempt => this.badModels.has(attempt.model)).length,
             configurationSeconds: this.computeConfigurationSeconds(),
         };
@@ -265,11 +280,29 @@
         }
     }
 
+    /** Judges how each move ended by the platform's write log and by the models that engines served. */
+    private listMoveTruths(): MoveTruth[] {
+        return this.moves.map(move => {
+            const name = movePrefix + move.service;
+            const records = this.deployment.platform.writeLog.filter(write => write.name === name);
+            const ended = records.find(write => (write.value as MoveRecord).state !== MoveState.Running);
+            const state = (ended?.value as MoveRecord | undefined)?.state ?? MoveState.Running;
+            const shares = this.deployment.nodes.map(node => node.container.get(Keys.Moves).getCurrentShare(move.service));
+            const expectedShare = state === MoveState.Completed ? 1 : 0;
+            return {
+                service: move.service,
+                to: move.to,
+                state,
+                isSettledInTime: ended !== undefined && ended.at <= move.deadline,
+                isAccountTrue: shares.every(share => share === expectedShare),
+            };
+        });
+    }
+
     private observeConfiguration(): void {
         for (const node of this.deployment.nodes) {
-            node.container.get(Keys.ConfigurationKeeper).addListener({
-                handleConfiguration: team => {
-                    const revision = node.container.get(Keys.Configuration).getRevision(team);
+            node.container.get(Keys.ConfigurationConsumer).addListener({
+                handleConfiguration: (team, revision) => {
                     const key = `${configurationPrefix}${team}@${revision}`;
                     this.inForceAt.set(key, [...this.inForceAt.get(key) ?? [], Date.now()]);
                 },
--- a/src/replay/playTrace.ts
+++ b/src/replay/playTrace.ts
@@ -42,12 +42,13 @@
                 running.push(target.publishTeam(line.team));
                 break;
             case "move":
+                running.push(target.startMove(line));
                 break;
         }
     }
     await Promise.all(running);
     balancer.stop();
-    return createReport(trace.head.name, seed, records, target.collectTruth());
+    return createReport(trace.head.name, seed, records, target.readTruth());
 
     function addRecord(record: CallerRecord): void {
         records.push(record);
--- a/src/requests/commands/modelRequestRunner.ts
+++ b/src/requests/commands/modelRequestRunner.ts
@@ -107,6 +107,7 @@
     private readonly deadlineTimer: NodeJS.Timeout;
     private readonly version: string;
     private readonly model: string;
+    private readonly group: string;
     private isPastDeadline = false;
     private cacheHandle: string | undefined;
     private isContinuation: boolean;
@@ -118,7 +119,9 @@
     ) {
         this.prefixes = createPromptPrefixes(record.request.prompt);
         this.version = parts.versions.selectVersion(service, record.request.id);
-        this.model = service.versions.find(version => version.name === this.version)?.model ?? this.version;
+        const declared = service.versions.find(version => version.name === this.version);
+        this.model = declared?.model ?? this.version;
+        this.group = declared?.group ?? service.group;
         this.isContinuation = record.tokens.length > 0;
         const remaining = record.request.deadline - parts.clock.getWallTime();
         this.deadlineTimer = setTimeout(() => {
@@ -144,7 +147,7 @@
                 record.finishWithFailure(refusal);
                 return;
             }
-            const placement = await this.placeAttempt();
+            const placement = await this.acquirePlacement();
             if (placement.err) {
                 this.finishUnplaced(placement.val);
                 return;
@@ -214,7 +217,7 @@
 
     private createQuery(pinned: string | undefined): EndpointQuery {
         const query: EndpointQuery = {
-            group: this.service.group,
+            group: this.group,
             model: this.model,
             priority: this.service.priority,
             weights: this.service.weights,
@@ -230,17 +233,17 @@
         return query;
     }
 
-    private async placeAttempt(): Promise<Result<Placement, Failure>> {
+    private async acquirePlacement(): Promise<Result<Placement, Failure>> {
         const { parts, record } = this;
         if (!parts.ledger.isSuspect(record.request.fingerprint)) {
             const slot = await this.acquireSlot(undefined);
             return slot.map(entry => ({ entry, releaseLane: undefined }));
         }
-        return this.placeSuspect();
+        return this.acquireSuspectPlacement();
     }
 
     /** Gives a request under suspicion the one endpoint that every node chooses for it, alone among suspects. */
-    private async placeSuspect(): Promise<Result<Placement, Failure>> {
+    private async acquireSuspectPlacement(): Promise<Result<Placement, Failure>> {
         const { parts, record } = this;
         for (;;) {
             const possible = listPossibleEndpoints(parts.registry, this.createQuery(undefined));
@@ -535,6 +538,7 @@
             service: this.service.name,
             version: this.record.version,
             team: this.request.request.team,
+            route: this.request.request.isChat ? "chat" : "completions",
             endpoint: this.entry.name,
             succeeded,
             isComplete: this.request.tokens.length >= this.request.request.maxTokens,
--- a/src/requests/commands/plainCallRunner.ts
+++ b/src/requests/commands/plainCallRunner.ts
@@ -185,7 +185,7 @@
         const excluded = new Set<string>();
         const version = this.parts.versions.selectVersion(service, request.id);
         for (let count = 0; count < attemptLimit; count += 1) {
-            const slot = await this.acquireSlot(request, service, excluded, count > 0, signal);
+            const slot = await this.acquireSlot(request, service, version, excluded, count > 0, signal);
             if (slot.err) {
                 return Err(slot.val.setVerdict(raiseVerdict(history.verdict, slot.val.verdict)));
             }
@@ -222,6 +222,7 @@
     private async acquireSlot(
         request: PlainRequest,
         service: ServiceDeclaration,
+        version: string,
         excluded: Set<string>,
         isContinuation: boolean,
         signal: AbortSignal,
@@ -229,7 +230,7 @@
         const { parts } = this;
         const remaining = request.deadline - parts.clock.getWallTime();
         const query = {
-            group: service.group,
+            group: service.versions.find(candidate => candidate.name === version)?.group ?? service.group,
             model: undefined,
             priority: service.priority,
             weights: service.weights,
@@ -277,6 +278,7 @@
             : await parts.client.sendCall(entry.description.address, {
                 requestId: request.id,
                 attemptId: record.attemptId,
+                version,
                 method: request.method,
                 path: request.path,
                 contentType: request.contentType,
@@ -306,6 +308,7 @@
             service: service.name,
             version,
             team: request.team,
+            route: request.path.split(/[/?]/)[0] ?? "",
             endpoint: entry.name,
             succeeded: result.val.status < 500,
             isComplete: true,
--- a/src/requests/types.ts
+++ b/src/requests/types.ts
@@ -85,6 +85,8 @@
     readonly service: string;
     readonly version: string;
     readonly team: string;
+    /** Which of the service's interfaces was used. */
+    readonly route: string;
     readonly endpoint: string;
     readonly succeeded: boolean;
     /** Whether the answer held as many tokens as were asked for or ended by the engine's own stop. */
--- a/src/testing/networkCuts.ts
+++ b/src/testing/networkCuts.ts
@@ -11,15 +11,15 @@
 import {
     AdoptRequestInit,
     ExplainRequestResponse,
-    FetchConfigurationResponse,
+    FetchSharedObjectsResponse,
     FollowRequestEvent,
     ForwardCallInit,
     ForwardCallResponse,
     NodeDigest,
     NodeDigestInit,
+    ObjectRevisionInit,
     PeerLink,
     PeerResult,
-    TeamRevisionInit,
 } from "../peers/types.js";
 
 /** How long a call into a cut takes to fail, in milliseconds. */
@@ -97,8 +97,8 @@
         return this.cuts.runCall(this.domain, address, Verdict.NotRun, () => this.inner.exchangeDigests(address, digest));
     }
 
-    fetchConfiguration(address: NetworkAddress, known: readonly TeamRevisionInit[]): Promise<PeerResult<FetchConfigurationResponse>> {
-        return this.cuts.runCall(this.domain, address, Verdict.NotRun, () => this.inner.fetchConfiguration(address, known));
+    fetchSharedObjects(address: NetworkAddress, known: readonly ObjectRevisionInit[]): Promise<PeerResult<FetchSharedObjectsResponse>> {
+        return this.cuts.runCall(this.domain, address, Verdict.NotRun, () => this.inner.fetchSharedObjects(address, known));
     }
 
     adoptRequest(address: NetworkAddress, request: AdoptRequestInit): Promise<PeerResult<boolean>> {
