Prove the data path under failure: reclaims, effects, killers, silence, drafts, shutdown

Cause of what the proofs showed first: (1) a peer that says goodbye made the HTTP/2 session manager raise an error event nobody listened for, which ends the whole process: sessions are now guarded. (2) An endpoint that once refused as leaving stayed out for good although the host list and its own reports said that it stays: after 5 s it gets work again. (3) Background work of claims outlived the node by minutes; it now ends with it.

--- a/src/node/corianderNode.ts
+++ b/src/node/corianderNode.ts
@@ -97,6 +97,7 @@
         container.get(Keys.SharedObjectKeeper).stop();
         container.get(Keys.LoadObserver).stop();
         container.get(Keys.QuarantineKeeper).stop();
+        container.get(Keys.Claims).stop();
         container.get(Keys.DomainDuty).stop();
         container.get(Keys.MoveDuty).stop();
         container.get(Keys.DomainLease).stop();
--- a/src/peers/connectPeerLink.ts
+++ b/src/peers/connectPeerLink.ts
@@ -1,5 +1,6 @@
 import { Client, Code, ConnectError, createClient, Transport } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { EventEmitter } from "node:events";
 import { SecureContextOptions } from "node:tls";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure, readErrorCode } from "../common/failure.js";
@@ -34,6 +35,11 @@
 /** Time after which an unused connection is closed, in milliseconds. */
 const idleConnectionMilliseconds = 10_000;
 
+/** The part of the session manager's state that holds its session. */
+interface SessionManagerState {
+    readonly s: { readonly conn?: unknown; };
+}
+
 interface OpenPeer {
     readonly client: Client<typeof PeerService>;
     readonly sessions: Http2SessionManager;
@@ -42,6 +48,7 @@
 /** Calls peers over Connect on HTTP/2, with mutual TLS when certificates are set. */
 export class ConnectPeerLink implements PeerLink {
     private readonly peers = new Map<string, OpenPeer>();
+    private readonly guardedSessions = new WeakSet<EventEmitter>();
 
     private constructor(private readonly tls: TlsMaterial | undefined, private readonly metrics: Metrics) {
         tls?.addListener(() => this.closePeers());
@@ -76,7 +83,18 @@
     }
 
     followRequest(address: NetworkAddress, requestId: string, offset: number, signal: AbortSignal): AsyncIterable<FollowRequestEvent> {
-        return this.openPeer(address).client.followRequest({ requestId, offset }, { signal });
+        return this.followOpenPeer(this.openPeer(address), requestId, offset, signal);
+    }
+
+    private async *followOpenPeer(
+        peer: OpenPeer,
+        requestId: string,
+        offset: number,
+        signal: AbortSignal,
+    ): AsyncIterable<FollowRequestEvent> {
+        await peer.sessions.connect();
+        this.guardSession(peer.sessions);
+        yield* peer.client.followRequest({ requestId, offset }, { signal });
     }
 
     async forwardCall(address: NetworkAddress, call: ForwardCallInit, timeLimit: number): Promise<PeerResult<ForwardCallResponse>> {
@@ -118,9 +136,23 @@
         return peer;
     }
 
+    /**
+     * Keeps the errors of a session from ending the process. When a peer says that it goes away, the session manager
+     * destroys its idle session with an error, at times after it has removed its own listener.
+     */
+    private guardSession(sessions: Http2SessionManager): void {
+        const state = (sessions as unknown as SessionManagerState).s;
+        if (state.conn instanceof EventEmitter && !this.guardedSessions.has(state.conn)) {
+            this.guardedSessions.add(state.conn);
+            state.conn.on("error", () => this.metrics.peerExchanges.inc({ outcome: "session-error" }));
+        }
+    }
+
     private async send<T>(address: NetworkAddress, call: (client: Client<typeof PeerService>) => Promise<T>): Promise<Result<T, Failure>> {
         const peer = this.openPeer(address);
         try {
+            await peer.sessions.connect();
+            this.guardSession(peer.sessions);
             return Ok(await call(peer.client));
         }
         catch (error) {
--- a/src/requests/commands/claimStore.ts
+++ b/src/requests/commands/claimStore.ts
@@ -15,6 +15,7 @@
 const retryPauseMilliseconds = 200;
 const settleTries = 3;
 const cleanupTries = 50;
+const longestPauseFactor = 25;
 
 /** How far the call behind a claim has come. */
 export enum ClaimState {
@@ -92,6 +93,8 @@
 
 /** Creates, settles and removes the claims that keep calls from running twice. A claim is never taken over. */
 export class ClaimStore {
+    private readonly stopping = new AbortController();
+
     private constructor(
         private readonly store: ObjectStore,
         private readonly clock: Clock,
@@ -103,6 +106,11 @@
         return new ClaimStore(store, clock, metrics, logger);
     }
 
+    /** Ends the work in the background. */
+    stop(): void {
+        this.stopping.abort();
+    }
+
     /** Claims a key before its call is dispatched. */
     async claimKey(request: ClaimRequest): Promise<ClaimResult> {
         const name = createClaimName(request.service, request.team, request.key);
@@ -193,8 +201,8 @@
 
     /** Removes a claim that was perhaps created for a call that was then refused. Best effort. */
     private async removeLater(name: string, attemptId: string): Promise<void> {
-        for (let count = 0; count < cleanupTries; count += 1) {
-            await this.clock.sleep(retryPauseMilliseconds * Math.min(count + 1, 25));
+        for (let count = 0; count < cleanupTries && !this.stopping.signal.aborted; count += 1) {
+            await this.clock.sleep(retryPauseMilliseconds * Math.min(count + 1, longestPauseFactor), this.stopping.signal);
             const found = await this.store.getObject(name);
             if (found.err || found.val === undefined) {
                 continue;
--- a/src/requests/endpointRegistry.ts
+++ b/src/requests/endpointRegistry.ts
@@ -13,6 +13,8 @@
 /** Share of the capacity that is assumed to be in use when nothing is known. */
 const neutralLoadShare = 0.5;
 const defaultCapacity = 4;
+/** Time after which an endpoint that refused as leaving, and now reports that it stays, gets work again, in milliseconds. */
+const refusalMemoryMilliseconds = 5_000;
 /** An endpoint that left is remembered this long, so that a late host list does not bring it back, in milliseconds. */
 const goneMemoryMilliseconds = 60_000;
 
@@ -176,6 +178,9 @@
         if (load.leaving) {
             this.markLeaving(name, EndpointEvidence.OwnRefusal, undefined);
         }
+        else if (this.hasStayed(entry)) {
+            this.setState(entry, EndpointState.Live, EndpointEvidence.Probe);
+        }
         if (entry.state === EndpointState.Suspect && entry.suspectUntil <= this.clock.getMonotonicTime()) {
             this.setState(entry, EndpointState.Live, EndpointEvidence.Probe);
         }
@@ -233,6 +238,13 @@
         this.notifyRoom(entry.description.group);
     }
 
+    /** Says whether an endpoint that refused as leaving, without a notice, has since reported that it stays. */
+    private hasStayed(entry: EndpointEntry): boolean {
+        const isByRefusal = entry.state === EndpointState.Leaving && entry.evidence === EndpointEvidence.OwnRefusal;
+        const isListedLive = entry.leavesAt === undefined && entry.description.state === HostState.Live;
+        return isByRefusal && isListedLive && this.clock.getWallTime() - entry.since > refusalMemoryMilliseconds;
+    }
+
     private applyDescription(description: EndpointDescription): void {
         if ((this.goneUntil.get(description.name) ?? 0) > this.clock.getMonotonicTime()) {
             return;
--- a/src/standins/httpServer.ts
+++ b/src/standins/httpServer.ts
@@ -1,5 +1,5 @@
 import express, { Express } from "express";
-import { createServer, Server } from "node:http";
+import { createServer, IncomingMessage, Server } from "node:http";
 import { AddressInfo, Socket } from "node:net";
 
 const keepAliveMilliseconds = 10_000;
@@ -9,7 +9,14 @@
     private readonly sockets = new Set<Socket>();
     private frozenSockets = new Set<Socket>();
 
+    private readonly earlyHandlers: ((request: IncomingMessage) => boolean)[] = [];
+
     private constructor(readonly app: Express, private readonly server: Server) {
+        server.on("request", (request, response) => {
+            if (!this.earlyHandlers.some(handle => handle(request))) {
+                app(request, response);
+            }
+        });
         server.keepAliveTimeout = keepAliveMilliseconds;
         server.on("connection", socket => {
             this.sockets.add(socket);
@@ -25,7 +32,12 @@
         const app = express();
         app.disable("x-powered-by");
         app.use(express.json({ limit: jsonLimit, strict: false }));
-        return new StandInServer(app, createServer(app));
+        return new StandInServer(app, createServer());
+    }
+
+    /** Adds a handler that sees requests before their bodies are read; true means that it has dealt with the request. */
+    addEarlyHandler(handle: (request: IncomingMessage) => boolean): void {
+        this.earlyHandlers.push(handle);
     }
 
     /** Starts listening on a free port of a loopback address. */
--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -17,6 +17,8 @@
     None = "none",
     /** The connection is reset before the body is read. */
     ResetBeforeEffect = "reset-before-effect",
+    /** The connection is reset when part of the body has come. */
+    ResetHalfBody = "reset-half-body",
     /** The effect happens and the connection is reset. */
     ResetAfterEffect = "reset-after-effect",
     /** The effect happens and half of the answer is sent. */
@@ -47,6 +49,14 @@
         server.app.get("/load", (_request, response) => {
             response.json({ running: this.running, waiting: 0, capacity: 64, leaving: this.isLeaving });
         });
+        server.addEarlyHandler(request => {
+            if (this.faults[0] !== CallFault.ResetHalfBody || request.method === "GET") {
+                return false;
+            }
+            this.faults.shift();
+            request.once("data", () => request.socket.resetAndDestroy());
+            return true;
+        });
         server.app.use((request, response) => {
             void this.handleCall(request, response);
         });
--- /dev/null
+++ b/src/testing/daemons.ts
@@ -0,0 +1,86 @@
+import { ChildProcess, spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { fileURLToPath } from "node:url";
+
+const binary = fileURLToPath(new URL("../../bin/corianderwardd.js", import.meta.url));
+const readyLimitMilliseconds = 20_000;
+
+/** A daemon in a process of its own. */
+export interface DaemonProcess {
+    readonly process: ChildProcess;
+    readonly callerUrl: string;
+    readonly operatorUrl: string;
+    readonly readLog: () => string;
+    /** Resolves with the exit code. */
+    readonly exited: Promise<number | undefined>;
+}
+
+/** Returns a port that was free a moment ago. */
+export async function pickFreePort(): Promise<number> {
+    const server = createServer();
+    await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+    const address = server.address();
+    await new Promise(resolve => server.close(resolve));
+    return typeof address === "object" ? address?.port ?? 0 : 0;
+}
+
+/** Starts a daemon whose settings end with the lines given, and waits until it is ready. */
+export async function startDaemon(name: string, platformUrl: string, lines: readonly string[]): Promise<DaemonProcess> {
+    const directory = mkdtempSync(join(tmpdir(), "corianderward-"));
+    const [callers, peers, operators] = [await pickFreePort(), await pickFreePort(), await pickFreePort()];
+    const settings = [
+        "[node]",
+        `name = ${name}`,
+        "failure-domain = xela",
+        "[listen]",
+        `callers = 127.0.0.1:${callers}`,
+        `peers = 127.0.0.1:${peers}`,
+        `operators = 127.0.0.1:${operators}`,
+        "[platform]",
+        `objects-url = ${platformUrl}`,
+        `host-list-url = ${platformUrl}`,
+        ...lines,
+    ];
+    const file = join(directory, "node.ini");
+    writeFileSync(file, settings.join("\n"));
+    const child = spawn(process.execPath, [binary, "--settings", file], { stdio: ["ignore", "pipe", "pipe"] });
+    let log = "";
+    child.stderr.on("data", (chunk: Buffer) => {
+        log += chunk.toString();
+    });
+    const exited = new Promise<number | undefined>(resolve =>
+        child.once("exit", code => {
+            rmSync(directory, { recursive: true, force: true });
+            resolve(code ?? undefined);
+        })
+    );
+    const daemon: DaemonProcess = {
+        process: child,
+        callerUrl: `http://127.0.0.1:${callers}`,
+        operatorUrl: `http://127.0.0.1:${operators}`,
+        readLog: () => log,
+        exited,
+    };
+    await waitUntilReady(daemon);
+    return daemon;
+}
+
+async function waitUntilReady(daemon: DaemonProcess): Promise<void> {
+    const until = Date.now() + readyLimitMilliseconds;
+    while (Date.now() < until) {
+        try {
+            const response = await fetch(`${daemon.operatorUrl}/readyz`);
+            if (response.status === 200) {
+                return;
+            }
+        }
+        catch {
+            // Not listening yet.
+        }
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+    throw new Error(`the daemon did not become ready: ${daemon.readLog()}`);
+}
--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -1,4 +1,6 @@
+import got from "got";
 import { Container } from "inversify";
+import { Agent } from "node:http";
 import { SystemClock } from "../common/clock.js";
 import { hashSha256 } from "../common/hashing.js";
 import { createSilentLogger } from "../common/logging.js";
@@ -133,7 +135,8 @@
     async publishTeams(teams: readonly TeamConfiguration[]): Promise<void> {
         for (const team of teams) {
             const url = `${this.platform.getUrl("publisher")}/objects/${encodeURIComponent(configurationPrefix + team.team.name)}`;
-            await fetch(url, { method: "PUT", headers: { "content-type": "application/json" }, body: JSON.stringify({ value: team }) });
+            // Each publish comes from another process in life: no connection of an earlier one is used.
+            await got(url, { method: "PUT", json: { value: team }, retry: { limit: 0 }, agent: { http: new Agent({ keepAlive: false }) } });
         }
     }
 
--- /dev/null
+++ b/src/testing/failures/daemonShutdown.test.ts
@@ -0,0 +1,90 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { formatAddress } from "../../config/sectionReader.js";
+import { generateAnswer } from "../../standins/generation.js";
+import { sendCall, sendCompletion } from "../callers.js";
+import { startDaemon } from "../daemons.js";
+import { Deployment } from "../deployment.js";
+
+const requests = 60;
+const readinessGraceMilliseconds = 600;
+
+test("SIGTERM under load: no request is cut, and no connection is accepted once readiness has been off for the configured time", async () => {
+    const deployment = await Deployment.create({
+        nodesPerDomain: 0,
+        enginesPerDomain: 2,
+        plainPerDomain: 1,
+        engine: { stepTime: 15, capacity: 64 },
+    });
+    const daemon = await startDaemon("daemon-1", deployment.platform.getUrl("daemon-1"), [
+        "[timing]",
+        `readiness-grace-milliseconds = ${readinessGraceMilliseconds}`,
+        "drain-limit-milliseconds = 15000",
+        "host-list-interval-milliseconds = 200",
+    ]);
+    try {
+        const running = Array.from(
+            { length: requests },
+            (_value, index) => sendCompletion([daemon.callerUrl], index % 2 === 0 ? "lookup" : "draft", `Carga ${index}`, 80),
+        );
+        const calls = Array.from(
+            { length: requests },
+            (_value, index) => sendCall(daemon.callerUrl, "records", `hull/${index}`, undefined, {}),
+        );
+        await new Promise(resolve => setTimeout(resolve, 300));
+        daemon.process.kill("SIGTERM");
+        await new Promise(resolve => setTimeout(resolve, readinessGraceMilliseconds / 3));
+        const ready = await fetch(`${daemon.operatorUrl}/readyz`);
+        const late = await sendCompletion([daemon.callerUrl], "lookup", "Dentro del plazo", 5);
+        await new Promise(resolve => setTimeout(resolve, readinessGraceMilliseconds + 100));
+        await assert.rejects(fetch(`${daemon.callerUrl}/v1/models`), "a connection after the grace is refused");
+        const answers = await Promise.all(running);
+        assert.equal(ready.status, 503);
+        assert.equal(late.text, generateAnswer("Dentro del plazo", 5));
+        answers.forEach((answer, index) => {
+            assert.equal(answer.text, generateAnswer(`Carga ${index}`, 80), answer.body.slice(-200));
+            assert.equal(answer.reattaches, 0, "the stream was not broken off");
+        });
+        (await Promise.all(calls)).forEach(answer => assert.equal(answer.status, 200));
+        assert.equal(await daemon.exited, 0);
+    }
+    finally {
+        daemon.process.kill("SIGKILL");
+        await deployment.stop();
+    }
+});
+
+test("a daemon that is stopped by SIGSTOP and goes on keeps its streams and its configuration", async () => {
+    const deployment = await Deployment.create({ nodesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 0, engine: { stepTime: 10 } });
+    const daemon = await startDaemon("daemon-2", deployment.platform.getUrl("daemon-2"), [
+        "[timing]",
+        "host-list-interval-milliseconds = 200",
+    ]);
+    try {
+        const running = sendCompletion([daemon.callerUrl], "lookup", "Pausa", 60);
+        await new Promise(resolve => setTimeout(resolve, 200));
+        daemon.process.kill("SIGSTOP");
+        await deployment.publishTeams(deployment.options.teams);
+        await new Promise(resolve => setTimeout(resolve, 3_000));
+        daemon.process.kill("SIGCONT");
+        const answer = await running;
+        assert.equal(answer.text, generateAnswer("Pausa", 60));
+        const revision = deployment.platform.getRevision("shared/configuration/desk");
+        const until = Date.now() + 6_000;
+        let seen = 0;
+        while (seen < revision && Date.now() < until) {
+            const status = await (await fetch(`${daemon.operatorUrl}/v1/status`)).json() as { revisions: { revision: number; }[]; };
+            seen = status.revisions[0]?.revision ?? 0;
+            await new Promise(resolve => setTimeout(resolve, 100));
+        }
+        assert.equal(seen, revision);
+    }
+    finally {
+        daemon.process.kill("SIGKILL");
+        await deployment.stop();
+    }
+});
+
+test("the stand-in's address format is the one the daemon reads", () => {
+    assert.equal(formatAddress({ host: "::1", port: 80 }), "[::1]:80");
+});
--- /dev/null
+++ b/src/testing/failures/silence.test.ts
@@ -0,0 +1,52 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { Keys } from "../../node/composition.js";
+import { generateAnswer } from "../../standins/generation.js";
+import { sendCompletion } from "../callers.js";
+import { Deployment } from "../deployment.js";
+
+let deployment: Deployment;
+
+before(async () => {
+    deployment = await Deployment.create({
+        domains: ["xela"],
+        nodesPerDomain: 2,
+        enginesPerDomain: 2,
+        plainPerDomain: 0,
+        engine: { stepTime: 15 },
+    });
+});
+
+after(() => deployment.stop());
+
+test("a stream goes on when its connection to the endpoint goes silent for good", async () => {
+    const running = sendCompletion([deployment.getCallerUrl()], "lookup", "¿Lote silencioso?", 100);
+    await new Promise(resolve => setTimeout(resolve, 400));
+    deployment.engines.forEach(engine => engine.silenceConnections());
+    const silencedAt = performance.now();
+    const answer = await running;
+    const took = performance.now() - silencedAt;
+    const explanation = deployment.nodes[0]?.container.get(Keys.Table).findExplanation(answer.requestId);
+    assert.equal(answer.text, generateAnswer("¿Lote silencioso?", 100));
+    assert.equal(explanation?.attempts.length, 2);
+    assert.ok((explanation?.attempts[1]?.startOffset ?? 0) > 0, "the second attempt goes on where the first one stopped");
+    // Stated bound: a silent connection of a short lookup is noticed within 2 s; the rest of the answer takes about 2 s more.
+    assert.ok(took < 2_000 + 4_000, `${took} ms`);
+});
+
+test("configuration comes into force when the watch connection has gone silent for good", async () => {
+    deployment.platform.silenceConnections();
+    const teams = deployment.options.teams.map(team => ({
+        ...team,
+        services: team.services.map(service => ({ ...service, requestsPerHour: service.requestsPerHour + 1 })),
+    }));
+    await deployment.publishTeams(teams);
+    const revision = deployment.platform.getRevision("shared/configuration/desk");
+    const until = performance.now() + 6_000;
+    for (const node of deployment.nodes) {
+        while (node.container.get(Keys.Configuration).getRevision("desk") < revision) {
+            assert.ok(performance.now() < until, `${node.settings.name} did not notice within 6 s`);
+            await new Promise(resolve => setTimeout(resolve, 20));
+        }
+    }
+});
