--- /dev/null
+++ b/src/bench/benches.ts
@@ -0,0 +1,6 @@
+import { overheadBench } from "./overheadBench.js";
+import { relayBench } from "./relayBench.js";
+import { Bench } from "./types.js";
+
+/** Every bench, by its name. */
+export const benches: readonly Bench[] = [overheadBench, relayBench];
--- a/src/callers/commands/serveRecord.ts
+++ b/src/callers/commands/serveRecord.ts
@@ -40,7 +40,7 @@
     offset: number,
     response: Response,
 ): Promise<void> {
-    const writer = EventStreamWriter.create(response, record, format, offset, parts.clock);
+    const writer = EventStreamWriter.create(response, record, format, offset);
     const end = await writer.waitForFirst();
     if (writer.isClosed()) {
         return;
--- a/src/callers/eventStream.ts
+++ b/src/callers/eventStream.ts
@@ -1,5 +1,4 @@
 import { Response } from "express";
-import { Clock } from "../common/clock.js";
 import { Verdict } from "../common/verdict.js";
 import { RequestRecord } from "../requests/requestRecord.js";
 import { RequestEnd, RequestOutcome } from "../requests/types.js";
@@ -7,6 +6,8 @@
 
 /** Time for which a caller may leave its connection full before it is closed, in milliseconds. */
 const stalledCallerMilliseconds = 30_000;
+/** Characters that one write gathers at the most. */
+const writeCharacters = 16_384;
 const endOfStream = "data: [DONE]\n\n";
 
 /** How the events of an answer look. */
@@ -79,22 +80,26 @@
 /** Streams a record to one caller from a token on, as fast as the caller reads. */
 export class EventStreamWriter {
     private readonly closed = new AbortController();
+    private hasCaller = true;
     private sent: number;
+    private isScheduled = false;
+    private isBlocked = false;
+    private finish: () => void = () => {};
+    private release: () => void = () => {};
 
     private constructor(
         private readonly response: Response,
         private readonly record: RequestRecord,
         private readonly format: EventFormat,
         offset: number,
-        private readonly clock: Clock,
     ) {
         this.sent = offset;
-        response.on("close", () => this.closed.abort());
-        response.on("error", () => this.closed.abort());
+        response.on("close", () => this.handleClose());
+        response.on("error", () => this.handleClose());
     }
 
-    static create(response: Response, record: RequestRecord, format: EventFormat, offset: number, clock: Clock): EventStreamWriter {
-        return new EventStreamWriter(response, record, format, offset, clock);
+    static create(response: Response, record: RequestRecord, format: EventFormat, offset: number): EventStreamWriter {
+        return new EventStreamWriter(response, record, format, offset);
     }
 
     /** Waits until there is something to send; returns the end when the request ended before any token. */
@@ -104,21 +109,63 @@
     }
 
     isClosed(): boolean {
-        return this.closed.signal.aborted;
+        return !this.hasCaller;
+    }
+
+    private handleClose(): void {
+        this.hasCaller = false;
+        this.closed.abort();
+        this.finish();
     }
 
     /** Sends events until the request has ended or the caller is gone. */
     async writeEvents(): Promise<void> {
         this.writeHead();
-        while (!this.isClosed()) {
-            await this.writeTokens();
-            const end = this.record.getEnd();
-            if (end !== undefined && this.sent >= this.record.tokens.length) {
-                this.writeEnd(end);
+        await new Promise<void>(resolve => {
+            this.finish = resolve;
+            const removeListener = this.record.addListener(() => this.scheduleWrite());
+            this.release = removeListener;
+            this.writePending();
+        });
+        this.release();
+    }
+
+    /** Tokens that come in one chunk go out in one write. */
+    private scheduleWrite(): void {
+        if (this.isScheduled || this.isBlocked) {
+            return;
+        }
+        this.isScheduled = true;
+        queueMicrotask(() => this.writePending());
+    }
+
+    private writePending(): void {
+        this.isScheduled = false;
+        const { tokens } = this.record;
+        while (this.sent < tokens.length && !this.isBlocked) {
+            if (this.isClosed()) {
                 return;
             }
-            await this.record.waitForChange(this.sent, this.closed.signal);
+            this.isBlocked = !this.response.write(this.createTokenEvents(tokens));
+            if (this.isBlocked) {
+                this.waitForDrain();
+            }
         }
+        const end = this.record.getEnd();
+        if (end !== undefined && this.sent >= tokens.length && !this.isClosed()) {
+            this.writeEnd(end);
+            this.finish();
+        }
+    }
+
+    private createTokenEvents(tokens: readonly string[]): string {
+        let text = "";
+        while (this.sent < tokens.length && text.length < writeCharacters) {
+            const token = JSON.stringify(tokens[this.sent]);
+            this.sent += 1;
+            text += `id: ${this.sent}\ndata: ${this.format.beforeToken}${token}${this.format.afterToken}\n\n`;
+        }
+        return text;
     }
 
     private writeHead(): void {
@@ -129,37 +176,15 @@
         this.response.writeHead(200);
     }
 
-    private async writeTokens(): Promise<void> {
-        const { tokens } = this.record;
-        while (this.sent < tokens.length && !this.isClosed()) {
-            let text = "";
-            // Tokens that came together go out together.
-            while (this.sent < tokens.length && text.length < this.response.writableHighWaterMark) {
-                const token = JSON.stringify(tokens[this.sent]);
-                this.sent += 1;
-                text += `id: ${this.sent}\ndata: ${this.format.beforeToken}${token}${this.format.afterToken}\n\n`;
-            }
-            if (!this.response.write(text)) {
-                await this.waitForDrain();
-            }
-        }
-    }
-
-    private async waitForDrain(): Promise<void> {
-        await new Promise<void>(resolve => {
-            const settle = () => {
-                clearTimeout(timer);
-                this.response.off("drain", settle);
-                this.closed.signal.removeEventListener("abort", settle);
-                resolve();
-            };
-            const timer = setTimeout(() => {
-                this.response.destroy();
-                settle();
-            }, stalledCallerMilliseconds).unref();
-            this.response.once("drain", settle);
-            this.closed.signal.addEventListener("abort", settle, { once: true });
+    /** Goes on when the caller has read enough; a caller that reads nothing for too long is closed. */
+    private waitForDrain(): void {
+        const timer = setTimeout(() => this.response.destroy(), stalledCallerMilliseconds).unref();
+        this.response.once("drain", () => {
+            clearTimeout(timer);
+            this.isBlocked = false;
+            this.writePending();
         });
+        this.response.once("close", () => clearTimeout(timer));
     }
 
     private writeEnd(end: RequestEnd): void {
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -1,6 +1,6 @@
 import { createParser } from "eventsource-parser";
-import got, { Got, Request as GotRequest, Response } from "got";
-import { Agent, ClientRequest } from "node:http";
+import got, { Got } from "got";
+import { Agent, ClientRequest, IncomingMessage } from "node:http";
 import { z } from "zod";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure } from "../common/failure.js";
@@ -9,6 +9,7 @@
 import { formatAddress } from "../config/sectionReader.js";
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionVerdict } from "./connectionVerdict.js";
+import { EndpointRequest, readAnswerChunks, SilenceError } from "./endpointRequest.js";
 import { CacheEvents, EngineModels, EngineOrder, ModelEndpointClient, TokenSink } from "./modelEndpoint.js";
 import { FinishReason, GenerationAttempt, GenerationEnd, LoadReport, loadReportSchema } from "./types.js";
 
@@ -41,11 +42,11 @@
 
 /** Speaks the engine shape of docs/INTERFACES.md: OpenAI completions over SSE, with a few extensions. */
 export class HttpModelEndpointClient implements ModelEndpointClient {
-    private constructor(private readonly client: Got) {}
+    private constructor(private readonly client: Got, private readonly agent: Agent) {}
 
     static create(): HttpModelEndpointClient {
         const agent = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 8 });
-        return new HttpModelEndpointClient(got.extend({ retry: { limit: 0 }, throwHttpErrors: false, agent: { http: agent } }));
+        return new HttpModelEndpointClient(got.extend({ retry: { limit: 0 }, throwHttpErrors: false, agent: { http: agent } }), agent);
     }
 
     async runGeneration(
@@ -54,38 +55,44 @@
         sink: TokenSink,
         signal: AbortSignal,
     ): Promise<Result<GenerationEnd, Failure>> {
-        const connection = ConnectionVerdict.create();
-        const stream = this.client.stream.post(`http://${formatAddress(address)}/v1/completions`, {
-            json: createCompletionBody(attempt),
-            headers: { ...attempt.traceHeaders, "x-request-id": attempt.requestId },
+        const body = JSON.stringify(createCompletionBody(attempt));
+        const request = EndpointRequest.create({
+            address,
+            method: "POST",
+            path: "/v1/completions",
+            headers: {
+                ...attempt.traceHeaders,
+                "x-request-id": attempt.requestId,
+                "content-type": "application/json",
+                "content-length": Buffer.byteLength(body),
+            },
+            body,
+            agent: this.agent,
+            connectTimeout: attempt.connectTimeout,
+            silenceLimit: attempt.silenceLimit,
             signal,
-            timeout: { connect: attempt.connectTimeout, socket: attempt.silenceLimit },
         });
-        stream.on("request", (request: ClientRequest) => connection.observeRequest(request));
-        // Errors reach the reader below; this listener only keeps an early one from being unhandled.
-        stream.on("error", () => {});
-        const reader = CompletionReader.create(attempt, sink);
         try {
-            const refusal = await waitForResponse(stream);
-            if (refusal !== undefined) {
-                return Err(refusal);
-            }
-            for await (const chunk of stream) {
-                reader.readChunk(chunk as Buffer);
-                if (reader.isFinished()) {
-                    break;
-                }
+            const answer = await request.send();
+            if (answer.statusCode !== statusOk) {
+                answer.resume();
+                return Err(createStatusFailure(answer));
             }
+            const reader = CompletionReader.create(attempt, sink);
+            await readAnswerChunks(answer, chunk => {
+                reader.readChunk(chunk);
+                return !reader.isFinished();
+            });
             return reader.finish();
         }
         catch (error) {
-            if (isTimeout(error) && connection.getVerdict() !== Verdict.NotRun) {
+            if (error instanceof SilenceError && request.connection.getVerdict() !== Verdict.NotRun) {
                 return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_sent_nothing_for_0_milliseconds, attempt.silenceLimit));
             }
-            return Err(connection.createFailure(error));
+            return Err(request.connection.createFailure(error));
         }
         finally {
-            stream.destroy();
+            request.close();
         }
     }
 
@@ -164,29 +171,15 @@
     };
 }
 
-/** Waits for the response head; returns the failure when the endpoint refused. */
-function waitForResponse(stream: GotRequest): Promise<Failure | undefined> {
-    return new Promise((resolve, reject) => {
-        stream.once("response", (response: Response) => {
-            resolve(response.statusCode === statusOk ? undefined : createStatusFailure(response));
-        });
-        stream.once("error", reject);
-    });
-}
-
 /** Creates the failure for a status other than 200; the endpoint's headers may prove that nothing ran. */
-export function createStatusFailure(response: Pick<Response, "statusCode" | "headers">): Failure {
+export function createStatusFailure(response: Pick<IncomingMessage, "statusCode" | "headers">): Failure {
     if (response.headers[leavingHeader] !== undefined) {
         return Failure.create(Verdict.NotRun, Diagnostics.Endpoint_is_leaving);
     }
     if (response.headers[notRunHeader] !== undefined) {
-        return Failure.create(Verdict.NotRun, Diagnostics.Endpoint_refused_before_running_0, `status ${response.statusCode}`);
+        return Failure.create(Verdict.NotRun, Diagnostics.Endpoint_refused_before_running_0, `status ${response.statusCode ?? 0}`);
     }
-    return Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_failed_with_status_0, response.statusCode);
-}
-
-function isTimeout(error: unknown): boolean {
-    return error instanceof Error && error.name === "TimeoutError";
+    return Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_failed_with_status_0, response.statusCode ?? 0);
 }
 
 /** Reads the events of one attempt and checks that they belong to it. */
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -1,12 +1,10 @@
-import got, { Got, Request as GotRequest, Response } from "got";
-import { Agent, ClientRequest } from "node:http";
+import { Agent, IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
-import { formatAddress } from "../config/sectionReader.js";
 import { NetworkAddress } from "../config/types.js";
-import { ConnectionVerdict } from "./connectionVerdict.js";
+import { EndpointRequest, readAnswerChunks } from "./endpointRequest.js";
 import { createStatusFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
 import { PlainAnswer, PlainCall } from "./types.js";
 
@@ -20,42 +18,42 @@
 
 /** Calls plain services over HTTP. */
 export class HttpPlainEndpointClient implements PlainEndpointClient {
-    private constructor(private readonly pooled: Got, private readonly fresh: Got) {}
+    private constructor(private readonly pooled: Agent, private readonly fresh: Agent) {}
 
     static create(): HttpPlainEndpointClient {
-        const base = got.extend({ retry: { limit: 0 }, throwHttpErrors: false, followRedirect: false, decompress: false });
-        const pooled = base.extend({ agent: { http: new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 8 }) } });
-        const fresh = base.extend({ agent: { http: new Agent({ keepAlive: false }) } });
-        return new HttpPlainEndpointClient(pooled, fresh);
+        const pooled = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 32 });
+        return new HttpPlainEndpointClient(pooled, new Agent({ keepAlive: false }));
     }
 
     async sendCall(address: NetworkAddress, call: PlainCall, signal: AbortSignal): Promise<Result<PlainAnswer, Failure>> {
-        const connection = ConnectionVerdict.create();
-        const client = call.mayReuseConnection ? this.pooled : this.fresh;
-        const hasBody = call.body.length > 0;
-        const stream = client.stream(`http://${formatAddress(address)}/${call.path}`, {
-            method: call.method as "GET",
-            ...(hasBody ? { body: call.body } : {}),
-            allowGetBody: true,
+        const request = EndpointRequest.create({
+            address,
+            method: call.method,
+            path: `/${call.path}`,
             headers: createCallHeaders(call),
+            body: call.body.length > 0 ? call.body : undefined,
+            agent: call.mayReuseConnection ? this.pooled : this.fresh,
+            connectTimeout: call.connectTimeout,
+            silenceLimit: call.timeLimit,
             signal,
-            timeout: { connect: call.connectTimeout, request: call.timeLimit },
         });
-        stream.on("request", (request: ClientRequest) => connection.observeRequest(request));
+        // The time limit holds for the whole call, not only for its silences.
+        const timer = setTimeout(() => request.close(), call.timeLimit);
         try {
-            return await readAnswer(stream, call);
+            return await readAnswer(await request.send(), call);
         }
         catch (error) {
-            return Err(connection.createFailure(error));
+            return Err(request.connection.createFailure(error));
         }
         finally {
-            stream.destroy();
+            clearTimeout(timer);
+            request.close();
         }
     }
 }
 
-function createCallHeaders(call: PlainCall): Record<string, string> {
-    const headers: Record<string, string> = {
+function createCallHeaders(call: PlainCall): OutgoingHttpHeaders {
+    const headers: OutgoingHttpHeaders = {
         "x-request-id": call.requestId,
         "x-attempt-id": call.attemptId,
         "x-service-version": call.version,
@@ -66,32 +64,29 @@
     if (call.idempotencyKey !== undefined) {
         headers["idempotency-key"] = call.idempotencyKey;
     }
+    if (call.body.length > 0) {
+        headers["content-length"] = call.body.length;
+    }
     return { ...headers, ...call.traceHeaders };
 }
 
-async function readAnswer(stream: GotRequest, call: PlainCall): Promise<Result<PlainAnswer, Failure>> {
+async function readAnswer(answer: IncomingMessage, call: PlainCall): Promise<Result<PlainAnswer, Failure>> {
     const chunks: Buffer[] = [];
     let size = 0;
-    let response: Response | undefined;
-    stream.once("response", (received: Response) => {
-        response = received;
+    await readAnswerChunks(answer, chunk => {
+        size += chunk.length;
+        chunks.push(chunk);
+        return size <= call.answerBytes;
     });
-    for await (const chunk of stream) {
-        size += (chunk as Buffer).length;
-        if (size > call.answerBytes) {
-            return Err(Failure.create(Verdict.Ran, Diagnostics.Answer_is_larger_than_0_bytes, call.answerBytes));
-        }
-        chunks.push(chunk as Buffer);
-    }
-    if (response === undefined) {
-        return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Connection_was_lost_after_the_request_was_sent_0, "no answer"));
+    if (size > call.answerBytes) {
+        return Err(Failure.create(Verdict.Ran, Diagnostics.Answer_is_larger_than_0_bytes, call.answerBytes));
     }
-    if (response.headers[notRunHeader] !== undefined || response.headers[leavingHeader] !== undefined) {
-        return Err(createStatusFailure(response));
+    if (answer.headers[notRunHeader] !== undefined || answer.headers[leavingHeader] !== undefined) {
+        return Err(createStatusFailure(answer));
     }
-    const named = response.headers["x-attempt-id"];
+    const named = answer.headers["x-attempt-id"];
     if (named !== undefined && named !== call.attemptId) {
         return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_names_another_request_0, String(named)));
     }
-    return Ok({ status: response.statusCode, contentType: response.headers["content-type"], body: Buffer.concat(chunks) });
+    return Ok({ status: answer.statusCode ?? 0, contentType: answer.headers["content-type"], body: Buffer.concat(chunks) });
 }
--- a/src/node/composition.ts
+++ b/src/node/composition.ts
@@ -22,7 +22,6 @@
 import { MoveKeeper } from "../control/moves/moveKeeper.js";
 import { MoveOperations } from "../control/moves/moveOperations.js";
 import { SharedObjects } from "../control/sharedObjects.js";
-import { MoveEvidenceExchange } from "../control/types.js";
 import { HttpModelEndpointClient } from "../endpoints/httpModelEndpoint.js";
 import { ModelEndpointClient } from "../endpoints/modelEndpoint.js";
 import { HttpPlainEndpointClient, PlainEndpointClient } from "../endpoints/plainEndpoint.js";
@@ -33,7 +32,7 @@
 import { MemberDirectory } from "../peers/memberDirectory.js";
 import { PeerServer } from "../peers/peerServer.js";
 import { TlsMaterial } from "../peers/tlsMaterial.js";
-import { PeerLink, UrgentNotifier } from "../peers/types.js";
+import { PeerHandler, PeerLink, UrgentNotifier } from "../peers/types.js";
 import { Cloud, HttpCloud } from "../platform/cloud.js";
 import { HostList, HttpHostList } from "../platform/hostList.js";
 import { HttpObjectStore } from "../platform/httpObjectStore.js";
@@ -57,7 +56,6 @@
 import { RequestTable } from "../requests/requestTable.js";
 import { RetryBudget } from "../requests/retryBudget.js";
 import { SuspectLanes } from "../requests/suspectLanes.js";
-import { VersionObserver, VersionPolicy } from "../requests/types.js";
 import { NodeDigests } from "./nodeDigests.js";
 import { NodeGate } from "./nodeGate.js";
 import { NodePeerHandler } from "./nodePeerHandler.js";
@@ -121,6 +119,7 @@
     StreamMover: createKey<StreamMover>("StreamMover"),
     HandOver: createKey<HandOver>("HandOver"),
     Gate: createKey<NodeGate>("Gate"),
+    PeerHandler: createKey<PeerHandler>("PeerHandler"),
     PeerServer: createKey<PeerServer>("PeerServer"),
     CallerServer: createKey<CallerServer>("CallerServer"),
     OperatorServer: createKey<OperatorServer>("OperatorServer"),
@@ -448,8 +447,8 @@
 
 function addListenerBindings(container: Container, settings: NodeSettings): void {
     container.bind(Keys.Gate).toDynamicValue(context => NodeGate.create(context.get(Keys.Configuration), context.get(Keys.HostListKeeper)));
-    container.bind(Keys.PeerServer).toDynamicValue(context => {
-        const handler = NodePeerHandler.create({
+    container.bind(Keys.PeerHandler).toDynamicValue(context =>
+        NodePeerHandler.create({
             clock: context.get(Keys.Clock),
             tracing: context.get(Keys.Tracing),
             configuration: context.get(Keys.Configuration),
@@ -460,9 +459,9 @@
             plainCalls: context.get(Keys.PlainCalls),
             gate: context.get(Keys.Gate) as AcceptanceGate,
             notifier: context.get(Keys.Exchange),
-        });
-        return PeerServer.create(handler, context.get(Keys.Tls));
-    });
+        })
+    );
+    container.bind(Keys.PeerServer).toDynamicValue(context => PeerServer.create(context.get(Keys.PeerHandler), context.get(Keys.Tls)));
     container.bind(Keys.CallerServer).toDynamicValue(context =>
         CallerServer.create({
             clock: context.get(Keys.Clock),
--- a/src/requests/commands/modelRequestRunner.ts
+++ b/src/requests/commands/modelRequestRunner.ts
@@ -403,6 +403,7 @@
     private readonly span: Span;
     private readonly startedAt: number;
     private readonly startLoad: number;
+    private readonly betweenTokens: { observe(value: number): void; };
     private exportedCache: Promise<string | undefined> | undefined;
     private emitted = 0;
     private firstTokenAt: number | undefined;
@@ -419,6 +420,7 @@
     ) {
         this.requestId = request.request.id;
         this.fingerprint = request.request.fingerprint;
+        this.betweenTokens = parts.metrics.betweenTokens.labels({ service: service.name });
         this.startLoad = parts.registry.getLoadShare(entry);
         this.startedAt = parts.clock.getMonotonicTime();
         this.span = parts.tracing.startChildSpan("endpoint", request.span);
@@ -478,10 +480,7 @@
             this.recordFirstToken(now);
         }
         else {
-            this.parts.metrics.betweenTokens.observe(
-                { service: this.service.name },
-                (now - (this.lastTokenAt as number)) / millisecondsPerSecond,
-            );
+            this.betweenTokens.observe((now - (this.lastTokenAt as number)) / millisecondsPerSecond);
         }
         this.lastTokenAt = now;
         if (this.emitted === probationTokens && this.releaseLane !== undefined) {
--- a/src/requests/requestRecord.ts
+++ b/src/requests/requestRecord.ts
@@ -146,6 +146,12 @@
         return this.end;
     }
 
+    /** Calls a listener at every change; the function returned ends that. */
+    addListener(listener: () => void): () => void {
+        this.waiters.add(listener);
+        return () => this.waiters.delete(listener);
+    }
+
     /** Waits until the record holds more than a number of tokens, or has ended, or the signal aborts. */
     async waitForChange(tokenCount: number, signal: AbortSignal): Promise<void> {
         if (this.tokens.length > tokenCount || this.end !== undefined || signal.aborted) {
@@ -190,7 +196,8 @@
     }
 
     private notifyWaiters(): void {
-        for (const waiter of [...this.waiters]) {
+        // A waiter may remove itself meanwhile; sets allow that.
+        for (const waiter of this.waiters) {
             waiter();
         }
     }
--- a/src/testing/deployment.ts
+++ b/src/testing/deployment.ts
@@ -265,46 +265,50 @@
     }
 
     private createSettings(name: string, failureDomain: string, region: string): NodeSettings {
-        return {
-            name,
-            failureDomain,
-            region,
-            callers: anyPort,
-            peersListen: anyPort,
-            operators: anyPort,
-            peers: [],
-            objectsUrl: this.platform.getUrl(name),
-            hostListUrl: this.platform.getUrl(name),
-            cloudUrl: undefined,
-            weightStoreUrl: undefined,
-            platformToken: undefined,
-            operatorTokenHash: undefined,
-            tls: undefined,
-            groups: [],
-            limits: { bodyBytes: 1_048_576, answerBytes: 8_388_608, headerBytes: 16_384, openRequests: 10_000, endpointConcurrency: 64 },
-            logLevel: "error",
-            collectorUrl: undefined,
-            traceSampleRatio: 0,
-            webhookUrl: undefined,
-            ...this.options.settings,
-            timing: {
-                readinessGrace: 100,
-                drainLimit: 10_000,
-                exchangeInterval: 150,
-                peerSilence: 1_000,
-                platformTimeout: 1_000,
-                watchSilence: 2_000,
-                hostListInterval: 200,
-                loadInterval: 200,
-                leaseTerm: 3_000,
-                quarantineTerm: 60_000,
-                connectTimeout: 1_000,
-                ...this.options.timing,
-            },
-        };
+        const settings = createTestSettings(name, failureDomain, region, this.platform.getUrl(name));
+        return { ...settings, ...this.options.settings, timing: { ...settings.timing, ...this.options.timing } };
     }
 }
 
+/** Creates a node's settings with free ports and short times, as tests want them. */
+export function createTestSettings(name: string, failureDomain: string, region: string, platformUrl: string): NodeSettings {
+    return {
+        name,
+        failureDomain,
+        region,
+        callers: anyPort,
+        peersListen: anyPort,
+        operators: anyPort,
+        peers: [],
+        objectsUrl: platformUrl,
+        hostListUrl: platformUrl,
+        cloudUrl: undefined,
+        weightStoreUrl: undefined,
+        platformToken: undefined,
+        operatorTokenHash: undefined,
+        tls: undefined,
+        groups: [],
+        limits: { bodyBytes: 1_048_576, answerBytes: 8_388_608, headerBytes: 16_384, openRequests: 10_000, endpointConcurrency: 64 },
+        logLevel: "error",
+        collectorUrl: undefined,
+        traceSampleRatio: 0,
+        webhookUrl: undefined,
+        timing: {
+            readinessGrace: 100,
+            drainLimit: 10_000,
+            exchangeInterval: 150,
+            peerSilence: 1_000,
+            platformTimeout: 1_000,
+            watchSilence: 2_000,
+            hostListInterval: 200,
+            loadInterval: 200,
+            leaseTerm: 3_000,
+            quarantineTerm: 60_000,
+            connectTimeout: 1_000,
+        },
+    };
+}
+
 /** Wraps a node's clients so that they respect cuts between failure domains. */
 function addCuts(container: Container, domain: string, cuts: NetworkCuts): void {
     replaceBinding(container, Keys.PeerLink, CuttablePeerLink.create(container.get(Keys.PeerLink), domain, cuts));
--- a/src/testing/virtualClock.ts
+++ b/src/testing/virtualClock.ts
@@ -6,9 +6,6 @@
     readonly wake: () => void;
 }
 
-/** Rounds of the event loop that are given to pending work before time goes on. */
-const settleRounds = 6;
-
 /** A clock whose time moves only when a test says so. */
 export class VirtualClock implements Clock {
     private now = 0;
@@ -23,7 +20,7 @@
     }
 
     getWallTime(): number {
-        return this.epoch + this.now;
+        return Math.floor(this.epoch + this.now);
     }
 
     getMonotonicTime(): number {
@@ -65,9 +62,7 @@
 
 /** Lets every promise that can go on do so. */
 async function settlePromises(): Promise<void> {
-    for (let round = 0; round < settleRounds; round += 1) {
-        await Promise.resolve();
-    }
+    // Every microtask that is due runs before the next turn of the event loop.
     await new Promise(resolve => setImmediate(resolve));
 }
 
