--- a/src/control/moves/moveKeeper.ts
+++ b/src/control/moves/moveKeeper.ts
@@ -8,6 +8,7 @@
 import { NodeIdentity } from "../../peers/memberDirectory.js";
 import { NodeDigest, NodeDigestInit, ShareGrantInit, UrgentNotifier } from "../../peers/types.js";
 import { StoredObject } from "../../platform/types.js";
+import { ShadowPolicy } from "../../requests/commands/shadowRunner.js";
 import { VersionObservation, VersionObserver, VersionPolicy } from "../../requests/types.js";
 import { SharedObjectConsumer } from "../sharedObjects.js";
 import { MoveEvidenceExchange } from "../types.js";
@@ -18,6 +19,8 @@
 
 /** Entries of evidence in one digest. */
 const evidenceLimit = 40;
+/** Evidence against a version, as a share of the bound, from which it is tried without callers. */
+const doubtEvidence = 0.2;
 /** Term of a grant, in milliseconds. */
 export const grantTermMilliseconds = 5_000;
 const hashSpan = 0x1_0000_0000;
@@ -50,7 +53,7 @@
  * The node's part in version moves: serves each version its share while the grant lasts, counts what attempts show,
  * and lowers the share to nothing at once when the new version shows itself to be bad.
  */
-export class MoveKeeper implements SharedObjectConsumer, VersionPolicy, VersionObserver, MoveEvidenceExchange {
+export class MoveKeeper implements SharedObjectConsumer, VersionPolicy, VersionObserver, ShadowPolicy, MoveEvidenceExchange {
     readonly prefix = movePrefix;
     private readonly moves = new Map<string, KnownMove>();
     private readonly baselines = new Map<string, LatencyBaseline>();
@@ -132,6 +135,15 @@
         return this.moves.get(serviceName)?.record;
     }
 
+    /** Returns the new version of a running move while the evidence leaves doubt about it. */
+    findShadowVersion(service: ServiceDeclaration): string | undefined {
+        const move = this.moves.get(service.name);
+        if (move === undefined || move.record.state !== MoveState.Running || move.takenBack !== undefined || !service.idempotent) {
+            return undefined;
+        }
+        return move.judge.getEvidence() >= doubtEvidence ? move.record.to : undefined;
+    }
+
     /** Returns the revision at which this node knows the move of a service, or 0. */
     getRevision(serviceName: string): number {
         return this.moves.get(serviceName)?.revision ?? 0;
@@ -315,7 +327,12 @@
     }
 
     private judgeCounts(move: KnownMove, route: string, added: EvidenceCounts): void {
+        const wasInDoubt = move.judge.getEvidence() >= doubtEvidence;
         move.judge.addCounts(route, added);
+        if (!wasInDoubt && move.judge.getEvidence() >= doubtEvidence) {
+            // The other nodes help to settle the doubt.
+            void this.notifier.sendUrgentDigest();
+        }
         const finding = move.judge.getFinding();
         if (finding !== undefined && move.takenBack === undefined) {
             const where = finding.route === "" ? "on all routes" : `on route ${finding.route}`;
--- a/src/node/composition.ts
+++ b/src/node/composition.ts
@@ -46,6 +46,7 @@
 import { LoadObserver } from "../requests/commands/loadObserver.js";
 import { ModelRequestRunner } from "../requests/commands/modelRequestRunner.js";
 import { PlainCallRunner } from "../requests/commands/plainCallRunner.js";
+import { ShadowRunner } from "../requests/commands/shadowRunner.js";
 import { StreamMover } from "../requests/commands/streamMover.js";
 import { TeamLimiter } from "../requests/commands/teamLimiter.js";
 import { EndpointRegistry } from "../requests/endpointRegistry.js";
@@ -270,6 +271,16 @@
             prefixIndex: context.get(Keys.PrefixIndex),
             versions: context.get(Keys.Moves),
             observer: context.get(Keys.Moves),
+            shadows: ShadowRunner.create(
+                context.get(Keys.ModelClient),
+                context.get(Keys.Registry),
+                context.get(Keys.Selector),
+                context.get(Keys.Moves),
+                context.get(Keys.Moves),
+                context.get(Keys.Clock),
+                context.get(Keys.Metrics),
+                settings.timing.connectTimeout,
+            ),
             connectTimeout: settings.timing.connectTimeout,
         })
     );
--- a/src/requests/commands/modelRequestRunner.ts
+++ b/src/requests/commands/modelRequestRunner.ts
@@ -23,6 +23,7 @@
 import { AttemptOutcome, AttemptRecord, RequestOutcome, VersionObserver, VersionPolicy } from "../types.js";
 import { AdmissionQueue } from "./admissionQueue.js";
 import { EndpointProbe, ProbeResult } from "./endpointProbe.js";
+import { ShadowRunner } from "./shadowRunner.js";
 
 /** Most attempts at one request, whatever their reasons. */
 const attemptLimit = 12;
@@ -76,6 +77,7 @@
     readonly prefixIndex: PrefixIndex;
     readonly versions: VersionPolicy;
     readonly observer: VersionObserver;
+    readonly shadows: ShadowRunner;
     readonly connectTimeout: number;
 }
 
@@ -91,6 +93,7 @@
     async runRequest(record: RequestRecord, service: ServiceDeclaration): Promise<void> {
         this.parts.budget.recordRequest();
         const run = RequestRun.create(this.parts, record, service);
+        void this.parts.shadows.runShadow(record.request, service, run.version);
         try {
             await run.runAttempts();
         }
@@ -105,7 +108,7 @@
     private readonly prefixes: PromptPrefixes;
     private readonly excluded = new Set<string>();
     private readonly deadlineTimer: NodeJS.Timeout;
-    private readonly version: string;
+    readonly version: string;
     private readonly model: string;
     private readonly group: string;
     private isPastDeadline = false;
--- /dev/null
+++ b/src/requests/commands/shadowRunner.ts
@@ -0,0 +1,131 @@
+import { Clock } from "../../common/clock.js";
+import { createIdentifier } from "../../common/identifiers.js";
+import { Metrics } from "../../common/metrics.js";
+import { ServiceDeclaration } from "../../config/types.js";
+import { ModelEndpointClient } from "../../endpoints/modelEndpoint.js";
+import { EndpointEntry, EndpointRegistry } from "../endpointRegistry.js";
+import { EndpointSelector } from "../queries/endpointSelector.js";
+import { ModelRequest, VersionObserver } from "../types.js";
+
+/** Shadow attempts that a node runs at once. */
+const shadowLimit = 8;
+const shadowPriority = 3;
+
+/** Says which version's behaviour is in doubt and worth trying without a caller. */
+export interface ShadowPolicy {
+    /** Returns the version to try beside the one that serves a request, or undefined. */
+    findShadowVersion(service: ServiceDeclaration): string | undefined;
+}
+
+/**
+ * Tries a version in doubt with requests that the other version serves, and drops the answers: the doubt is settled
+ * within seconds and no caller is harmed. Only generations are tried, which are idempotent, and only with room to spare.
+ */
+export class ShadowRunner {
+    private running = 0;
+
+    private constructor(
+        private readonly client: ModelEndpointClient,
+        private readonly registry: EndpointRegistry,
+        private readonly selector: EndpointSelector,
+        private readonly policy: ShadowPolicy,
+        private readonly observer: VersionObserver,
+        private readonly clock: Clock,
+        private readonly metrics: Metrics,
+        private readonly connectTimeout: number,
+    ) {}
+
+    static create(
+        client: ModelEndpointClient,
+        registry: EndpointRegistry,
+        selector: EndpointSelector,
+        policy: ShadowPolicy,
+        observer: VersionObserver,
+        clock: Clock,
+        metrics: Metrics,
+        connectTimeout: number,
+    ): ShadowRunner {
+        return new ShadowRunner(client, registry, selector, policy, observer, clock, metrics, connectTimeout);
+    }
+
+    /** Tries the version in doubt, if there is one, with a request that another version serves. */
+    async runShadow(request: ModelRequest, service: ServiceDeclaration, servedBy: string): Promise<void> {
+        const version = this.policy.findShadowVersion(service);
+        if (version === undefined || version === servedBy || this.running >= shadowLimit) {
+            return;
+        }
+        const entry = this.selectEndpoint(service, version);
+        if (entry === undefined) {
+            return;
+        }
+        this.running += 1;
+        this.registry.addAttempt(entry);
+        try {
+            await this.runAttempt(request, service, version, entry);
+        }
+        finally {
+            this.running -= 1;
+            this.registry.removeAttempt(entry);
+        }
+    }
+
+    private selectEndpoint(service: ServiceDeclaration, version: string): EndpointEntry | undefined {
+        const declared = service.versions.find(candidate => candidate.name === version);
+        return this.selector.selectEndpoint({
+            group: declared?.group ?? service.group,
+            model: declared?.model ?? version,
+            priority: service.priority,
+            weights: service.weights,
+            prefixes: undefined,
+            excluded: new Set(),
+            pinned: undefined,
+            mustStay: 0,
+        });
+    }
+
+    private async runAttempt(request: ModelRequest, service: ServiceDeclaration, version: string, entry: EndpointEntry): Promise<void> {
+        const startedAt = this.clock.getMonotonicTime();
+        const load = this.registry.getLoadShare(entry);
+        let tokens = 0;
+        let firstTokenAt: number | undefined;
+        let lastTokenAt = startedAt;
+        const sink = {
+            appendToken: () => {
+                lastTokenAt = this.clock.getMonotonicTime();
+                firstTokenAt ??= lastTokenAt;
+                tokens += 1;
+            },
+        };
+        const attempt = {
+            requestId: `shadow-${request.id}`,
+            attemptId: createIdentifier(),
+            model: service.versions.find(candidate => candidate.name === version)?.model ?? version,
+            prompt: request.prompt,
+            maxTokens: request.maxTokens,
+            sampling: request.sampling,
+            priority: shadowPriority,
+            emittedTokens: [],
+            cacheHandle: undefined,
+            silenceLimit: service.silenceLimit,
+            connectTimeout: this.connectTimeout,
+            traceHeaders: {},
+        };
+        const result = await this.client.runGeneration(entry.description.address, attempt, sink, new AbortController().signal);
+        this.metrics.attempts.inc({ service: service.name, outcome: "shadow" });
+        if (result.err && tokens === 0 && this.clock.getMonotonicTime() === startedAt) {
+            return;
+        }
+        this.observer.recordObservation({
+            service: service.name,
+            version,
+            team: request.team,
+            route: request.isChat ? "chat" : "completions",
+            endpoint: entry.name,
+            succeeded: result.ok,
+            isComplete: tokens >= request.maxTokens,
+            firstToken: firstTokenAt === undefined ? undefined : firstTokenAt - startedAt,
+            betweenTokens: tokens < 2 || firstTokenAt === undefined ? undefined : (lastTokenAt - firstTokenAt) / (tokens - 1),
+            load,
+        });
+    }
+}
--- a/src/testing/memoryObjectStore.ts
+++ b/src/testing/memoryObjectStore.ts
@@ -27,15 +27,19 @@
     readonly objects = new Map<string, StoredObject>();
     revision = 0;
 
-    private constructor() {}
+    /** Virtual time of each write, by its revision. */
+    readonly writtenAt = new Map<number, number>();
 
-    static create(): MemoryObjects {
-        return new MemoryObjects();
+    private constructor(private readonly getTime: () => number) {}
+
+    static create(getTime: () => number = () => 0): MemoryObjects {
+        return new MemoryObjects(getTime);
     }
 
     putObject(name: string, value: unknown): number {
         this.revision += 1;
         const object: StoredObject = { name, revision: this.revision, value: JSON.parse(JSON.stringify(value)) as unknown };
+        this.writtenAt.set(this.revision, this.getTime());
         this.objects.set(name, object);
         this.history.push(object);
         return this.revision;
--- a/src/testing/virtualClock.ts
+++ b/src/testing/virtualClock.ts
@@ -33,12 +33,17 @@
         }
         return new Promise(resolve => {
             this.order += 1;
-            const timer: Timer = { at: this.now + Math.max(0, milliseconds), order: this.order, wake: resolve };
-            this.timers.push(timer);
-            signal?.addEventListener("abort", () => {
+            const wake = () => {
+                signal?.removeEventListener("abort", handleAbort);
+                resolve();
+            };
+            const timer: Timer = { at: this.now + Math.max(0, milliseconds), order: this.order, wake };
+            const handleAbort = () => {
                 this.timers = this.timers.filter(other => other !== timer);
                 resolve();
-            }, { once: true });
+            };
+            this.timers.push(timer);
+            signal?.addEventListener("abort", handleAbort, { once: true });
         });
     }
 
--- a/src/testing/virtualFleet.ts
+++ b/src/testing/virtualFleet.ts
@@ -57,7 +57,7 @@
 /** The control parts of several nodes in virtual time: no listeners, an in-memory platform, peers called directly. */
 export class VirtualFleet {
     readonly world = VirtualClock.create(wallEpoch);
-    readonly objects = MemoryObjects.create();
+    readonly objects = MemoryObjects.create(() => this.world.getMonotonicTime());
     readonly nodes: VirtualNode[] = [];
     readonly random: RandomSource;
     private readonly cuts = new Set<string>();
