--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 // The short list of verbs that function and method names begin with; docs/STYLE.md explains each.
 const verbs = [
     "abort", "accept", "acquire", "add", "adopt", "append", "apply", "authenticate", "build", "cancel", "check", "choose", "claim", "close", "compare",
-    "compute", "count", "create", "decode", "describe", "drain", "encode", "end", "escape", "exchange", "export", "fetch", "find", "finish", "follow", "format", "forward",
+    "compute", "count", "create", "decode", "describe", "drain", "encode", "end", "escape", "exchange", "export", "fetch", "find", "finish", "flush", "follow", "format", "forward",
     "generate", "get", "grant", "handle", "hash", "has", "import", "inject", "is", "kill", "list", "load", "locate", "log", "main", "mark", "match", "measure", "merge", "next",
     "observe", "open", "order", "parse", "pick", "poll", "print", "publish", "put", "quarantine", "raise", "read", "record", "reduce", "refuse", "register", "release", "remove",
     "renew", "replace", "replay", "report", "resolve", "resume", "retry", "route", "run", "select", "send", "serve", "set", "settle", "silence", "sleep", "start", "stop", "store", "take", "test",
--- a/src/bench/movesBench.ts
+++ b/src/bench/movesBench.ts
@@ -1,7 +1,7 @@
 import { SeededRandom } from "../common/random.js";
 import { MoveState } from "../control/moves/moveRecord.js";
 import { pickQuantile } from "../replay/report.js";
-import { drawAttempt, MoveOutcome, MoveScenario, MoveWorld, VersionKind } from "../testing/moveWorld.js";
+import { MoveOutcome, MoveScenario, MoveWorld, pickAttempt, VersionKind } from "../testing/moveWorld.js";
 import { Bench, BenchResult } from "./types.js";
 
 const movesPerTrace = 104;
@@ -44,7 +44,7 @@
                 domains: ["a", "b", "c"],
                 nodesPerDomain: 1,
             };
-            played.push({ scenario, outcome: await MoveWorld.create(scenario).play() });
+            played.push({ scenario, outcome: await MoveWorld.create(scenario).runScenario() });
         }
     }
     const good = played.filter(entry => entry.scenario.kind === VersionKind.Good);
@@ -59,8 +59,8 @@
     const completionSeconds = completed.map(entry =>
         ((entry.outcome.endedAt ?? 0) - (entry.outcome.deadline - entry.scenario.deadlineSeconds * 1_000)) / 1_000
     );
-    const guarded = playBaselines(true);
-    const unguarded = playBaselines(false);
+    const guarded = runBaselines(true);
+    const unguarded = runBaselines(false);
     return {
         fields: {
             moves: played.length,
@@ -91,7 +91,7 @@
 }
 
 /** Fixed steps, each for a quarter of the time; with a guard, a share of failures above a threshold takes the move back. */
-function playBaselines(hasGuard: boolean): Record<string, number> {
+function runBaselines(hasGuard: boolean): Record<string, number> {
     let goodCompleted = 0;
     let goodCount = 0;
     let badTakenBack = 0;
@@ -100,7 +100,7 @@
         for (let seed = 1; seed <= movesPerTrace; seed += 1) {
             const isGood = seed <= movesPerTrace * goodShare;
             const kind = isGood ? VersionKind.Good : badKinds[seed % badKinds.length] as VersionKind;
-            const result = playBaseline(kind, seed, trace.requestsPerSecond * trace.deadlineSeconds, hasGuard);
+            const result = runBaseline(kind, seed, trace.requestsPerSecond * trace.deadlineSeconds, hasGuard);
             goodCount += isGood ? 1 : 0;
             goodCompleted += isGood && !result.isTakenBack ? 1 : 0;
             badTakenBack += !isGood && result.isTakenBack ? 1 : 0;
@@ -118,7 +118,7 @@
     };
 }
 
-function playBaseline(
+function runBaseline(
     kind: VersionKind,
     seed: number,
     requests: number,
@@ -136,7 +136,7 @@
         }
         const team = ["desk", "shops", "parents"][random.pickIndex(3)] as string;
         const route = ["completions", "chat"][random.pickIndex(2)] as string;
-        const drawn = drawAttempt(kind, random, random.pickFraction() * 0.9, team, route, trials);
+        const drawn = pickAttempt(kind, random, random.pickFraction() * 0.9, team, route, trials);
         trials += 1;
         harmed += drawn.isBad ? 1 : 0;
         window.push(!drawn.succeeded);
--- a/src/cli/baseCommand.ts
+++ b/src/cli/baseCommand.ts
@@ -34,6 +34,7 @@
 /** What every command shares: diagnostics, tables, exit codes, JSON. */
 export abstract class BaseCommand extends Command {
     static override enableJsonFlag = true;
+    private failure: unknown;
 
     /** Prints diagnostics to standard error, errors in red on a terminal. */
     protected printDiagnostics(diagnostics: readonly Diagnostic[]): void {
@@ -46,22 +47,29 @@
 
     /** Ends the command with diagnostics and an exit code. */
     protected failWith(code: ExitCode, diagnostics: readonly Diagnostic[]): never {
-        if (this.jsonEnabled()) {
-            this.logJson({
-                errors: diagnostics.map(diagnostic => ({
-                    code: `CW${diagnostic.message.code}`,
-                    text: diagnostic.text,
-                    file: diagnostic.file,
-                    line: diagnostic.line,
-                })),
-            });
-        }
-        else {
+        const errors = diagnostics.map(diagnostic => ({
+            code: `CW${diagnostic.message.code}`,
+            text: diagnostic.text,
+            file: diagnostic.file,
+            line: diagnostic.line,
+        }));
+        if (!this.jsonEnabled()) {
             this.printDiagnostics(diagnostics);
         }
+        return this.endWith(code, { errors });
+    }
+
+    /** Ends the command with an exit code; with --json, prints a value first. */
+    protected endWith(code: ExitCode, value: unknown): never {
+        this.failure = value;
+        process.exitCode = code;
         this.exit(code);
     }
 
+    protected override toErrorJson(error: unknown): unknown {
+        return this.failure ?? super.toErrorJson(error);
+    }
+
     /** Prints a table for people. */
     protected printTable(head: readonly string[], rows: readonly (readonly string[])[]): void {
         const style = process.stdout.isTTY ? { head: ["bold"], border: ["grey"] } : { head: [], border: [] };
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,6 +1,7 @@
 import { CheckCommand } from "./check.js";
 import { DemoCommand } from "./demo.js";
 import { EndpointDrainCommand } from "./endpointDrain.js";
+import { KeysAuthorityCommand, KeysCheckCommand, KeysIssueCommand } from "./keys.js";
 import { MoveAbortCommand, MoveShowCommand, MoveStartCommand } from "./moves.js";
 import { PublishCommand } from "./publish.js";
 import { ReplayCommand } from "./replay.js";
@@ -18,6 +19,9 @@
     "move:start": MoveStartCommand,
     "move:abort": MoveAbortCommand,
     "move:show": MoveShowCommand,
+    "keys:authority": KeysAuthorityCommand,
+    "keys:issue": KeysIssueCommand,
+    "keys:check": KeysCheckCommand,
     "replay": ReplayCommand,
     "demo": DemoCommand,
     "trace:generate": TraceGenerateCommand,
--- a/src/cli/commands/replay.ts
+++ b/src/cli/commands/replay.ts
@@ -63,11 +63,8 @@
             this.logToStderr(formatDiagnostic(createDiagnostic(Diagnostics.Every_outcome_holds)));
             return result;
         }
-        if (this.jsonEnabled()) {
-            this.logJson(result);
-        }
         this.printDiagnostics(failed.map(entry => createOutcomeDiagnostic(entry, outcomesFile)));
-        this.exit(ExitCode.Failed);
+        return this.endWith(ExitCode.Failed, result);
     }
 
     private printReport(report: ReplayReport, judged: readonly JudgedOutcome[]): void {
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -155,6 +155,8 @@
     Settings_are_valid: createNote(6010, "The settings are valid."),
     Outcomes_file_cannot_be_read_0: createError(6011, "The outcomes file cannot be read: {0}."),
     Endpoint_0_is_draining: createNote(6012, "Endpoint '{0}' is draining."),
+    File_0_exists: createError(6015, "File '{0}' exists; --force replaces it."),
+    Certificate_0_is_not_valid_1: createError(6016, "Certificate '{0}' is not valid: {1}."),
     Every_outcome_holds: createNote(6013, "Every stated outcome holds."),
 } as const;
 
--- a/src/common/tracing.ts
+++ b/src/common/tracing.ts
@@ -78,6 +78,11 @@
         span.setStatus({ code: SpanStatusCode.ERROR, message: text });
     }
 
+    /** Sends the spans that have ended. */
+    async flush(): Promise<void> {
+        await this.provider.forceFlush();
+    }
+
     /** Sends what is left and stops. */
     async stop(): Promise<void> {
         await this.provider.shutdown();
--- a/src/control/moves/moveKeeper.ts
+++ b/src/control/moves/moveKeeper.ts
@@ -21,6 +21,8 @@
 const evidenceLimit = 40;
 /** Evidence against a version, as a share of the bound, from which it is tried without callers. */
 const doubtEvidence = 0.2;
+/** Time for which a version is tried without callers after its evidence last grew, in milliseconds. */
+const doubtMilliseconds = 8_000;
 /** Term of a grant, in milliseconds. */
 export const grantTermMilliseconds = 5_000;
 const hashSpan = 0x1_0000_0000;
@@ -40,6 +42,8 @@
     grant: HeldGrant | undefined;
     /** Why this node or a peer saw the version to be bad. */
     takenBack: { readonly reason: MoveReason; readonly detail: string; } | undefined;
+    /** Monotonic milliseconds until which the new version is tried without callers. */
+    doubtUntil: number;
     readonly evidence: MoveEvidence;
     readonly judge: VersionJudge;
 }
@@ -141,7 +145,7 @@
         if (move === undefined || move.record.state !== MoveState.Running || move.takenBack !== undefined || !service.idempotent) {
             return undefined;
         }
-        return move.judge.getEvidence() >= doubtEvidence ? move.record.to : undefined;
+        return move.doubtUntil > this.clock.getMonotonicTime() ? move.record.to : undefined;
     }
 
     /** Returns the revision at which this node knows the move of a service, or 0. */
@@ -299,6 +303,7 @@
             revision,
             grant: undefined,
             takenBack: undefined,
+            doubtUntil: -Infinity,
             evidence,
             judge: VersionJudge.create(evidence, record.from, this.factory),
         };
@@ -327,12 +332,9 @@
     }
 
     private judgeCounts(move: KnownMove, route: string, added: EvidenceCounts): void {
-        const wasInDoubt = move.judge.getEvidence() >= doubtEvidence;
+        const before = move.judge.getEvidence();
         move.judge.addCounts(route, added);
-        if (!wasInDoubt && move.judge.getEvidence() >= doubtEvidence) {
-            // The other nodes help to settle the doubt.
-            void this.notifier.sendUrgentDigest();
-        }
+        this.recordDoubt(move, before);
         const finding = move.judge.getFinding();
         if (finding !== undefined && move.takenBack === undefined) {
             const where = finding.route === "" ? "on all routes" : `on route ${finding.route}`;
@@ -341,6 +343,21 @@
         }
     }
 
+    /** Notes that the evidence has grown to a doubt; it is settled over some time, since a version may be bad only in part. */
+    private recordDoubt(move: KnownMove, evidenceBefore: number): void {
+        const evidence = move.judge.getEvidence();
+        if (evidence < doubtEvidence || evidence <= evidenceBefore) {
+            return;
+        }
+        const now = this.clock.getMonotonicTime();
+        const isNew = move.doubtUntil <= now;
+        move.doubtUntil = now + doubtMilliseconds;
+        if (isNew) {
+            // The other nodes help to settle the doubt.
+            void this.notifier.sendUrgentDigest();
+        }
+    }
+
     private takeBack(move: KnownMove, reason: MoveReason, detail: string): void {
         move.takenBack = { reason, detail };
         this.metrics.moveShare.set({ service: move.record.service }, 0);
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -1,7 +1,7 @@
 import { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createSecureServer, createServer, Http2SecureServer, Http2Server, ServerHttp2Session } from "node:http2";
-import { AddressInfo } from "node:net";
+import { AddressInfo, Socket } from "node:net";
 import { NetworkAddress } from "../config/types.js";
 import { PeerService } from "../generated/corianderward/v1/peer_pb.js";
 import { TlsMaterial } from "./tlsMaterial.js";
@@ -10,11 +10,20 @@
 /** Answers the calls of peers. With certificates set, a peer without a valid one is refused. */
 export class PeerServer {
     private readonly server: Http2Server | Http2SecureServer;
+    private readonly sockets = new Set<Socket>();
+    private closedBytes = 0;
     private readonly sessions = new Set<ServerHttp2Session>();
 
     private constructor(handler: PeerHandler, tls: TlsMaterial | undefined) {
         const listener = connectNodeAdapter({ routes: router => addRoutes(router, handler) });
         this.server = createListeningServer(listener, tls);
+        this.server.on("connection", (socket: Socket) => {
+            this.sockets.add(socket);
+            socket.once("close", () => {
+                this.closedBytes += socket.bytesRead + socket.bytesWritten;
+                this.sockets.delete(socket);
+            });
+        });
         this.server.on("session", session => {
             this.sessions.add(session);
             session.on("error", () => {});
@@ -36,6 +45,15 @@
         return { host: bound.address, port: bound.port };
     }
 
+    /** Returns the bytes received and sent so far, on open connections and on closed ones. */
+    countBytes(): number {
+        let bytes = this.closedBytes;
+        for (const socket of this.sockets) {
+            bytes += socket.bytesRead + socket.bytesWritten;
+        }
+        return bytes;
+    }
+
     /** Stops listening and ends every connection. */
     async stop(): Promise<void> {
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
--- /dev/null
+++ b/src/peers/peerTls.test.ts
@@ -0,0 +1,69 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, rmSync, utimesSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, test } from "node:test";
+import { createSilentLogger } from "../common/logging.js";
+import { Metrics } from "../common/metrics.js";
+import { TlsSettings } from "../config/types.js";
+import { createAuthority, createNodeCertificate, KeyPairFiles } from "../keys/certificates.js";
+import { ConnectPeerLink } from "./connectPeerLink.js";
+import { PeerServer } from "./peerServer.js";
+import { TlsMaterial } from "./tlsMaterial.js";
+import { PeerHandler } from "./types.js";
+
+const directory = mkdtempSync(join(tmpdir(), "corianderward-tls-"));
+after(() => rmSync(directory, { recursive: true, force: true }));
+
+const handler = { describeRequest: () => "{}" } as unknown as PeerHandler;
+
+function writeKeys(name: string, authority: KeyPairFiles, files: KeyPairFiles): TlsSettings {
+    const settings = {
+        certificateFile: join(directory, `${name}.pem`),
+        keyFile: join(directory, `${name}-key.pem`),
+        authorityFile: join(directory, `${name}-authority.pem`),
+    };
+    writeFileSync(settings.certificateFile, files.certificate);
+    writeFileSync(settings.keyFile, files.key);
+    writeFileSync(settings.authorityFile, authority.certificate);
+    return settings;
+}
+
+test("nodes with certificates of one authority talk; a node without a valid one is refused; new certificates need no restart", async () => {
+    const now = Date.now();
+    const authority = createAuthority("site", 10, now);
+    const stranger = createAuthority("stranger", 10, now);
+    const serverSettings = writeKeys("server", authority, createNodeCertificate(authority, "server", 5, now));
+    const serverTls = TlsMaterial.create(serverSettings, createSilentLogger());
+    const server = PeerServer.create(handler, serverTls);
+    const address = await server.start({ host: "127.0.0.1", port: 0 });
+    const openLink = (name: string, signer: KeyPairFiles) => {
+        const settings = writeKeys(name, authority, createNodeCertificate(signer, name, 5, now));
+        const material = TlsMaterial.create(settings, createSilentLogger());
+        return { material, settings, link: ConnectPeerLink.create(material, Metrics.create()) };
+    };
+    const known = openLink("known", authority);
+    const unknown = openLink("unknown", stranger);
+    const plain = ConnectPeerLink.create(undefined, Metrics.create());
+    assert.equal((await known.link.describeRequest(address, "x")).ok, true);
+    assert.equal((await unknown.link.describeRequest(address, "x")).ok, false, "a certificate of another authority");
+    assert.equal((await plain.describeRequest(address, "x")).ok, false, "no certificate");
+
+    // The site changes its authority: both ends read their files again, and the old certificate is refused from then on.
+    const renewed = createAuthority("site-2", 10, now);
+    writeKeys("server", renewed, createNodeCertificate(renewed, "server", 5, now));
+    const later = new Date(now + 60_000);
+    Object.values(serverSettings).forEach(file => utimesSync(file, later, later));
+    serverTls.checkFiles();
+    known.link.stop();
+    assert.equal((await known.link.describeRequest(address, "x")).ok, false, "the old authority is not trusted any more");
+    writeKeys("known", renewed, createNodeCertificate(renewed, "known", 5, now));
+    Object.values(known.settings).forEach(file => utimesSync(file, later, later));
+    known.material.checkFiles();
+    assert.equal((await known.link.describeRequest(address, "x")).ok, true, "the new certificate is in use without a restart");
+    known.link.stop();
+    unknown.link.stop();
+    plain.stop();
+    [serverTls, known.material, unknown.material].forEach(material => material.stop());
+    await server.stop();
+});
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -46,6 +46,8 @@
     readonly startOffset: number;
     readonly startedAt: number;
     emitted: number;
+    /** Unix milliseconds of the first token, or undefined before it. */
+    firstTokenAt: number | undefined;
     finished: boolean;
     recomputed: number;
 }
@@ -281,6 +283,7 @@
             startOffset: resumed.length,
             startedAt: Date.now(),
             emitted: 0,
+            firstTokenAt: undefined,
             finished: false,
             recomputed,
         };
@@ -384,6 +387,7 @@
             const text = generateToken(attempt.seed, attempt.next);
             attempt.next += 1;
             attempt.record.emitted += 1;
+            attempt.record.firstTokenAt ??= Date.now();
             this.countToken();
             attempt.response.write(
                 `data: {"id":"${attempt.record.attemptId}","object":"text_completion","choices":[{"index":0,"text":${
--- a/src/standins/httpServer.ts
+++ b/src/standins/httpServer.ts
@@ -7,6 +7,7 @@
 /** A small HTTP server of a stand-in that can die at once, with all its connections. */
 export class StandInServer {
     private readonly sockets = new Set<Socket>();
+    private closedBytes = 0;
     private frozenSockets = new Set<Socket>();
 
     private readonly earlyHandlers: ((request: IncomingMessage) => boolean)[] = [];
@@ -20,6 +21,7 @@
         server.keepAliveTimeout = keepAliveMilliseconds;
         server.on("connection", socket => {
             this.sockets.add(socket);
+            socket.once("close", () => (this.closedBytes += socket.bytesRead + socket.bytesWritten));
             socket.on("error", () => {});
             socket.on("close", () => {
                 this.sockets.delete(socket);
@@ -67,6 +69,15 @@
         await closed;
     }
 
+    /** Returns the bytes received and sent so far. */
+    countBytes(): number {
+        let bytes = this.closedBytes;
+        for (const socket of this.sockets) {
+            bytes += socket.bytesRead + socket.bytesWritten;
+        }
+        return bytes;
+    }
+
     /** Makes the open connections silent for good; new connections work. */
     silenceConnections(): number {
         for (const socket of this.sockets) {
--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -82,6 +82,10 @@
         await this.server.kill();
     }
 
+    countBytes(): number {
+        return this.server.countBytes();
+    }
+
     silenceConnections(): void {
         this.server.silenceConnections();
     }
--- a/src/standins/platform.ts
+++ b/src/standins/platform.ts
@@ -132,6 +132,10 @@
         this.server.silenceConnections();
     }
 
+    countBytes(): number {
+        return this.server.countBytes();
+    }
+
     /** Ends the open watches, as an outage does. */
     closeWatches(): void {
         for (const watcher of this.watchers) {
--- a/src/testing/failures/moves.test.ts
+++ b/src/testing/failures/moves.test.ts
@@ -29,7 +29,7 @@
     const world = MoveWorld.create({ kind, seed, requestsPerSecond, deadlineSeconds, domains, nodesPerDomain: 2 });
     const random = SeededRandom.create(seed);
     let nextFaultAt = 0;
-    const outcome = await world.play(current => {
+    const outcome = await world.runScenario(current => {
         const now = current.fleet.world.getMonotonicTime();
         if (now >= nextFaultAt) {
             nextFaultAt = now + 1_500 + random.pickIndex(4_000);
@@ -101,7 +101,7 @@
         nodesPerDomain: 2,
         healsPlatform: false,
     });
-    const outcome = await world.play(current => {
+    const outcome = await world.runScenario(current => {
         const now = current.fleet.world.getMonotonicTime();
         if (now > 30_000) {
             current.fleet.nodes.forEach(node => (node.store.faults.isDown = true));
@@ -121,7 +121,7 @@
         domains,
         nodesPerDomain: 2,
     });
-    const outcome = await world.play(current => {
+    const outcome = await world.runScenario(current => {
         if (current.fleet.world.getMonotonicTime() > 20_700) {
             current.fleet.nodes.forEach(node => (node.store.faults.isDown = true));
         }
--- a/src/testing/moveWorld.ts
+++ b/src/testing/moveWorld.ts
@@ -73,7 +73,7 @@
 const stepMilliseconds = 50;
 
 /** Draws what one attempt at the new version shows. */
-export function drawAttempt(
+export function pickAttempt(
     kind: VersionKind,
     random: RandomSource,
     load: number,
@@ -144,16 +144,16 @@
     }
 
     /** Plays the whole scenario; the hook is called in every step, to inject faults. */
-    async play(inject: (world: MoveWorld) => void = () => {}): Promise<MoveOutcome> {
+    async runScenario(inject: (world: MoveWorld) => void = () => {}): Promise<MoveOutcome> {
         const { fleet, scenario } = this;
-        await this.playUntil(warmUpMilliseconds, () => {});
+        await this.runUntil(warmUpMilliseconds, () => {});
         const startedAt = fleet.world.getWallTime();
         const deadline = startedAt + scenario.deadlineSeconds * 1_000;
         fleet.objects.putObject(movePrefix + "lookup", createMoveRecord("lookup", "v1", "v2", deadline, startedAt));
         const deadlineAt = fleet.world.getMonotonicTime() + scenario.deadlineSeconds * 1_000;
-        await this.playUntil(deadlineAt, () => inject(this));
+        await this.runUntil(deadlineAt, () => inject(this));
         this.endFaults();
-        await this.playUntil(deadlineAt + afterDeadlineMilliseconds, () => {});
+        await this.runUntil(deadlineAt + afterDeadlineMilliseconds, () => {});
         const stored = fleet.objects.objects.get(movePrefix + "lookup");
         const record = stored === undefined ? undefined : parseMoveRecord(stored);
         const terminal = this.findTerminalWrite();
@@ -192,7 +192,7 @@
         }
     }
 
-    private async playUntil(time: number, inject: () => void): Promise<void> {
+    private async runUntil(time: number, inject: () => void): Promise<void> {
         const { world } = this.fleet;
         while (world.getMonotonicTime() < time) {
             const now = world.getMonotonicTime();
@@ -220,11 +220,11 @@
         const load = this.random.pickFraction() * 0.9;
         const team = teams[this.random.pickIndex(teams.length)] as string;
         const route = routes[this.random.pickIndex(routes.length)] as string;
-        const drawn = drawAttempt(isNew ? this.scenario.kind : VersionKind.Good, this.random, load, team, route, this.newTrials);
+        const drawn = pickAttempt(isNew ? this.scenario.kind : VersionKind.Good, this.random, load, team, route, this.newTrials);
         this.newTrials += isNew ? 1 : 0;
         const shadow = isNew ? undefined : keeper.findShadowVersion(service);
         if (shadow !== undefined) {
-            const tried = drawAttempt(this.scenario.kind, this.random, load, team, route, this.newTrials);
+            const tried = pickAttempt(this.scenario.kind, this.random, load, team, route, this.newTrials);
             this.newTrials += 1;
             const shadowTook = tried.succeeded ? tried.firstToken + tried.betweenTokens * 16 : tried.firstToken;
             void this.finishRequest(node, shadow, undefined, tried, { team, route, load, took: shadowTook });
