--- a/src/bench/configSpreadBench.ts
+++ b/src/bench/configSpreadBench.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { configurationPrefix } from "../config/objectNames.js";
-import { Keys } from "../node/composition.js";
 import { CorianderNode } from "../node/corianderNode.js";
+import { Keys } from "../node/keys.js";
 import { pickQuantile } from "../replay/report.js";
 import { createDefaultTeams, Deployment } from "../testing/deployment.js";
 import { Bench, BenchFields, BenchResult } from "./types.js";
--- a/src/bench/controlBench.ts
+++ b/src/bench/controlBench.ts
@@ -1,7 +1,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { setFlagsFromString } from "node:v8";
 import { runInNewContext } from "node:vm";
-import { Keys } from "../node/composition.js";
+import { Keys } from "../node/keys.js";
 import { createDefaultTeams, Deployment } from "../testing/deployment.js";
 import { Bench, BenchFields, BenchResult } from "./types.js";
 
--- a/src/bench/reclaimBench.ts
+++ b/src/bench/reclaimBench.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { ModelEndpointClient } from "../endpoints/modelEndpoint.js";
-import { Keys, replaceBinding } from "../node/composition.js";
+import { Keys, replaceBinding } from "../node/keys.js";
 import { pickQuantile } from "../replay/report.js";
 import { generateAnswer } from "../standins/generation.js";
 import { sendCompletion } from "../testing/callers.js";
--- a/src/callers/callerInterface.test.ts
+++ b/src/callers/callerInterface.test.ts
@@ -4,7 +4,7 @@
 import { after, before, test } from "node:test";
 import OpenAI from "openai";
 import { Tracing } from "../common/tracing.js";
-import { Keys, replaceBinding } from "../node/composition.js";
+import { Keys, replaceBinding } from "../node/keys.js";
 import { generateAnswer } from "../standins/generation.js";
 import { createCallerHeaders, sendCompletion } from "../testing/callers.js";
 import { createDefaultTeams, createTestTeam, createTestToken, Deployment } from "../testing/deployment.js";
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -2,8 +2,8 @@
 import { createDiagnostic, DiagnosticCategory, Diagnostics, formatDiagnostic } from "../common/diagnostics.js";
 import { describeError } from "../common/failure.js";
 import { readNodeSettings } from "../config/settings.js";
-import { Keys } from "../node/composition.js";
 import { CorianderNode } from "../node/corianderNode.js";
+import { Keys } from "../node/keys.js";
 
 /** Exit codes of the daemon. */
 export enum DaemonExitCode {
--- /dev/null
+++ b/src/node/bindings/controlBindings.ts
@@ -0,0 +1,140 @@
+import { Container, ResolutionContext } from "inversify";
+import { leasePrefix } from "../../config/objectNames.js";
+import { NodeSettings } from "../../config/types.js";
+import { ConfigurationConsumer } from "../../control/commands/configurationConsumer.js";
+import { DomainDuty } from "../../control/commands/domainDuty.js";
+import { HostListKeeper } from "../../control/commands/hostListKeeper.js";
+import { LeaseKeeper } from "../../control/commands/leaseKeeper.js";
+import { OrderSender } from "../../control/commands/orderSender.js";
+import { QuarantineKeeper } from "../../control/commands/quarantineKeeper.js";
+import { SharedObjectKeeper } from "../../control/commands/sharedObjectKeeper.js";
+import { ClockMonitor } from "../../control/moves/clockMonitor.js";
+import { MoveDuty } from "../../control/moves/moveDuty.js";
+import { MoveKeeper } from "../../control/moves/moveKeeper.js";
+import { MoveOperations } from "../../control/moves/moveOperations.js";
+import { SharedObjects } from "../../control/sharedObjects.js";
+import { UrgentNotifier } from "../../peers/types.js";
+import { Keys } from "../keys.js";
+
+/** Longest time in which a write takes effect or never does, in multiples of the platform timeout. */
+const writeSettleFactor = 2;
+
+/** Binds configuration, moves, leases and duties. */
+export function addControlBindings(container: Container, settings: NodeSettings): void {
+    container.bind(Keys.HostListKeeper).toDynamicValue(context =>
+        HostListKeeper.create(
+            context.get(Keys.HostList),
+            context.get(Keys.Cloud),
+            context.get(Keys.Registry),
+            context.get(Keys.Directory),
+            settings.peers,
+            context.get(Keys.Clock),
+            context.get(Keys.Logger),
+            settings.timing.hostListInterval,
+        )
+    );
+    container.bind(Keys.SharedObjectKeeper).toDynamicValue(context =>
+        SharedObjectKeeper.create(
+            context.get(Keys.ObjectStore),
+            context.get(Keys.Objects),
+            context.get(Keys.Directory),
+            context.get(Keys.PeerLink),
+            context.get(Keys.HostListKeeper),
+            context.get(Keys.Exchange),
+            context.get(Keys.Clock),
+            context.get(Keys.Metrics),
+            context.get(Keys.Logger),
+        )
+    );
+    addMoveBindings(container, settings);
+    addDutyBindings(container, settings);
+}
+
+function addMoveBindings(container: Container, settings: NodeSettings): void {
+    container.bind(Keys.Objects).toDynamicValue(context => {
+        const clock = context.get(Keys.Clock);
+        const objects = SharedObjects.create(() => clock.getMonotonicTime());
+        objects.addConsumer(context.get(Keys.ConfigurationConsumer));
+        objects.addConsumer(context.get(Keys.Moves));
+        objects.addConsumer(context.get(Keys.QuarantineKeeper));
+        return objects;
+    });
+    container.bind(Keys.ConfigurationConsumer).toDynamicValue(context =>
+        ConfigurationConsumer.create(context.get(Keys.Configuration), context.get(Keys.Metrics))
+    );
+    container.bind(Keys.QuarantineKeeper).toDynamicValue(context =>
+        QuarantineKeeper.create(context.get(Keys.ObjectStore), context.get(Keys.Ledger), context.get(Keys.Clock))
+    );
+    container.bind(Keys.Clocks).toDynamicValue(context => ClockMonitor.create(context.get(Keys.Clock)));
+    container.bind(Keys.Moves).toDynamicValue(context => {
+        const notifier: UrgentNotifier = { sendUrgentDigest: () => context.get(Keys.Exchange).sendUrgentDigest() };
+        return MoveKeeper.create(
+            context.get(Keys.Directory).identity,
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+            notifier,
+            context.get(Keys.Metrics),
+            context.get(Keys.Logger),
+        );
+    });
+    container.bind(Keys.MoveDuty).toDynamicValue(context =>
+        MoveDuty.create({
+            store: context.get(Keys.ObjectStore),
+            objects: context.get(Keys.Objects),
+            keeper: context.get(Keys.Moves),
+            lease: context.get(Keys.FleetLease),
+            configuration: context.get(Keys.Configuration),
+            registry: context.get(Keys.Registry),
+            directory: context.get(Keys.Directory),
+            clocks: context.get(Keys.Clocks),
+            clock: context.get(Keys.Clock),
+            logger: context.get(Keys.Logger),
+            writeSettleTime: settings.timing.platformTimeout * writeSettleFactor,
+        })
+    );
+    container.bind(Keys.MoveOperations).toDynamicValue(context =>
+        MoveOperations.create(
+            context.get(Keys.ObjectStore),
+            context.get(Keys.Objects),
+            context.get(Keys.Configuration),
+            context.get(Keys.Clock),
+            context.get(Keys.MoveDuty).getMargin(),
+        )
+    );
+}
+
+function createLease(context: ResolutionContext, settings: NodeSettings, name: string): LeaseKeeper {
+    return LeaseKeeper.create(
+        context.get(Keys.ObjectStore),
+        context.get(Keys.Clock),
+        context.get(Keys.Directory).identity,
+        leasePrefix + name,
+        settings.timing.leaseTerm,
+        context.get(Keys.Metrics),
+        context.get(Keys.Logger),
+    );
+}
+
+function addDutyBindings(container: Container, settings: NodeSettings): void {
+    container.bind(Keys.FleetLease).toDynamicValue(context => createLease(context, settings, "fleet"));
+    container.bind(Keys.DomainLease).toDynamicValue(context => createLease(context, settings, `domain-${settings.failureDomain}`));
+    container.bind(Keys.DomainDuty).toDynamicValue(context => {
+        const checksFencing = (group: string) => settings.groups.find(entry => entry.name === group)?.checksFencing ?? false;
+        const client = context.get(Keys.ModelClient);
+        return DomainDuty.create({
+            clock: context.get(Keys.Clock),
+            logger: context.get(Keys.Logger),
+            lease: context.get(Keys.DomainLease),
+            orders: OrderSender.create(client, context.get(Keys.DomainLease), context.get(Keys.Clock), checksFencing),
+            client,
+            store: context.get(Keys.ObjectStore),
+            weightStore: context.get(Keys.WeightStore),
+            configuration: context.get(Keys.Configuration),
+            moves: context.get(Keys.Moves),
+            registry: context.get(Keys.Registry),
+            directory: context.get(Keys.Directory),
+            drafts: context.get(Keys.Drafts),
+            service: context.get(Keys.Service),
+        });
+    });
+}
--- /dev/null
+++ b/src/node/bindings/listenerBindings.ts
@@ -0,0 +1,64 @@
+import { Container } from "inversify";
+import { CallerServer } from "../../callers/callerServer.js";
+import { AcceptanceGate } from "../../callers/types.js";
+import { NodeSettings } from "../../config/types.js";
+import { OperatorServer } from "../../operators/operatorServer.js";
+import { ReadinessSource } from "../../operators/types.js";
+import { PeerServer } from "../../peers/peerServer.js";
+import { Keys } from "../keys.js";
+import { NodeGate } from "../nodeGate.js";
+import { NodePeerHandler } from "../nodePeerHandler.js";
+
+/** Binds the listeners. */
+export function addListenerBindings(container: Container, settings: NodeSettings): void {
+    container.bind(Keys.Gate).toDynamicValue(context => NodeGate.create(context.get(Keys.Configuration), context.get(Keys.HostListKeeper)));
+    container.bind(Keys.PeerHandler).toDynamicValue(context =>
+        NodePeerHandler.create({
+            clock: context.get(Keys.Clock),
+            tracing: context.get(Keys.Tracing),
+            configuration: context.get(Keys.Configuration),
+            digests: context.get(Keys.Digests),
+            keeper: context.get(Keys.SharedObjectKeeper),
+            service: context.get(Keys.Service),
+            table: context.get(Keys.Table),
+            plainCalls: context.get(Keys.PlainCalls),
+            gate: context.get(Keys.Gate) as AcceptanceGate,
+            notifier: context.get(Keys.Exchange),
+        })
+    );
+    container.bind(Keys.PeerServer).toDynamicValue(context => PeerServer.create(context.get(Keys.PeerHandler), context.get(Keys.Tls)));
+    container.bind(Keys.CallerServer).toDynamicValue(context =>
+        CallerServer.create({
+            clock: context.get(Keys.Clock),
+            metrics: context.get(Keys.Metrics),
+            tracing: context.get(Keys.Tracing),
+            configuration: context.get(Keys.Configuration),
+            limits: settings.limits,
+            limiter: context.get(Keys.Limiter),
+            service: context.get(Keys.Service),
+            table: context.get(Keys.Table),
+            drafts: context.get(Keys.Drafts),
+            plainCalls: context.get(Keys.PlainCalls),
+            remote: context.get(Keys.PeerRequests),
+            gate: context.get(Keys.Gate),
+        })
+    );
+    container.bind(Keys.OperatorServer).toDynamicValue(context =>
+        OperatorServer.create({
+            clock: context.get(Keys.Clock),
+            metrics: context.get(Keys.Metrics),
+            configuration: context.get(Keys.Configuration),
+            directory: context.get(Keys.Directory),
+            link: context.get(Keys.PeerLink),
+            store: context.get(Keys.ObjectStore),
+            registry: context.get(Keys.Registry),
+            admission: context.get(Keys.Admission),
+            table: context.get(Keys.Table),
+            readiness: context.get(Keys.Gate) as ReadinessSource,
+            moves: context.get(Keys.Moves),
+            moveOperations: context.get(Keys.MoveOperations),
+            clocks: context.get(Keys.Clocks),
+            operatorTokenHash: settings.operatorTokenHash,
+        })
+    );
+}
--- a/src/node/corianderNode.ts
+++ b/src/node/corianderNode.ts
@@ -1,7 +1,8 @@
 import { Container } from "inversify";
 import { NetworkAddress, NodeSettings } from "../config/types.js";
 import { MoveWebhook } from "../control/moves/moveWebhook.js";
-import { createNodeContainer, Keys } from "./composition.js";
+import { createNodeContainer } from "./composition.js";
+import { Keys } from "./keys.js";
 
 /** Time between two looks at whether the running requests have ended, in milliseconds. */
 const drainPollMilliseconds = 25;
--- a/src/replay/playTrace.ts
+++ b/src/replay/playTrace.ts
@@ -1,6 +1,6 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { millisecondsPerSecond } from "../common/units.js";
-import { killerText } from "../standins/engine.js";
+import { killerText } from "../standins/engineTypes.js";
 import { generateAnswer } from "../standins/generation.js";
 import { Balancer } from "./balancer.js";
 import { CallerClient } from "./callerClient.js";
--- /dev/null
+++ b/src/requests/commands/modelRequestParts.ts
@@ -0,0 +1,41 @@
+import { Clock } from "../../common/clock.js";
+import { Logger } from "../../common/logging.js";
+import { Metrics } from "../../common/metrics.js";
+import { Tracing } from "../../common/tracing.js";
+import { ConfigurationSet } from "../../config/configurationSet.js";
+import { ModelEndpointClient } from "../../endpoints/modelEndpoint.js";
+import { EndpointRegistry } from "../endpointRegistry.js";
+import { PrefixIndex } from "../prefixIndex.js";
+import { QuarantineLedger } from "../quarantineLedger.js";
+import { RetryBudget } from "../retryBudget.js";
+import { SuspectLanes } from "../suspectLanes.js";
+import { VersionObserver, VersionPolicy } from "../types.js";
+import { AdmissionQueue } from "./admissionQueue.js";
+import { EndpointProbe } from "./endpointProbe.js";
+import { ShadowRunner } from "./shadowRunner.js";
+
+/** Time limit of the export of a KV cache, in milliseconds. */
+export const exportTimeLimitMilliseconds = 500;
+/** Characters of a prompt that are counted as one token. */
+export const charactersPerToken = 4;
+
+/** The parts of a node that running a generation needs. */
+export interface ModelRequestRunnerParts {
+    readonly clock: Clock;
+    readonly metrics: Metrics;
+    readonly logger: Logger;
+    readonly tracing: Tracing;
+    readonly configuration: ConfigurationSet;
+    readonly registry: EndpointRegistry;
+    readonly admission: AdmissionQueue;
+    readonly client: ModelEndpointClient;
+    readonly probe: EndpointProbe;
+    readonly ledger: QuarantineLedger;
+    readonly lanes: SuspectLanes;
+    readonly budget: RetryBudget;
+    readonly prefixIndex: PrefixIndex;
+    readonly versions: VersionPolicy;
+    readonly observer: VersionObserver;
+    readonly shadows: ShadowRunner;
+    readonly connectTimeout: number;
+}
--- a/src/requests/commands/shadowRunner.ts
+++ b/src/requests/commands/shadowRunner.ts
@@ -10,6 +10,8 @@
 /** Shadow attempts that a node runs at once. */
 const shadowLimit = 8;
 const shadowPriority = 3;
+/** Shadow attempts with one request: the doubt is settled sooner, which matters where a version is bad only in part. */
+export const shadowsPerRequest = 2;
 
 /** Says which version's behaviour is in doubt and worth trying without a caller. */
 export interface ShadowPolicy {
@@ -49,7 +51,12 @@
     }
 
     /** Tries the version in doubt, if there is one, with a request that another version serves. */
-    async runShadow(request: ModelRequest, service: ServiceDeclaration, servedBy: string): Promise<void> {
+    async runShadows(request: ModelRequest, service: ServiceDeclaration, servedBy: string): Promise<void> {
+        const attempts = Array.from({ length: shadowsPerRequest }, () => this.runShadow(request, service, servedBy));
+        await Promise.all(attempts);
+    }
+
+    private async runShadow(request: ModelRequest, service: ServiceDeclaration, servedBy: string): Promise<void> {
         const version = this.policy.findShadowVersion(service);
         if (version === undefined || version === servedBy || this.running >= shadowLimit) {
             return;
--- a/src/requests/endpointRegistry.ts
+++ b/src/requests/endpointRegistry.ts
@@ -175,6 +175,10 @@
         entry.loadAt = reportedAt;
         entry.runningAtReport = entry.running;
         entry.limit.setMaximum(Math.min(this.maximumConcurrency, load.capacity));
+        if (load.waiting > 0) {
+            // Requests wait inside the endpoint: the nodes together send more than it runs.
+            entry.limit.recordRefusal(this.clock.getMonotonicTime());
+        }
         if (load.leaving) {
             this.markLeaving(name, EndpointEvidence.OwnRefusal, undefined);
         }
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -1,6 +1,7 @@
 import { Command, Flags } from "@oclif/core";
 import { formatAddress } from "../config/sectionReader.js";
-import { CacheExchange, StandInEngine } from "./engine.js";
+import { StandInEngine } from "./engine.js";
+import { CacheExchange } from "./engineTypes.js";
 import { StandInPlainService } from "./plainService.js";
 import { StandInHost, StandInPlatform } from "./platform.js";
 
--- a/src/testing/failures/claims.test.ts
+++ b/src/testing/failures/claims.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { v7 } from "uuid";
-import { Keys } from "../../node/composition.js";
+import { Keys } from "../../node/keys.js";
 import { CallFault } from "../../standins/plainService.js";
 import { sendCall } from "../callers.js";
 import { Deployment } from "../deployment.js";
--- a/src/testing/failures/configuration.test.ts
+++ b/src/testing/failures/configuration.test.ts
@@ -3,7 +3,7 @@
 import { SeededRandom } from "../../common/random.js";
 import { configurationPrefix } from "../../config/objectNames.js";
 import { TeamConfiguration } from "../../config/types.js";
-import { Keys } from "../../node/composition.js";
+import { Keys } from "../../node/keys.js";
 import { pickQuantile } from "../../replay/report.js";
 import { createTestService, createTestTeam } from "../deployment.js";
 import { VirtualFleet, VirtualNode } from "../virtualFleet.js";
--- a/src/testing/failures/killer.test.ts
+++ b/src/testing/failures/killer.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { killerText } from "../../standins/engine.js";
+import { killerText } from "../../standins/engineTypes.js";
 import { generateAnswer } from "../../standins/generation.js";
 import { sendCompletion } from "../callers.js";
 import { Deployment } from "../deployment.js";
--- a/src/testing/failures/silence.test.ts
+++ b/src/testing/failures/silence.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
-import { Keys } from "../../node/composition.js";
+import { Keys } from "../../node/keys.js";
 import { generateAnswer } from "../../standins/generation.js";
 import { sendCompletion } from "../callers.js";
 import { Deployment } from "../deployment.js";
--- a/src/testing/moveWorld.ts
+++ b/src/testing/moveWorld.ts
@@ -4,7 +4,8 @@
 import { ServiceDeclaration, TeamConfiguration } from "../config/types.js";
 import { createMoveRecord } from "../control/moves/moveDuty.js";
 import { MoveRecord, MoveState, parseMoveRecord } from "../control/moves/moveRecord.js";
-import { Keys } from "../node/composition.js";
+import { Keys } from "../node/keys.js";
+import { shadowsPerRequest } from "../requests/commands/shadowRunner.js";
 import { createTestService, createTestTeam } from "./deployment.js";
 import { VirtualFleet, VirtualNode } from "./virtualFleet.js";
 
@@ -223,7 +224,7 @@
         const drawn = pickAttempt(isNew ? this.scenario.kind : VersionKind.Good, this.random, load, team, route, this.newTrials);
         this.newTrials += isNew ? 1 : 0;
         const shadow = isNew ? undefined : keeper.findShadowVersion(service);
-        if (shadow !== undefined) {
+        for (let count = 0; shadow !== undefined && count < shadowsPerRequest; count += 1) {
             const tried = pickAttempt(this.scenario.kind, this.random, load, team, route, this.newTrials);
             this.newTrials += 1;
             const shadowTook = tried.succeeded ? tried.firstToken + tried.betweenTokens * 16 : tried.firstToken;
--- a/src/testing/virtualFleet.ts
+++ b/src/testing/virtualFleet.ts
@@ -15,7 +15,8 @@
     FetchSharedObjectsResponseSchema,
     NodeDigestSchema,
 } from "../generated/corianderward/v1/peer_pb.js";
-import { createNodeContainer, Keys, replaceBinding } from "../node/composition.js";
+import { createNodeContainer } from "../node/composition.js";
+import { Keys, replaceBinding } from "../node/keys.js";
 import {
     FetchSharedObjectsResponse,
     ForwardCallResponse,
