--- a/src/control/commands/leaseKeeper.ts
+++ b/src/control/commands/leaseKeeper.ts
@@ -7,6 +7,8 @@
 
 /** Renewals in one term. */
 const renewalsPerTerm = 3;
+/** Looks of a candidate in one term. */
+const candidateLooksPerTerm = 1.5;
 /** Share of the term by which clocks may run apart; a holder gives up that much earlier, a candidate waits that much longer. */
 const driftShare = 0.1;
 
@@ -70,7 +72,9 @@
     async runRounds(): Promise<void> {
         while (!this.stopping.signal.aborted) {
             await this.runRound();
-            await this.clock.sleep(this.term / renewalsPerTerm, this.stopping.signal);
+            // Who does not hold the lease looks less often: a candidate has to wait out the term anyway.
+            const looksPerTerm = this.getGrant() === undefined ? candidateLooksPerTerm : renewalsPerTerm;
+            await this.clock.sleep(this.term / looksPerTerm, this.stopping.signal);
         }
     }
 
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -14,6 +14,8 @@
 import { FinishReason, GenerationAttempt, GenerationEnd, LoadReport, loadReportSchema } from "./types.js";
 
 const endOfStream = "[DONE]";
+/** Load is asked for every second: what the client would add to each request by itself is left out. */
+const smallHeaders = { decompress: false, headers: { "user-agent": undefined } };
 const statusOk = 200;
 const idleSocketMilliseconds = 3_000;
 const maximumEventBytes = 65_536;
@@ -46,7 +48,10 @@
 
     static create(): HttpModelEndpointClient {
         const agent = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 8 });
-        return new HttpModelEndpointClient(got.extend({ retry: { limit: 0 }, throwHttpErrors: false, agent: { http: agent } }), agent);
+        return new HttpModelEndpointClient(
+            got.extend({ ...smallHeaders, retry: { limit: 0 }, throwHttpErrors: false, agent: { http: agent } }),
+            agent,
+        );
     }
 
     async runGeneration(
--- a/src/platform/hostList.ts
+++ b/src/platform/hostList.ts
@@ -14,19 +14,37 @@
 
 const hostsSchema = z.object({ hosts: z.array(hostSchema) });
 
-/** Reads the host list over HTTP and JSON. */
+const statusNotModified = 304;
+
+/** Reads the host list over HTTP and JSON; a list that has not changed is not sent again. */
 export class HttpHostList implements HostList {
+    private hosts: ListedHost[] = [];
+    private entityTag: string | undefined;
+
     private constructor(private readonly client: Got) {}
 
     /** The timeout is in milliseconds. */
     static create(url: string, timeout: number): HttpHostList {
-        return new HttpHostList(got.extend({ prefixUrl: url, retry: { limit: 0 }, timeout: { request: timeout } }));
+        return new HttpHostList(
+            got.extend({
+                prefixUrl: url,
+                decompress: false,
+                headers: { "user-agent": undefined },
+                retry: { limit: 0 },
+                timeout: { request: timeout },
+            }),
+        );
     }
 
     async listHosts(): Promise<Result<ListedHost[], Failure>> {
         try {
-            const answer = hostsSchema.parse(await this.client.get("hosts").json());
-            return Ok(answer.hosts);
+            const headers = this.entityTag === undefined ? {} : { "if-none-match": this.entityTag };
+            const answer = await this.client.get("hosts", { headers });
+            if (answer.statusCode !== statusNotModified) {
+                this.hosts = hostsSchema.parse(JSON.parse(answer.body)).hosts;
+                this.entityTag = answer.headers.etag;
+            }
+            return Ok(this.hosts);
         }
         catch (error) {
             return Err(Failure.create(Verdict.NotRun, Diagnostics.Platform_did_not_answer_0, describeError(error)));
--- a/src/platform/httpObjectStore.ts
+++ b/src/platform/httpObjectStore.ts
@@ -50,7 +50,8 @@
         const headers = options.token === undefined ? {} : { authorization: `Bearer ${options.token}` };
         const client = got.extend({
             prefixUrl: options.url,
-            headers,
+            headers: { ...headers, "user-agent": undefined },
+            decompress: false,
             retry: { limit: 0 },
             throwHttpErrors: false,
             timeout: { request: options.timeout },
--- a/src/requests/endpointRegistry.ts
+++ b/src/requests/endpointRegistry.ts
@@ -13,6 +13,8 @@
 /** Share of the capacity that is assumed to be in use when nothing is known. */
 const neutralLoadShare = 0.5;
 const defaultCapacity = 4;
+/** Share of an endpoint's capacity that may wait inside it before nodes send less. */
+const waitingShareLimit = 0.5;
 /** Time after which an endpoint that refused as leaving, and now reports that it stays, gets work again, in milliseconds. */
 const refusalMemoryMilliseconds = 5_000;
 /** An endpoint that left is remembered this long, so that a late host list does not bring it back, in milliseconds. */
@@ -131,8 +133,11 @@
     /** Returns how many more attempts this node may start at an endpoint. */
     getRoom(entry: EndpointEntry): number {
         const ownRoom = entry.limit.getLimit() - entry.running;
-        const sharedRoom = this.getCapacity(entry) - entry.running - this.getOthersRunning(entry);
-        return Math.min(ownRoom, Math.floor(sharedRoom));
+        const capacity = this.getCapacity(entry);
+        const sharedRoom = capacity - entry.running - this.getOthersRunning(entry);
+        // Its own part is a node's at any time, or nodes with more traffic would starve the others for a report's age.
+        const ownPart = Math.floor(capacity / this.observerCount) - entry.running;
+        return Math.min(ownRoom, Math.max(ownPart, Math.floor(sharedRoom)));
     }
 
     getCapacity(entry: EndpointEntry): number {
@@ -175,8 +180,8 @@
         entry.loadAt = reportedAt;
         entry.runningAtReport = entry.running;
         entry.limit.setMaximum(Math.min(this.maximumConcurrency, load.capacity));
-        if (load.waiting > 0) {
-            // Requests wait inside the endpoint: the nodes together send more than it runs.
+        if (load.waiting > load.capacity * waitingShareLimit) {
+            // Many requests wait inside the endpoint: the nodes together send more than it runs.
             entry.limit.recordRefusal(this.clock.getMonotonicTime());
         }
         if (load.leaving) {
