--- a/src/cli/commands/publish.ts
+++ b/src/cli/commands/publish.ts
@@ -42,6 +42,10 @@
         const { argv, flags } = await this.parse(PublishCommand);
         const set = this.readFiles(argv as string[]);
         const publisher = Publisher.create(this.createObjectStore(flags));
+        const clash = await publisher.checkServiceNames(set.teams);
+        if (clash !== undefined) {
+            this.failWith(clash.exitCode, [clash.diagnostic]);
+        }
         if (flags["dry-run"]) {
             return this.showDifferences(publisher, set.teams);
         }
--- a/src/cli/publisher.ts
+++ b/src/cli/publisher.ts
@@ -4,7 +4,7 @@
 import { Failure } from "../common/failure.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { configurationPrefix } from "../config/objectNames.js";
-import { TeamConfiguration } from "../config/types.js";
+import { TeamConfiguration, teamConfigurationSchema } from "../config/types.js";
 import { ObjectStore } from "../platform/objectStore.js";
 import { StoredObject, WriteFailure, WriteOutcome } from "../platform/types.js";
 import { ExitCode } from "./exitCodes.js";
@@ -45,6 +45,32 @@
         return Ok(createTwoFilesPatch(team.team.name, team.team.name, before, after, label, "to be published"));
     }
 
+    /** Returns the failure when another team has published a service of the same name. */
+    async checkServiceNames(teams: readonly TeamConfiguration[]): Promise<PublishFailure | undefined> {
+        const published = await this.store.listObjects(configurationPrefix);
+        if (published.err) {
+            return createUnreachable(published.val);
+        }
+        const own = new Set(teams.map(team => team.team.name));
+        for (const object of published.val.objects) {
+            const parsed = teamConfigurationSchema.safeParse(object.value);
+            if (!parsed.success || own.has(parsed.data.team.name)) {
+                continue;
+            }
+            for (const team of teams) {
+                const name = team.services.find(service => parsed.data.services.some(other => other.name === service.name))?.name;
+                if (name !== undefined) {
+                    const message = Diagnostics.Service_0_is_declared_in_two_teams_1_and_2;
+                    return {
+                        exitCode: ExitCode.BadInput,
+                        diagnostic: createDiagnostic(message, name, team.team.name, parsed.data.team.name),
+                    };
+                }
+            }
+        }
+        return undefined;
+    }
+
     /** Publishes one team. With an expected revision, fails when the team stands at another. */
     async publishTeam(team: TeamConfiguration, expectedRevision?: number): Promise<Result<PublishedTeam, PublishFailure>> {
         const name = createObjectName(team);
--- a/src/common/debug.ts
+++ b/src/common/debug.ts
@@ -4,9 +4,3 @@
         throw new Error(`Broken invariant: ${message}`);
     }
 }
-
-/** Returns a value that must be defined, or throws. */
-export function checkDefined<T>(value: T | undefined, message: string): T {
-    checkInvariant(value !== undefined, message);
-    return value;
-}
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -84,7 +84,6 @@
     Body_is_not_valid_UTF_8: createError(2015, "The body is not valid UTF-8.", 400),
     Method_0_is_not_allowed: createError(2016, "Method '{0}' is not allowed here.", 405),
     Service_0_does_not_accept_asynchronous_requests: createError(2017, "Service '{0}' does not accept asynchronous requests.", 400),
-    Answer_of_request_0_is_incomplete: createError(2018, "The answer of request '{0}' is incomplete.", 502),
 
     // Outcomes of the data path.
     No_endpoint_is_available_for_service_0: createError(3001, "No endpoint is available for service '{0}'.", 503),
@@ -126,7 +125,6 @@
     Revision_conflict_on_0: createError(4001, "Object '{0}' was changed by another writer.", 409),
     Platform_answered_with_status_0: createError(4002, "The platform answered with status {0}.", 503),
     Platform_did_not_answer_0: createError(4003, "The platform did not answer: {0}.", 503),
-    Object_0_is_not_found: createError(4004, "Object '{0}' is not found.", 404),
     Write_of_0_has_an_unknown_outcome: createError(4005, "The write of object '{0}' has an unknown outcome: {1}.", 503),
 
     Lease_0_is_not_held: createError(4006, "Lease '{0}' is not held.", 503),
--- a/src/control/commands/orderSender.ts
+++ b/src/control/commands/orderSender.ts
@@ -55,9 +55,4 @@
         }
         return accepted.map(() => undefined);
     }
-
-    /** Returns the time by the sender's clock, for logs and tests. */
-    getTime(): number {
-        return this.clock.getMonotonicTime();
-    }
 }
--- a/src/control/moves/moveDuty.ts
+++ b/src/control/moves/moveDuty.ts
@@ -1,7 +1,7 @@
 import { Clock } from "../../common/clock.js";
 import { createIdentifier } from "../../common/identifiers.js";
 import { Logger } from "../../common/logging.js";
-import { millisecondsPerHour, millisecondsPerSecond } from "../../common/units.js";
+import { millisecondsPerHour } from "../../common/units.js";
 import { ConfigurationSet } from "../../config/configurationSet.js";
 import { movePrefix } from "../../config/objectNames.js";
 import { MemberDirectory } from "../../peers/memberDirectory.js";
@@ -327,8 +327,3 @@
         is_accounted: false,
     };
 }
-
-/** Returns the requests that a service is expected to get in a span of milliseconds. */
-export function computeExpectedRequests(requestsPerHour: number, milliseconds: number): number {
-    return requestsPerHour * milliseconds / (millisecondsPerHour / millisecondsPerSecond) / millisecondsPerSecond;
-}
--- a/src/node/nodeDigests.ts
+++ b/src/node/nodeDigests.ts
@@ -14,7 +14,7 @@
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
 
 /** Most entries of each kind in one digest; bounds its bytes. */
-const loadLimit = 16;
+const loadLimit = 12;
 const memberLimit = 8;
 const quarantineLimit = 16;
 const demandLimit = 8;
--- a/src/requests/endpointRegistry.ts
+++ b/src/requests/endpointRegistry.ts
@@ -1,4 +1,5 @@
 import { Clock } from "../common/clock.js";
+import { checkInvariant } from "../common/debug.js";
 import { Logger } from "../common/logging.js";
 import { Metrics } from "../common/metrics.js";
 import { EndpointDescription, EndpointEvidence, EndpointState, LoadReport } from "../endpoints/types.js";
@@ -244,6 +245,7 @@
     /** Notes that an attempt ended at an endpoint, whatever the way. */
     removeAttempt(entry: EndpointEntry): void {
         entry.running -= 1;
+        checkInvariant(entry.running >= 0, "an attempt ended that had not started");
         this.notifyRoom(entry.description.group);
     }
 
--- a/src/requests/requestService.ts
+++ b/src/requests/requestService.ts
@@ -2,7 +2,7 @@
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { Metrics } from "../common/metrics.js";
-import { Err, Ok, Result } from "../common/results.js";
+import { Ok, Result } from "../common/results.js";
 import { Span, Tracing } from "../common/tracing.js";
 import { Verdict } from "../common/verdict.js";
 import { ConfigurationSet } from "../config/configurationSet.js";
@@ -169,8 +169,3 @@
         table.finishRecord(record);
     }
 }
-
-/** Returns the failure for a request that no node knows. */
-export function createUnknownRequestFailure(requestId: string): Result<never, Failure> {
-    return Err(Failure.create(Verdict.NotRun, Diagnostics.Request_0_is_not_known, requestId));
-}
