Let one piece of code listen, and one compute a call's fingerprint

Now startListening and hashCall serve all. Behaviour is the same. Before and after: 18 tests of nodes, callers, peers and claims pass; the full suite was not run again.

--- a/src/callers/commands/serveCall.ts
+++ b/src/callers/commands/serveCall.ts
@@ -1,7 +1,7 @@
 import { Request, Response } from "express";
 import { Diagnostics } from "../../common/diagnostics.js";
 import { Failure } from "../../common/failure.js";
-import { hashSha256 } from "../../common/hashing.js";
+import { hashCall } from "../../common/hashing.js";
 import { createIdentifier } from "../../common/identifiers.js";
 import { Err, Ok, Result } from "../../common/results.js";
 import { Verdict } from "../../common/verdict.js";
@@ -117,7 +117,7 @@
         body,
         deadline: deadline.val,
         arrivedAt: now,
-        fingerprint: hashSha256(Buffer.concat([Buffer.from(`${name}\n${request.method}\n${path}\n`), body])),
+        fingerprint: hashCall(name, request.method, path, body),
     };
     return Ok({ request: call, service: service.val });
 }
--- a/src/common/hashing.ts
+++ b/src/common/hashing.ts
@@ -5,6 +5,11 @@
     return createHash("sha256").update(content).digest("hex");
 }
 
+/** Returns the fingerprint of a call: its claim and its quarantine go by it, on whichever node it is computed. */
+export function hashCall(service: string, method: string, path: string, body: Uint8Array): string {
+    return hashSha256(Buffer.concat([Buffer.from(`${service}\n${method}\n${path}\n`), body]));
+}
+
 /** Compares two hexadecimal hashes in constant time. */
 export function compareHashes(left: string, right: string): boolean {
     const leftBytes = Buffer.from(left, "utf8");
--- a/src/node/nodePeerHandler.ts
+++ b/src/node/nodePeerHandler.ts
@@ -1,7 +1,7 @@
 import { AcceptanceGate } from "../callers/types.js";
 import { Clock } from "../common/clock.js";
 import { Diagnostics } from "../common/diagnostics.js";
-import { hashSha256 } from "../common/hashing.js";
+import { hashCall } from "../common/hashing.js";
 import { Tracing } from "../common/tracing.js";
 import { Verdict } from "../common/verdict.js";
 import { ConfigurationSet } from "../config/configurationSet.js";
@@ -118,7 +118,7 @@
             body,
             deadline: Number(call.deadlineMilliseconds),
             arrivedAt: this.parts.clock.getWallTime(),
-            fingerprint: hashSha256(Buffer.concat([Buffer.from(`${call.service}\n${call.method}\n${call.path}\n`), body])),
+            fingerprint: hashCall(call.service, call.method, call.path, body),
         };
         const result = await this.parts.plainCalls.runCall(request, service, history, span, new AbortController().signal, true);
         span.end();
--- a/src/operators/operatorServer.ts
+++ b/src/operators/operatorServer.ts
@@ -1,9 +1,9 @@
 import express, { NextFunction, Request, Response } from "express";
 import { createServer, Server } from "node:http";
-import { AddressInfo } from "node:net";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { compareHashes, hashSha256 } from "../common/hashing.js";
+import { startListening } from "../common/listening.js";
 import { Verdict } from "../common/verdict.js";
 import { NetworkAddress } from "../config/types.js";
 import { EndpointEvidence } from "../endpoints/types.js";
@@ -27,12 +27,7 @@
 
     /** Starts listening; returns the address, whose port is a free one when 0 was asked for. */
     async start(address: NetworkAddress): Promise<NetworkAddress> {
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(address.port, address.host, resolve);
-        });
-        const bound = this.server.address() as AddressInfo;
-        return { host: bound.address, port: bound.port };
+        return startListening(this.server, address);
     }
 
     async stop(): Promise<void> {
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -1,7 +1,8 @@
 import { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
 import { createSecureServer, createServer, Http2SecureServer, Http2Server, ServerHttp2Session } from "node:http2";
-import { AddressInfo, Socket } from "node:net";
+import { Socket } from "node:net";
+import { startListening } from "../common/listening.js";
 import { NetworkAddress } from "../config/types.js";
 import { PeerService } from "../generated/corianderward/v1/peer_pb.js";
 import { TlsMaterial } from "./tlsMaterial.js";
@@ -37,12 +38,7 @@
 
     /** Starts listening; returns the address, whose port is a free one when 0 was asked for. */
     async start(address: NetworkAddress): Promise<NetworkAddress> {
-        await new Promise<void>((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(address.port, address.host, resolve);
-        });
-        const bound = this.server.address() as AddressInfo;
-        return { host: bound.address, port: bound.port };
+        return startListening(this.server, address);
     }
 
     /** Returns the bytes received and sent so far, on open connections and on closed ones. */
