Hash an endpoint's number once instead of for every digest

Cause: each digest sent or taken hashed the names of all endpoints again, at the designed size 600 hashes several times a second on every node. The registry's entry now holds the number. Behaviour is the same.

--- a/src/common/hashing.ts
+++ b/src/common/hashing.ts
@@ -5,6 +5,11 @@
     return createHash("sha256").update(content).digest("hex");
 }
 
+/** Returns the first 4 bytes of a text's SHA-256 hash as a number. */
+export function hashToNumber(text: string): number {
+    return createHash("sha256").update(text).digest().readUInt32BE(0);
+}
+
 /** Returns the fingerprint of a call: its claim and its quarantine go by it, on whichever node it is computed. */
 export function hashCall(service: string, method: string, path: string, body: Uint8Array): string {
     return hashSha256(Buffer.concat([Buffer.from(`${service}\n${method}\n${path}\n`), body]));
--- a/src/node/nodeDigests.ts
+++ b/src/node/nodeDigests.ts
@@ -1,4 +1,3 @@
-import { createHash } from "node:crypto";
 import { Clock } from "../common/clock.js";
 import { RandomSource } from "../common/random.js";
 import { SharedObjectKeeper } from "../control/commands/sharedObjectKeeper.js";
@@ -40,11 +39,6 @@
     readonly moves: MoveEvidenceExchange;
 }
 
-/** Returns the number by which digests name an endpoint. */
-export function createEndpointNumber(name: string): number {
-    return createHash("sha256").update(name).digest().readUInt32BE(0);
-}
-
 /** Builds the node's digests and takes over those of its peers. */
 export class NodeDigests implements DigestExchange {
     private keeper: SharedObjectKeeper | undefined;
@@ -134,7 +128,7 @@
         });
         fresh.sort((left, right) => right.loadAt - left.loadAt);
         return fresh.slice(0, loadLimit).map(entry => ({
-            endpoint: createEndpointNumber(entry.name),
+            endpoint: entry.number,
             running: entry.load?.running ?? 0,
             waiting: entry.load?.waiting ?? 0,
             capacity: entry.load?.capacity ?? 0,
@@ -148,7 +142,7 @@
             return;
         }
         const { registry } = this.parts;
-        const byNumber = new Map<number, EndpointEntry>(registry.listEntries().map(entry => [createEndpointNumber(entry.name), entry]));
+        const byNumber = new Map<number, EndpointEntry>(registry.listEntries().map(entry => [entry.number, entry]));
         for (const load of digest.loads) {
             const entry = byNumber.get(load.endpoint);
             if (entry === undefined) {
--- a/src/requests/endpointRegistry.ts
+++ b/src/requests/endpointRegistry.ts
@@ -1,5 +1,6 @@
 import { Clock } from "../common/clock.js";
 import { checkInvariant } from "../common/debug.js";
+import { hashToNumber } from "../common/hashing.js";
 import { Logger } from "../common/logging.js";
 import { Metrics } from "../common/metrics.js";
 import { EndpointDescription, EndpointEvidence, EndpointState, LoadReport } from "../endpoints/types.js";
@@ -24,6 +25,8 @@
 /** The node's view of one endpoint. */
 export interface EndpointEntry {
     readonly name: string;
+    /** The number by which digests name it. */
+    readonly number: number;
     description: EndpointDescription;
     state: EndpointState;
     evidence: EndpointEvidence;
@@ -272,6 +275,7 @@
     private addEntry(description: EndpointDescription): EndpointEntry {
         const entry: EndpointEntry = {
             name: description.name,
+            number: hashToNumber(description.name),
             description,
             state: EndpointState.Live,
             evidence: EndpointEvidence.HostList,
