--- a/eslint.config.js
+++ b/eslint.config.js
@@ -12,9 +12,9 @@
 const verbPattern = `^(${verbs.join("|")})([A-Z0-9].*)?$`;
 
 export default ts.config(
-    { ignores: ["src/generated/**", "dist/**"] },
+    { ignores: ["src/generated/**", "target/**"] },
     {
-        files: ["src/**/*.ts"],
+        files: ["src/**/*.ts", "platform/**/*.ts"],
         extends: [ts.configs.recommended],
         rules: {
             "curly": ["error", "all"],
@@ -28,7 +28,7 @@
             "@typescript-eslint/naming-convention": [
                 "error",
                 { selector: "function", format: ["camelCase"], custom: { regex: verbPattern, match: true } },
-                { selector: "classMethod", format: ["camelCase"], modifiers: ["public"], custom: { regex: verbPattern, match: true }, filter: { regex: "^(catch)$", match: false } },
+                { selector: "classMethod", format: ["camelCase"], modifiers: ["public"], custom: { regex: verbPattern, match: true }, filter: { regex: "^(catch|_write|keepSocketAlive|reuseSocket)$", match: false } },
                 { selector: "typeLike", format: ["PascalCase"], custom: { regex: "^I[A-Z]", match: false } },
                 { selector: "enumMember", format: ["PascalCase"] },
                 { selector: "memberLike", modifiers: ["private"], format: ["camelCase"], leadingUnderscore: "forbid" },
--- a/src/callers/problem.ts
+++ b/src/callers/problem.ts
@@ -57,7 +57,7 @@
     const attempts = history?.attempts.length ?? 0;
     setAnswerHeaders(response, requestId, failure.verdict, attempts);
     if (failure.retryAfterSeconds !== undefined) {
-        response.setHeader("retry-after", String(failure.retryAfterSeconds));
+        response.setHeader("retry-after", String(Math.max(1, Math.ceil(failure.retryAfterSeconds))));
     }
     else if (retriableStatuses.has(failure.message.status)) {
         response.setHeader("retry-after", "1");
--- a/src/cli/baseCommand.ts
+++ b/src/cli/baseCommand.ts
@@ -3,7 +3,7 @@
 import { readFileSync } from "node:fs";
 import { Diagnostic, DiagnosticCategory, formatDiagnostic } from "../common/diagnostics.js";
 import { Metrics } from "../common/metrics.js";
-import { HttpObjectStore } from "../platform/httpObjectStore.js";
+import { HttpObjectStore } from "../provider/httpObjectStore.js";
 import { ExitCode } from "./exitCodes.js";
 import { OperatorClient } from "./operatorClient.js";
 
--- a/src/cli/commandLine.test.ts
+++ b/src/cli/commandLine.test.ts
@@ -6,7 +6,7 @@
 import { after, test } from "node:test";
 import { fileURLToPath } from "node:url";
 
-const root = fileURLToPath(new URL("../..", import.meta.url));
+const root = fileURLToPath(new URL("../../..", import.meta.url));
 const baselineDirectory = join(root, "src/cli/baselines");
 const accepts = process.env["ACCEPT_BASELINES"] === "1";
 const directory = mkdtempSync(join(tmpdir(), "corianderward-cli-"));
--- a/src/cli/commands/demo.ts
+++ b/src/cli/commands/demo.ts
@@ -1,8 +1,8 @@
 import { fileURLToPath } from "node:url";
 import { ReplayingCommand } from "./replay.js";
 
-const demoTrace = "../../../traces/demo.jsonl";
-const demoOutcomes = "../../../traces/demo.outcomes.ini";
+const demoTrace = "../../../../traces/demo.jsonl";
+const demoOutcomes = "../../../../traces/demo.outcomes.ini";
 
 /** `corianderward demo`. */
 export class DemoCommand extends ReplayingCommand {
--- a/src/cli/publisher.ts
+++ b/src/cli/publisher.ts
@@ -5,8 +5,8 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { configurationPrefix } from "../config/objectNames.js";
 import { TeamConfiguration, teamConfigurationSchema } from "../config/types.js";
-import { ObjectStore } from "../platform/objectStore.js";
-import { StoredObject, WriteFailure, WriteOutcome } from "../platform/types.js";
+import { ObjectStore } from "../provider/objectStore.js";
+import { StoredObject, WriteFailure, WriteOutcome } from "../provider/types.js";
 import { ExitCode } from "./exitCodes.js";
 
 /** How the publishing of one team ended. */
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -121,6 +121,14 @@
     Endpoint_sent_an_answer_that_cannot_be_read: createError(3021, "The endpoint sent an answer that cannot be read.", 502),
     Request_failed_at_0_attempts_last_1: createError(3022, "The request failed at {0} attempts; the last one: {1}", 502),
 
+    Another_endpoint_has_the_address: createError(3023, "Another endpoint has the address.", 503),
+    Header_0_is_missing: createError(3024, "Header '{0}' is missing.", 400),
+    Team_0_is_over_its_usage_cap: createError(3025, "Team '{0}' is over its usage cap.", 429),
+    Headers_are_larger_than_0_bytes: createError(3026, "The headers are larger than {0} bytes.", 431),
+    Answer_broke_off: createError(3027, "The endpoint's answer broke off.", 502),
+    Endpoint_did_not_answer_in_time: createError(3028, "The endpoint did not answer before the deadline.", 504),
+    Deadline_passed_before_it_ran: createError(3029, "The deadline passed before the request could run.", 503),
+
     // Platform.
     Revision_conflict_on_0: createError(4001, "Object '{0}' was changed by another writer.", 409),
     Platform_answered_with_status_0: createError(4002, "The platform answered with status {0}.", 503),
--- a/src/common/failure.ts
+++ b/src/common/failure.ts
@@ -19,9 +19,9 @@
         return new Failure(verdict, message, text, retryAfterSeconds);
     }
 
-    /** Returns the same failure with the time after which a caller should try again, in seconds. */
+    /** Returns the same failure with the time after which a caller should try again, in seconds, perhaps a fraction. */
     setRetryAfter(seconds: number): Failure {
-        return new Failure(this.verdict, this.message, this.text, Math.max(1, Math.ceil(seconds)));
+        return new Failure(this.verdict, this.message, this.text, seconds);
     }
 
     /** Returns the same failure with another verdict. */
--- a/src/common/listening.ts
+++ b/src/common/listening.ts
@@ -4,10 +4,11 @@
 export async function startListening(
     server: Server,
     address: { readonly host: string; readonly port: number; },
+    backlog?: number,
 ): Promise<{ host: string; port: number; }> {
     await new Promise<void>((resolve, reject) => {
         server.once("error", reject);
-        server.listen(address.port, address.host, resolve);
+        server.listen(address.port, address.host, backlog, resolve);
     });
     const bound = server.address() as AddressInfo;
     return { host: bound.address, port: bound.port };
--- /dev/null
+++ b/src/config/gatewaySettings.ts
@@ -0,0 +1,225 @@
+import { createFileDiagnostic, Diagnostic, Diagnostics } from "../common/diagnostics.js";
+import { Err, Ok, Result } from "../common/results.js";
+import { millisecondsPerMinute } from "../common/units.js";
+import { IniDocument, readIniDocument } from "./iniDocument.js";
+import { findNearestName, parseAddress, SectionReader } from "./sectionReader.js";
+import { NetworkAddress } from "./types.js";
+
+const sectionNames = ["node", "listen", "store", "cloud", "peers", "retries", "engines", "calls", "fleet", "usage", "timing", "tracing"];
+const requiredSections = ["node", "listen", "store"];
+const visiblePattern = /^[!-~]{1,200}$/;
+const visibleAllowed = "1 to 200 visible characters";
+
+/** Waits of a gateway, in milliseconds. */
+export interface GatewayTiming {
+    readonly connectTimeout: number;
+    /** Silence of an endpoint after which work that may be repeated goes on elsewhere. */
+    readonly endpointSilence: number;
+    readonly storeTimeout: number;
+    /** Longest wait of one watch call. */
+    readonly watchWait: number;
+    readonly cloudTimeout: number;
+    readonly gossipInterval: number;
+    /** Silence after which a peer counts as lost. */
+    readonly peerSilence: number;
+    readonly leaseTerm: number;
+    readonly quarantineTerm: number;
+    /** Time from the signal to stop until the listener closes: the balancer takes the node out meanwhile. */
+    readonly listenerGrace: number;
+    /** Time from the signal to stop until open requests are cut off. */
+    readonly drainLimit: number;
+    /** Interval at which the settings file is looked at for changes. */
+    readonly settingsInterval: number;
+}
+
+/** The settings of a gateway. */
+export interface GatewaySettings {
+    readonly name: string;
+    readonly failureDomain: string;
+    readonly callers: NetworkAddress;
+    readonly readiness: NetworkAddress;
+    readonly peersListen: NetworkAddress;
+    readonly metrics: NetworkAddress | undefined;
+    readonly store: NetworkAddress;
+    readonly cloud: NetworkAddress | undefined;
+    readonly seeds: readonly NetworkAddress[];
+    readonly retries: { readonly ratio: number; readonly window: number; readonly slack: number; };
+    readonly engines: {
+        readonly promptTokensPerMillisecond: number;
+        readonly outputToken: number;
+        readonly batchPenalty: number;
+        readonly domainPenalty: number;
+        readonly homePenalty: number;
+    };
+    readonly calls: { readonly initialCallTime: number; readonly domainPenalty: number; };
+    readonly fleet: { readonly targetUtilization: number; readonly leastNeeded: number; readonly shrinkDelay: number; };
+    readonly usage: { readonly windowLength: number; readonly dueTime: number; };
+    readonly timing: GatewayTiming;
+    readonly collectorUrl: string | undefined;
+}
+
+/** Reads and checks a gateway's settings; every fault of the file is reported together. */
+export function readGatewaySettings(file: string): Result<GatewaySettings, Diagnostic[]> {
+    const document = readIniDocument(file);
+    if (document.err) {
+        return document;
+    }
+    return parseGatewaySettings(document.val);
+}
+
+/** Checks a parsed settings file. */
+export function parseGatewaySettings(document: IniDocument): Result<GatewaySettings, Diagnostic[]> {
+    const faults: Diagnostic[] = [];
+    checkSections(document, faults);
+    const readers = new Map<string, SectionReader>();
+    const settings = readAll();
+    readers.forEach(reader => reader.checkUnknownKeys());
+    if (faults.length > 0) {
+        return Err(faults);
+    }
+    return Ok(settings);
+
+    function openSection(name: string): SectionReader {
+        const section = document.sections.find(candidate => candidate.name === name) ?? { name, line: 1, entries: new Map() };
+        // Faults of a required section that is absent are summed up by one diagnostic.
+        const isAbsent = section.entries.size === 0 && requiredSections.includes(name);
+        const reader = SectionReader.create(document, section, isAbsent ? [] : faults);
+        readers.set(name, reader);
+        return reader;
+    }
+
+    function readAll(): GatewaySettings {
+        const node = openSection("node");
+        const listen = openSection("listen");
+        return {
+            name: node.readText("name", visibleAllowed, visiblePattern),
+            failureDomain: node.readText("failure-domain", visibleAllowed, visiblePattern),
+            callers: listen.readAddress("callers"),
+            readiness: listen.readAddress("readiness"),
+            peersListen: listen.readAddress("peers"),
+            metrics: readOptionalAddress(listen, "metrics"),
+            store: openSection("store").readAddress("address"),
+            cloud: readOptionalAddress(openSection("cloud"), "address"),
+            seeds: readSeeds(openSection("peers")),
+            retries: readRetries(openSection("retries")),
+            engines: readEngines(openSection("engines")),
+            calls: readCalls(openSection("calls")),
+            fleet: readFleet(openSection("fleet")),
+            usage: readUsage(openSection("usage")),
+            timing: readTiming(openSection("timing")),
+            collectorUrl: openSection("tracing").readOptionalUrl("collector-url"),
+        };
+    }
+}
+
+function checkSections(document: IniDocument, faults: Diagnostic[]): void {
+    for (const section of document.sections) {
+        if (!sectionNames.includes(section.name)) {
+            const nearest = findNearestName(section.name, sectionNames);
+            faults.push(
+                createFileDiagnostic(document.file, section.line, Diagnostics.Unknown_section_0_did_you_mean_1, section.name, nearest),
+            );
+        }
+    }
+    for (const name of requiredSections) {
+        if (!document.sections.some(section => section.name === name)) {
+            faults.push(createFileDiagnostic(document.file, undefined, Diagnostics.Section_0_is_missing, name));
+        }
+    }
+}
+
+/** Returns an address, or undefined when the key is absent or empty. */
+function readOptionalAddress(reader: SectionReader, key: string): NetworkAddress | undefined {
+    const text = reader.readOptionalText(key) ?? "";
+    return text === "" ? undefined : reader.readAddress(key);
+}
+
+/** Reads addresses separated by commas; an empty list is allowed. */
+function readSeeds(reader: SectionReader): NetworkAddress[] {
+    const text = reader.readOptionalText("seeds") ?? "";
+    const seeds: NetworkAddress[] = [];
+    for (const item of text.split(",").map(part => part.trim()).filter(part => part !== "")) {
+        const address = parseAddress(item);
+        if (address === undefined) {
+            reader.addFault(
+                "seeds",
+                Diagnostics.Value_0_of_key_1_is_not_allowed_2,
+                item,
+                "seeds",
+                "IP numbers and ports, separated by commas",
+            );
+            continue;
+        }
+        seeds.push(address);
+    }
+    return seeds;
+}
+
+function readRetries(reader: SectionReader): GatewaySettings["retries"] {
+    return {
+        ratio: reader.readNumber("ratio", 0, 1, 0.1),
+        window: reader.readNumber("window-milliseconds", 100, millisecondsPerMinute, 10_000),
+        slack: reader.readNumber("slack", 0, 1_000_000, 20),
+    };
+}
+
+function readEngines(reader: SectionReader): GatewaySettings["engines"] {
+    return {
+        promptTokensPerMillisecond: reader.readNumber("prompt-tokens-per-millisecond", 0.001, 100_000, 48.2),
+        outputToken: reader.readNumber("output-token-milliseconds", 0, 1_000, 0.4),
+        batchPenalty: reader.readNumber("batch-penalty-milliseconds", 0, 1_000, 1.5),
+        domainPenalty: reader.readNumber("domain-penalty-milliseconds", 0, 10_000, 10),
+        homePenalty: reader.readNumber("home-penalty-milliseconds", 0, 10_000, 20),
+    };
+}
+
+function readCalls(reader: SectionReader): GatewaySettings["calls"] {
+    return {
+        initialCallTime: reader.readNumber("initial-call-milliseconds", 1, 100_000, 60),
+        domainPenalty: reader.readNumber("domain-penalty-milliseconds", 0, 10_000, 10),
+    };
+}
+
+function readFleet(reader: SectionReader): GatewaySettings["fleet"] {
+    return {
+        targetUtilization: reader.readNumber("target-utilization", 0.05, 1, 0.5),
+        leastNeeded: reader.readInteger("least-needed", 0, 10_000, 2),
+        shrinkDelay: reader.readInteger("shrink-delay-milliseconds", 0, millisecondsPerMinute, 3_000),
+    };
+}
+
+function readUsage(reader: SectionReader): GatewaySettings["usage"] {
+    return {
+        windowLength: reader.readInteger("window-milliseconds", 100, 60 * millisecondsPerMinute, 5_000),
+        dueTime: reader.readInteger("due-milliseconds", 100, 60 * millisecondsPerMinute, 10_000),
+    };
+}
+
+function readTiming(reader: SectionReader): GatewayTiming {
+    const readMilliseconds = (name: string, fallback: number, minimum = 1) =>
+        reader.readInteger(`${name}-milliseconds`, minimum, 10 * millisecondsPerMinute, fallback);
+    const timing: GatewayTiming = {
+        connectTimeout: readMilliseconds("connect-timeout", 300),
+        endpointSilence: readMilliseconds("endpoint-silence", 900),
+        storeTimeout: readMilliseconds("store-timeout", 1_000),
+        watchWait: readMilliseconds("watch-wait", 6_000),
+        cloudTimeout: readMilliseconds("cloud-timeout", 1_500),
+        gossipInterval: readMilliseconds("gossip-interval", 500),
+        peerSilence: readMilliseconds("peer-silence", 2_000),
+        leaseTerm: readMilliseconds("lease-term", 4_000),
+        quarantineTerm: readMilliseconds("quarantine-term", 10 * millisecondsPerMinute),
+        listenerGrace: readMilliseconds("listener-grace", 3_000, 0),
+        drainLimit: readMilliseconds("drain-limit", 7_300),
+        settingsInterval: readMilliseconds("settings-interval", 1_000),
+    };
+    if (timing.leaseTerm <= timing.storeTimeout) {
+        reader.addFault(
+            "lease-term-milliseconds",
+            Diagnostics.Key_0_contradicts_key_1_2,
+            "lease-term-milliseconds",
+            "store-timeout-milliseconds",
+            "a lease must outlast one call to the store",
+        );
+    }
+    return timing;
+}
--- a/src/control/commands/configurationConsumer.ts
+++ b/src/control/commands/configurationConsumer.ts
@@ -2,7 +2,7 @@
 import { ConfigurationSet } from "../../config/configurationSet.js";
 import { configurationPrefix } from "../../config/objectNames.js";
 import { teamConfigurationSchema } from "../../config/types.js";
-import { StoredObject } from "../../platform/types.js";
+import { StoredObject } from "../../provider/types.js";
 import { SharedObjectConsumer } from "../sharedObjects.js";
 
 /** Learns of a configuration that came into force. */
--- a/src/control/commands/hostListKeeper.ts
+++ b/src/control/commands/hostListKeeper.ts
@@ -5,9 +5,9 @@
 import { PeerSettings } from "../../config/types.js";
 import { EndpointDescription, EndpointEvidence } from "../../endpoints/types.js";
 import { MemberDirectory } from "../../peers/memberDirectory.js";
-import { Cloud } from "../../platform/cloud.js";
-import { HostList } from "../../platform/hostList.js";
-import { HostRole, hostSchema, ListedHost } from "../../platform/types.js";
+import { Cloud } from "../../provider/cloud.js";
+import { HostList } from "../../provider/hostList.js";
+import { HostRole, hostSchema, ListedHost } from "../../provider/types.js";
 import { EndpointRegistry } from "../../requests/endpointRegistry.js";
 
 const hostsSchema = z.array(hostSchema);
--- a/src/control/commands/leaseKeeper.ts
+++ b/src/control/commands/leaseKeeper.ts
@@ -1,9 +1,7 @@
 import { z } from "zod";
 import { Clock } from "../../common/clock.js";
-import { Logger } from "../../common/logging.js";
-import { Metrics } from "../../common/metrics.js";
-import { ObjectStore } from "../../platform/objectStore.js";
-import { StoredObject, WriteOutcome } from "../../platform/types.js";
+import { ObjectStore } from "../../provider/objectStore.js";
+import { StoredObject, WriteOutcome } from "../../provider/types.js";
 
 /** Renewals in one term. */
 const renewalsPerTerm = 3;
@@ -36,10 +34,22 @@
     readonly heldFor: number;
 }
 
+/** Hears of a lease that was taken, for logs and metrics. */
+export interface LeaseObserver {
+    recordTaken(lease: string, fencing: number): void;
+}
+
+/** Knows from elsewhere whether the present holder lives; a candidate then need not look at the store. */
+export interface HolderWatch {
+    isHolderHeard(): boolean;
+}
+
 /** Takes and renews one lease, a platform object, by conditional updates. Judges time by the monotonic clock alone. */
 export class LeaseKeeper {
     private readonly stopping = new AbortController();
     private validUntil = -Infinity;
+    /** Unix milliseconds; the monotonic clock stands still while a host is suspended, this one does not. */
+    private validUntilWallTime = -Infinity;
     private acquiredAt = 0;
     private transitions = 0;
     private observedRevision = -1;
@@ -51,8 +61,8 @@
         private readonly candidate: LeaseCandidate,
         readonly name: string,
         private readonly term: number,
-        private readonly metrics: Metrics,
-        private readonly logger: Logger,
+        private readonly observer: LeaseObserver,
+        private readonly holderWatch: HolderWatch | undefined,
     ) {}
 
     /** The term is in milliseconds. */
@@ -62,16 +72,18 @@
         candidate: LeaseCandidate,
         name: string,
         term: number,
-        metrics: Metrics,
-        logger: Logger,
+        observer: LeaseObserver,
+        holderWatch?: HolderWatch,
     ): LeaseKeeper {
-        return new LeaseKeeper(store, clock, candidate, name, term, metrics, logger);
+        return new LeaseKeeper(store, clock, candidate, name, term, observer, holderWatch);
     }
 
     /** Runs until stop is called. */
     async runRounds(): Promise<void> {
         while (!this.stopping.signal.aborted) {
-            await this.runRound();
+            if (this.getGrant() !== undefined || this.holderWatch?.isHolderHeard() !== true) {
+                await this.runRound();
+            }
             // Who does not hold the lease looks less often: a candidate has to wait out the term anyway.
             const looksPerTerm = this.getGrant() === undefined ? candidateLooksPerTerm : renewalsPerTerm;
             await this.clock.sleep(this.term / looksPerTerm, this.stopping.signal);
@@ -85,7 +97,7 @@
     /** Returns the grant as of this moment, or undefined when the lease is not certain to be held. */
     getGrant(): LeaseGrant | undefined {
         const now = this.clock.getMonotonicTime();
-        const remaining = this.validUntil - now;
+        const remaining = Math.min(this.validUntil - now, this.validUntilWallTime - this.clock.getWallTime());
         if (remaining <= 0) {
             return undefined;
         }
@@ -111,6 +123,11 @@
         return this.term * (1 + driftShare);
     }
 
+    /** Gives up acting: another holder was seen. The lease is taken anew only when it is free. */
+    recordLoss(): void {
+        this.validUntil = -Infinity;
+    }
+
     /** Looks at the lease once, and takes or renews it when that is due. */
     async runRound(): Promise<void> {
         const startedAt = this.clock.getMonotonicTime();
@@ -181,11 +198,11 @@
         this.transitions = lease.transitions;
         // Counted from before the write was sent: the others count from when they see it.
         this.validUntil = startedAt + this.term * (1 - driftShare);
+        this.validUntilWallTime = this.clock.getWallTime() + this.validUntil - now;
         if (isNew) {
             this.acquiredAt = now;
-            this.logger.info("lease taken", { lease: this.name, fencing: this.transitions });
+            this.observer.recordTaken(this.name, this.transitions);
         }
-        this.metrics.leaseHeld.set({ lease: this.name }, 1);
     }
 }
 
--- a/src/control/commands/quarantineKeeper.ts
+++ b/src/control/commands/quarantineKeeper.ts
@@ -1,8 +1,8 @@
 import { z } from "zod";
 import { Clock } from "../../common/clock.js";
 import { quarantinePrefix } from "../../config/objectNames.js";
-import { ObjectStore } from "../../platform/objectStore.js";
-import { StoredObject } from "../../platform/types.js";
+import { ObjectStore } from "../../provider/objectStore.js";
+import { StoredObject } from "../../provider/types.js";
 import { QuarantineLedger } from "../../requests/quarantineLedger.js";
 import { SharedObjectConsumer } from "../sharedObjects.js";
 
--- a/src/control/commands/sharedObjectKeeper.ts
+++ b/src/control/commands/sharedObjectKeeper.ts
@@ -5,8 +5,8 @@
 import { sharedPrefix } from "../../config/objectNames.js";
 import { MemberDirectory } from "../../peers/memberDirectory.js";
 import { FetchSharedObjectsResponseInit, Member, NodeDigest, ObjectRevision, PeerLink, UrgentNotifier } from "../../peers/types.js";
-import { ObjectStore } from "../../platform/objectStore.js";
-import { StoredObject, WatchEventKind } from "../../platform/types.js";
+import { ObjectStore } from "../../provider/objectStore.js";
+import { StoredObject, WatchEventKind } from "../../provider/types.js";
 import { SharedObjectChange, SharedObjects } from "../sharedObjects.js";
 import { HostListKeeper } from "./hostListKeeper.js";
 
--- a/src/control/moves/moveKeeper.ts
+++ b/src/control/moves/moveKeeper.ts
@@ -7,7 +7,7 @@
 import { ServiceDeclaration } from "../../config/types.js";
 import { NodeIdentity } from "../../peers/memberDirectory.js";
 import { NodeDigest, NodeDigestInit, ShareGrantInit, UrgentNotifier } from "../../peers/types.js";
-import { StoredObject } from "../../platform/types.js";
+import { StoredObject } from "../../provider/types.js";
 import { ShadowPolicy } from "../../requests/commands/shadowRunner.js";
 import { VersionObservation, VersionObserver, VersionPolicy } from "../../requests/types.js";
 import { SharedObjectConsumer } from "../sharedObjects.js";
--- a/src/control/moves/moveRecord.ts
+++ b/src/control/moves/moveRecord.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import { StoredObject } from "../../platform/types.js";
+import { StoredObject } from "../../provider/types.js";
 
 /** How far a move has come. */
 export enum MoveState {
--- a/src/control/sharedObjects.ts
+++ b/src/control/sharedObjects.ts
@@ -1,4 +1,4 @@
-import { StoredObject } from "../platform/types.js";
+import { StoredObject } from "../provider/types.js";
 
 /** What happened to an object that was offered to a node. */
 export enum SharedObjectChange {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -4,13 +4,7 @@
 import { readNodeSettings } from "../config/settings.js";
 import { CorianderNode } from "../node/corianderNode.js";
 import { Keys } from "../node/keys.js";
-
-/** Exit codes of the daemon. */
-export enum DaemonExitCode {
-    Ok = 0,
-    Failed = 1,
-    BadSettings = 2,
-}
+import { DaemonExitCode } from "./exitCodes.js";
 
 /** Runs one node until it is told to stop. */
 export class DaemonCommand extends Command {
--- /dev/null
+++ b/src/duties/fleetDuty.ts
@@ -0,0 +1,207 @@
+import { Clock } from "../common/clock.js";
+import { EventLog } from "../common/eventLog.js";
+import { LogEvents } from "../common/logEvents.js";
+import { millisecondsPerSecond } from "../common/units.js";
+import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { WorkMeter } from "../placement/workMeter.js";
+import { ConfigurationHolder } from "../routes/configurationHolder.js";
+import { RoutedService, ScalingBounds } from "../routes/types.js";
+import { DutyLease } from "./dutyLease.js";
+import { DomainFleet, FleetPlan } from "./fleetPlan.js";
+import { DutyApi, DutyCredentials, DutyOutcome, EndpointOrder } from "./types.js";
+
+/** Time after a refusal for which no more reclaimable endpoints are asked for in that failure domain, in milliseconds. */
+const unavailableMilliseconds = 2_000;
+/** Time beyond an endpoint's start after which an order that was not carried out is given again, in milliseconds. */
+const orderMarginMilliseconds = 2_500;
+/** Pause before an order is given again whose answer was lost, in milliseconds: it may still be carried out. */
+const unknownPauseMilliseconds = 1_000;
+
+/** How a fleet is sized, from the settings. */
+export interface FleetSettings {
+    /** Share of their time for which engines are to be busy. */
+    readonly targetUtilization: number;
+    /** Fewest endpoints that the load is taken to need. */
+    readonly leastNeeded: number;
+    /** Time after which an endpoint that is no longer needed is given back, in milliseconds. */
+    readonly shrinkDelay: number;
+}
+
+/** What the duty works with. */
+export interface FleetDutyParts {
+    readonly api: DutyApi;
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly lease: DutyLease;
+    readonly configuration: ConfigurationHolder;
+    readonly directory: EndpointDirectory;
+    readonly work: WorkMeter;
+    readonly settings: FleetSettings;
+}
+
+interface OrderState {
+    ordered: number | undefined;
+    orderedAt: number;
+    retryAt: number;
+    unavailableUntil: number;
+    /** Since when fewer endpoints than ordered have been enough. */
+    smallerSince: number | undefined;
+}
+
+/** Orders endpoints so that each service has what its load needs. */
+export class FleetDuty {
+    private readonly states = new Map<string, OrderState>();
+    private readonly plan = FleetPlan.create();
+    private actingFencing = 0;
+
+    private constructor(private readonly parts: FleetDutyParts) {}
+
+    static create(parts: FleetDutyParts): FleetDuty {
+        return new FleetDuty(parts);
+    }
+
+    async runRound(credentials: DutyCredentials): Promise<void> {
+        if (credentials.fencing !== this.actingFencing) {
+            // What an earlier holder ordered last is not known: the next orders stand on what is there.
+            this.states.clear();
+            this.actingFencing = credentials.fencing;
+        }
+        for (const service of this.parts.configuration.getTable()?.configuration.services ?? []) {
+            if (service.scaling !== undefined && service.engine !== undefined) {
+                await this.runService(service, service.scaling);
+            }
+        }
+    }
+
+    private async runService(service: RoutedService, scaling: ScalingBounds): Promise<void> {
+        const domains = scaling.domainPrices.map(({ failureDomain, price }) => this.createDomain(service, scaling, failureDomain, price));
+        const targets = this.plan.computeTargets(domains, {
+            needed: this.computeNeeded(service),
+            minimum: scaling.minimum,
+            maximum: scaling.maximum,
+        });
+        // New reclaimable endpoints first: the others are given back once they serve.
+        for (const target of targets) {
+            const isOffering = domains.find(domain => domain.failureDomain === target.failureDomain)?.hasReclaimable === true;
+            if (isOffering) {
+                await this.orderCount(service, scaling, target.failureDomain, true, target.reclaimable);
+            }
+        }
+        for (const target of targets) {
+            await this.orderCount(service, scaling, target.failureDomain, false, target.onDemand);
+        }
+    }
+
+    private computeNeeded(service: RoutedService): number {
+        const { settings, work } = this.parts;
+        const busyEngines = work.computeTotal(service.name) / millisecondsPerSecond;
+        return Math.max(settings.leastNeeded, Math.ceil(busyEngines / settings.targetUtilization));
+    }
+
+    private createDomain(service: RoutedService, scaling: ScalingBounds, failureDomain: string, price: number): DomainFleet {
+        const now = this.parts.clock.getMonotonicTime();
+        const state = this.getState(service.name, failureDomain, true);
+        return {
+            failureDomain,
+            price,
+            reclaimable: this.countServing(service.name, failureDomain, true),
+            onDemand: this.countServing(service.name, failureDomain, false),
+            hasReclaimable: scaling.reclaimablePrice !== undefined && now >= state.unavailableUntil,
+        };
+    }
+
+    private countServing(service: string, failureDomain: string, isReclaimable: boolean): number {
+        const endpoints = this.parts.directory.listEndpoints(service);
+        return endpoints.filter(endpoint =>
+            endpoint.isUsable() && endpoint.entry.failureDomain === failureDomain && endpoint.entry.isReclaimable === isReclaimable
+        ).length;
+    }
+
+    private async orderCount(
+        service: RoutedService,
+        scaling: ScalingBounds,
+        failureDomain: string,
+        isReclaimable: boolean,
+        count: number,
+    ): Promise<void> {
+        const now = this.parts.clock.getMonotonicTime();
+        const state = this.getState(service.name, failureDomain, isReclaimable);
+        const serving = this.countServing(service.name, failureDomain, isReclaimable);
+        const isStandingOrder = state.ordered === count;
+        const isOverdue = now > state.orderedAt + scaling.bootSeconds * millisecondsPerSecond + orderMarginMilliseconds;
+        if (isStandingOrder && (serving === count || !isOverdue)) {
+            state.smallerSince = undefined;
+            return;
+        }
+        if (state.ordered === undefined && serving === count) {
+            return;
+        }
+        if (now < state.retryAt || (count < (state.ordered ?? serving) && !this.isLongEnoughSmaller(state, now))) {
+            return;
+        }
+        await this.sendOrder({ service: service.name, failureDomain, isReclaimable, count }, state, serving);
+    }
+
+    private isLongEnoughSmaller(state: OrderState, now: number): boolean {
+        state.smallerSince ??= now;
+        return now - state.smallerSince >= this.parts.settings.shrinkDelay;
+    }
+
+    private async sendOrder(order: EndpointOrder, state: OrderState, serving: number): Promise<void> {
+        const { parts } = this;
+        const credentials = parts.lease.getCredentials();
+        if (credentials === undefined) {
+            return;
+        }
+        const now = parts.clock.getMonotonicTime();
+        const sent = await parts.api.orderEndpoints(order, credentials);
+        const fields = {
+            duty: "order",
+            service: order.service,
+            failureDomain: order.failureDomain,
+            reclaimable: order.isReclaimable,
+            count: order.count,
+            serving,
+            work: Math.round(parts.work.computeTotal(order.service)),
+            fencing: credentials.fencing,
+        };
+        if (sent.ok) {
+            state.ordered = order.count;
+            state.orderedAt = now;
+            state.smallerSince = undefined;
+            parts.log.log(LogEvents.DutyDone, fields);
+            return;
+        }
+        this.settleFailure(sent.val.outcome, state, credentials.fencing);
+        parts.log.log(LogEvents.DutyFailed, { ...fields, outcome: sent.val.outcome, cause: sent.val.text });
+    }
+
+    private settleFailure(outcome: DutyOutcome, state: OrderState, fencing: number): void {
+        const now = this.parts.clock.getMonotonicTime();
+        state.retryAt = now + unknownPauseMilliseconds;
+        if (outcome === DutyOutcome.Fenced) {
+            this.parts.lease.recordFenced(fencing);
+        }
+        if (outcome === DutyOutcome.Unavailable) {
+            state.unavailableUntil = now + unavailableMilliseconds;
+            state.retryAt = state.unavailableUntil;
+        }
+    }
+
+    private getState(service: string, failureDomain: string, isReclaimable: boolean): OrderState {
+        const key = `${service}\n${failureDomain}\n${isReclaimable}`;
+        const known = this.states.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const state: OrderState = {
+            ordered: undefined,
+            orderedAt: -Infinity,
+            retryAt: -Infinity,
+            unavailableUntil: -Infinity,
+            smallerSince: undefined,
+        };
+        this.states.set(key, state);
+        return state;
+    }
+}
--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -8,7 +8,8 @@
     readonly address: NetworkAddress;
     readonly method: string;
     readonly path: string;
-    readonly headers: OutgoingHttpHeaders;
+    /** By name, or as a flat list of names and values that is sent as it stands. */
+    readonly headers: OutgoingHttpHeaders | readonly string[];
     readonly body: Buffer | string | undefined;
     readonly agent: Agent;
     readonly connectTimeout: number;
@@ -40,7 +41,15 @@
 
     private constructor(private readonly options: EndpointRequestOptions) {
         const { address, method, path, headers, agent, signal } = options;
-        this.request = openHttpRequest({ host: address.host, port: address.port, method, path, headers, agent, signal });
+        this.request = openHttpRequest({
+            host: address.host,
+            port: address.port,
+            method,
+            path,
+            headers: headers as OutgoingHttpHeaders,
+            agent,
+            signal,
+        });
         this.connection.observeRequest(this.request);
         this.request.once("socket", socket => this.observeSocket(socket));
         this.request.on("timeout", () => this.request.destroy(SilenceError.create(options.silenceLimit)));
@@ -65,6 +74,11 @@
         });
     }
 
+    /** Whether the request went out on a connection that had carried others before. */
+    isConnectionReused(): boolean {
+        return this.request.reusedSocket;
+    }
+
     /** Ends the request; an answer that is still coming is dropped with its connection. */
     close(): void {
         clearTimeout(this.connectTimer);
--- a/src/endpoints/types.ts
+++ b/src/endpoints/types.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { NetworkAddress } from "../config/types.js";
-import { HostState, PurchaseKind } from "../platform/types.js";
+import { HostState, PurchaseKind } from "../provider/types.js";
 
 /** What a node believes of an endpoint. */
 export enum EndpointState {
--- /dev/null
+++ b/src/fleet/endpointFollower.ts
@@ -0,0 +1,96 @@
+import { Clock } from "../common/clock.js";
+import { EventLog } from "../common/eventLog.js";
+import { LogEvents } from "../common/logEvents.js";
+import { Result } from "../common/results.js";
+import { ObjectHandler } from "../provider/objectFollower.js";
+import { ObjectList, StoredObject } from "../provider/types.js";
+import { EndpointDirectory } from "./endpointDirectory.js";
+import { EndpointEntry } from "./types.js";
+
+/** Time after an outage of the store until which missing entries may come back, in milliseconds: two seconds by the store's terms, and a little. */
+const returnMilliseconds = 2_300;
+const storeSource = "store";
+
+/** Reads an endpoint's entry from the form in which a deployment stores it. */
+export interface EndpointDecoder {
+    /** Prefix of the objects that hold entries. */
+    readonly prefix: string;
+    decodeEndpoint(object: StoredObject): Result<EndpointEntry, string>;
+}
+
+/** Keeps the directory by what endpoints write to the store. */
+export class EndpointFollower implements ObjectHandler {
+    private readonly ids = new Map<string, string>();
+    private readonly pendingRemovals = new Map<string, number>();
+    private getRegainedAt: () => number = () => -Infinity;
+    private revision = 0;
+
+    private constructor(
+        private readonly directory: EndpointDirectory,
+        private readonly decoder: EndpointDecoder,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+    ) {}
+
+    static create(directory: EndpointDirectory, decoder: EndpointDecoder, clock: Clock, log: EventLog): EndpointFollower {
+        return new EndpointFollower(directory, decoder, clock, log);
+    }
+
+    /** Says where the end of the store's last outage is looked up, as a monotonic time. */
+    setOutageSource(getRegainedAt: () => number): void {
+        this.getRegainedAt = getRegainedAt;
+    }
+
+    /** Returns the highest revision of an entry that was applied. */
+    getRevision(): number {
+        return this.revision;
+    }
+
+    handleListing(list: ObjectList): void {
+        const listed = new Set(list.objects.map(object => object.name));
+        list.objects.forEach(object => this.handleChange(object));
+        for (const name of this.ids.keys()) {
+            if (!listed.has(name)) {
+                this.handleRemoval(name, list.revision);
+            }
+        }
+    }
+
+    handleChange(object: StoredObject): void {
+        const decoded = this.decoder.decodeEndpoint(object);
+        if (decoded.err) {
+            this.log.log(LogEvents.EndpointEntryFaulty, { entry: object.name, revision: object.revision, fault: decoded.val });
+            return;
+        }
+        this.pendingRemovals.delete(object.name);
+        this.ids.set(object.name, decoded.val.id);
+        this.revision = Math.max(this.revision, object.revision);
+        this.directory.applyEntry({ entry: decoded.val, revision: object.revision }, storeSource);
+    }
+
+    /** Removes an endpoint whose entry is gone. Entries that lapsed in an outage of the store get the time to come back. */
+    handleRemoval(name: string, revision: number): void {
+        const returnsUntil = this.getRegainedAt() + returnMilliseconds;
+        const wait = returnsUntil - this.clock.getMonotonicTime();
+        if (wait <= 0) {
+            this.removeEndpoint(name, revision);
+            return;
+        }
+        this.pendingRemovals.set(name, revision);
+        void this.clock.sleep(wait).then(() => {
+            if (this.pendingRemovals.get(name) === revision) {
+                this.removeEndpoint(name, revision);
+            }
+        });
+    }
+
+    private removeEndpoint(name: string, revision: number): void {
+        const id = this.ids.get(name);
+        this.pendingRemovals.delete(name);
+        this.ids.delete(name);
+        if (id !== undefined) {
+            this.revision = Math.max(this.revision, revision);
+            this.directory.removeEntry(id, revision, storeSource);
+        }
+    }
+}
--- /dev/null
+++ b/src/gateway/callAttempt.ts
@@ -0,0 +1,261 @@
+import { IncomingMessage } from "node:http";
+import { Clock } from "../common/clock.js";
+import { Diagnostics } from "../common/diagnostics.js";
+import { Failure } from "../common/failure.js";
+import { Verdict } from "../common/verdict.js";
+import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { CallPlacement } from "../placement/callPlacement.js";
+import { PlacementNews } from "../placement/placementNews.js";
+import { Placement } from "../placement/types.js";
+import { WorkMeter } from "../placement/workMeter.js";
+import { EventStreamRelay, RelayEnd, WholeAnswerRelay } from "./answerRelay.js";
+import { CallerAnswer } from "./callerAnswer.js";
+import { CallProtocol } from "./callProtocol.js";
+import { EndpointConnections } from "./endpointConnections.js";
+import { EndpointExchange } from "./endpointExchange.js";
+import { HeaderForwarder } from "./forwardedHeaders.js";
+import { IncomingCall } from "./types.js";
+
+const statusServerError = 500;
+const statusGatewayTimeout = 504;
+/** Interval at which an attempt looks whether its endpoint has gone silent, in milliseconds. */
+const silenceCheckMilliseconds = 250;
+/** Least expected time against which an answer's time is judged, in milliseconds: shorter ones are mostly the network's. */
+const leastExpectedMilliseconds = 30;
+
+/** Waits of an attempt, in milliseconds. */
+export interface AttemptTiming {
+    /** Longest wait for a connection. */
+    readonly connectTimeout: number;
+    /** Silence of an endpoint on all connections after which work that may be repeated goes on elsewhere. */
+    readonly endpointSilence: number;
+}
+
+/** What attempts work with. */
+export interface CallAttemptParts {
+    readonly clock: Clock;
+    readonly protocol: CallProtocol;
+    readonly headers: HeaderForwarder;
+    readonly connections: EndpointConnections;
+    readonly directory: EndpointDirectory;
+    readonly callPlacement: CallPlacement;
+    readonly news: PlacementNews;
+    readonly work: WorkMeter;
+    readonly timing: AttemptTiming;
+}
+
+/** One attempt of a call. Times are monotonic milliseconds. */
+export interface AttemptOptions {
+    readonly call: IncomingCall;
+    readonly caller: CallerAnswer;
+    readonly placement: Placement;
+    readonly deadline: number;
+    readonly lastEventId: string | undefined;
+    /** The relay of the call's event stream; undefined for other calls. */
+    readonly stream: EventStreamRelay | undefined;
+    readonly isIdempotent: boolean;
+    /** Whether a failure may be followed by another run. */
+    readonly mayRunAgain: boolean;
+}
+
+/** How an attempt ended; without a failure the whole answer has reached the caller. */
+export interface AttemptEnd {
+    readonly failure: Failure | undefined;
+    /** Whether the request may have reached the endpoint. */
+    readonly hasArrived: boolean;
+    readonly sentAt: number;
+    readonly firstEventAt: number | undefined;
+}
+
+/** Sends a call to one endpoint and relays the answer. */
+export class CallAttempt {
+    private readonly stopping = new AbortController();
+    private readonly endpoint: FleetEndpoint;
+    private readonly sentAt: number;
+    private firstEventAt: number | undefined;
+    private heardAt: number;
+    private isSilent = false;
+    private waitingTokens: number;
+
+    private constructor(private readonly parts: CallAttemptParts, private readonly options: AttemptOptions) {
+        this.endpoint = options.placement.endpoint;
+        this.waitingTokens = options.placement.tokensToRead;
+        this.sentAt = parts.clock.getMonotonicTime();
+        this.heardAt = this.sentAt;
+    }
+
+    static create(parts: CallAttemptParts, options: AttemptOptions): CallAttempt {
+        return new CallAttempt(parts, options);
+    }
+
+    /** Runs the attempt to its end. */
+    async run(): Promise<AttemptEnd> {
+        const { options } = this;
+        const stop = () => this.stopping.abort();
+        const leaving = options.caller.getLeavingSignal();
+        leaving.addEventListener("abort", stop);
+        const deadlineTimer = setTimeout(stop, Math.max(1, options.deadline - this.sentAt));
+        const silenceTimer = options.mayRunAgain ? setInterval(() => this.checkSilence(), silenceCheckMilliseconds) : undefined;
+        this.addLoad();
+        try {
+            return await this.exchange();
+        }
+        finally {
+            this.removeLoad();
+            clearTimeout(deadlineTimer);
+            clearInterval(silenceTimer);
+            leaving.removeEventListener("abort", stop);
+        }
+    }
+
+    /** Records that the endpoint has read the prompt. */
+    recordFirstEvent(): void {
+        if (this.firstEventAt !== undefined) {
+            return;
+        }
+        this.firstEventAt = this.parts.clock.getMonotonicTime();
+        this.endpoint.promptTokens -= this.waitingTokens;
+        this.waitingTokens = 0;
+        const expected = Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
+        this.endpoint.recordSuccess((this.firstEventAt - this.sentAt) / expected);
+    }
+
+    private async exchange(): Promise<AttemptEnd> {
+        const { parts, options } = this;
+        const { call } = options;
+        const timeLeft = options.deadline - this.sentAt;
+        const exchange = EndpointExchange.create({
+            call,
+            endpoint: this.endpoint,
+            headers: parts.headers.createHeaders(call, {
+                endpointId: this.endpoint.entry.id,
+                timeLeft,
+                lastEventId: options.lastEventId,
+                urgency: undefined,
+                traceHeaders: {},
+            }),
+            agent: parts.connections.getAgent(this.endpoint),
+            connectTimeout: Math.min(parts.timing.connectTimeout, timeLeft),
+            silenceLimit: timeLeft,
+            signal: this.stopping.signal,
+        }, parts.protocol);
+        try {
+            const sent = await exchange.sendRequest();
+            if (sent.err) {
+                return this.settleFailure(sent.val, exchange);
+            }
+            return await this.relay(sent.val, exchange);
+        }
+        finally {
+            exchange.close();
+        }
+    }
+
+    private async relay(answer: IncomingMessage, exchange: EndpointExchange): Promise<AttemptEnd> {
+        const { options } = this;
+        this.markHeard();
+        const load = exchange.readLoad(answer);
+        if (load !== undefined) {
+            this.endpoint.recordLoad(load, this.heardAt);
+        }
+        const status = answer.statusCode ?? 0;
+        if (status >= statusServerError && status !== statusGatewayTimeout) {
+            this.endpoint.recordError();
+            if (options.mayRunAgain && !options.caller.hasBegun()) {
+                answer.on("error", () => exchange.close());
+                answer.resume();
+                return this.createEnd(Failure.create(Verdict.Ran, Diagnostics.Endpoint_failed_with_status_0, status));
+            }
+        }
+        answer.on("data", () => this.markHeard());
+        const isStream = options.stream !== undefined && status < statusServerError;
+        const relay = isStream ? options.stream : WholeAnswerRelay.create(options.caller);
+        const end = await relay.forwardAnswer(answer, exchange);
+        if (end !== RelayEnd.Whole) {
+            return this.settleBroken();
+        }
+        this.recordAnswered(status);
+        return this.createEnd(undefined);
+    }
+
+    private recordAnswered(status: number): void {
+        if (status >= statusServerError || this.options.stream !== undefined) {
+            return;
+        }
+        const time = this.parts.clock.getMonotonicTime() - this.sentAt;
+        const expected = Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
+        this.endpoint.recordSuccess(time / expected);
+        if (this.endpoint.countRequests() <= this.endpoint.entry.slots) {
+            this.parts.callPlacement.recordCallTime(this.options.call.service, time);
+        }
+    }
+
+    private settleBroken(): AttemptEnd {
+        if (!this.options.caller.isCallerGone()) {
+            this.endpoint.recordLoss(this.parts.clock.getMonotonicTime());
+        }
+        return this.createEnd(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
+    }
+
+    private settleFailure(failure: Failure, exchange: EndpointExchange): AttemptEnd {
+        const { parts, options } = this;
+        const now = parts.clock.getMonotonicTime();
+        const { code } = failure.message;
+        if (code === Diagnostics.Another_endpoint_has_the_address.code) {
+            parts.directory.markGone(this.endpoint, "own request");
+        }
+        else if (code === Diagnostics.Endpoint_refused_before_running_0.code) {
+            this.markHeard();
+            this.endpoint.recordRefusal(now);
+        }
+        else if (code === Diagnostics.Endpoint_failed_with_status_0.code) {
+            this.endpoint.recordError();
+        }
+        else if (!options.caller.isCallerGone()) {
+            this.endpoint.recordLoss(now);
+        }
+        if (this.isSilent) {
+            const limit = parts.timing.endpointSilence;
+            return this.createEnd(Failure.create(failure.verdict, Diagnostics.Endpoint_sent_nothing_for_0_milliseconds, limit));
+        }
+        const hasArrived = failure.verdict !== Verdict.NotRun || exchange.hasConnection();
+        return this.createEnd(failure, hasArrived);
+    }
+
+    private createEnd(failure: Failure | undefined, hasArrived = true): AttemptEnd {
+        return { failure, hasArrived, sentAt: this.sentAt, firstEventAt: this.firstEventAt };
+    }
+
+    private markHeard(): void {
+        this.heardAt = this.parts.clock.getMonotonicTime();
+        this.endpoint.heardAt = this.heardAt;
+    }
+
+    /** Gives up an endpoint from which nothing comes any more, on this connection or any other. */
+    private checkSilence(): void {
+        const now = this.parts.clock.getMonotonicTime();
+        const limit = this.parts.timing.endpointSilence;
+        if (now - this.heardAt > limit && now - this.endpoint.heardAt > limit) {
+            this.isSilent = true;
+            this.stopping.abort();
+        }
+    }
+
+    private addLoad(): void {
+        const { call, placement } = this.options;
+        this.endpoint.running += 1;
+        this.endpoint.promptTokens += placement.tokensToRead;
+        if (call.prompt !== undefined) {
+            call.prompt.parts.forEach(part => this.endpoint.cache.recordPart(part));
+            this.parts.work.recordWork(call.service, placement.tokensToRead, call.prompt.maxOutputTokens);
+            this.parts.news.addPlacement(this.endpoint, call.prompt.parts);
+        }
+    }
+
+    private removeLoad(): void {
+        this.endpoint.running -= 1;
+        this.endpoint.promptTokens -= this.waitingTokens;
+        this.waitingTokens = 0;
+    }
+}
--- /dev/null
+++ b/src/gateway/callReader.ts
@@ -0,0 +1,143 @@
+import { IncomingMessage } from "node:http";
+import { Clock } from "../common/clock.js";
+import { Diagnostics } from "../common/diagnostics.js";
+import { Failure } from "../common/failure.js";
+import { RandomSource } from "../common/random.js";
+import { Err, Ok, Result } from "../common/results.js";
+import { Verdict } from "../common/verdict.js";
+import { PromptPart, PromptShape } from "../fleet/types.js";
+import { pickService, RouteTable } from "../routes/routeTable.js";
+import { Route, RoutedTeam } from "../routes/types.js";
+import { CallProtocol } from "./callProtocol.js";
+import { IncomingCall } from "./types.js";
+
+const idPattern = /^[!-~]{1,200}$/;
+const partPattern = /^([0-9a-fA-F]+):(\d+)$/;
+/** Parts of one prompt that are heeded; more come from no proper caller. */
+const partLimit = 256;
+
+/** A call's body, read in full. */
+export interface CallBody {
+    readonly bytes: Buffer;
+    /** Whether the request had a body at all, be it an empty one. */
+    readonly isPresent: boolean;
+}
+
+/** Turns a received request into a call: route, team, prompt and deadline. Fails with the answer that the caller gets. */
+export class CallReader {
+    private constructor(
+        private readonly protocol: CallProtocol,
+        private readonly clock: Clock,
+        private readonly random: RandomSource,
+    ) {}
+
+    static create(protocol: CallProtocol, clock: Clock, random: RandomSource): CallReader {
+        return new CallReader(protocol, clock, random);
+    }
+
+    readCall(request: IncomingMessage, body: CallBody, arrivedAt: number, table: RouteTable): Result<IncomingCall, Failure> {
+        const { protocol } = this;
+        const target = request.url ?? "";
+        const route = table.findRoute(readHost(request), target);
+        if (route === undefined) {
+            return Err(createRejection(Diagnostics.Path_0_is_not_served, target));
+        }
+        const team = this.readTeam(request, route, table);
+        if (team.err) {
+            return team;
+        }
+        const id = readHeader(request, protocol.attemptId);
+        if (id === undefined) {
+            return Err(createRejection(Diagnostics.Header_0_is_missing, protocol.attemptId));
+        }
+        if (!idPattern.test(id)) {
+            return Err(createRejection(Diagnostics.Header_0_is_not_valid_1, protocol.attemptId, "1 to 200 visible characters are allowed"));
+        }
+        const timeLeft = this.readTimeLeft(request, route.timeLimit);
+        if (timeLeft.err) {
+            return timeLeft;
+        }
+        return Ok({
+            id,
+            method: request.method ?? "GET",
+            target,
+            rawHeaders: request.rawHeaders,
+            body: body.bytes,
+            hasBody: body.isPresent,
+            route,
+            service: pickService(route, this.random),
+            team: team.val,
+            isKeyed: table.hasTeams(),
+            prompt: this.readPrompt(request),
+            lastEventId: readHeader(request, protocol.lastEventId),
+            arrivedAt,
+            deadline: arrivedAt + timeLeft.val,
+        });
+    }
+
+    private readTeam(request: IncomingMessage, route: Route, table: RouteTable): Result<RoutedTeam | undefined, Failure> {
+        if (!table.hasTeams()) {
+            return Ok(undefined);
+        }
+        const scheme = `${this.protocol.authorizationScheme} `;
+        const header = readHeader(request, "authorization");
+        const isBearer = header?.slice(0, scheme.length).toLowerCase() === scheme.toLowerCase();
+        const team = isBearer ? table.findTeamByKey((header as string).slice(scheme.length).trim()) : undefined;
+        if (team !== undefined || route.isPublic) {
+            return Ok(team);
+        }
+        return Err(createRejection(isBearer ? Diagnostics.Token_is_not_known : Diagnostics.Authorization_is_missing));
+    }
+
+    private readTimeLeft(request: IncomingMessage, timeLimit: number): Result<number, Failure> {
+        const header = readHeader(request, this.protocol.timeLeft);
+        if (header === undefined) {
+            return Ok(timeLimit);
+        }
+        const milliseconds = Number(header);
+        if (header.trim() === "" || !Number.isFinite(milliseconds) || milliseconds < 0) {
+            return Err(createRejection(Diagnostics.Header_0_is_not_valid_1, this.protocol.timeLeft, "milliseconds are allowed"));
+        }
+        return Ok(Math.min(milliseconds, timeLimit));
+    }
+
+    private readPrompt(request: IncomingMessage): PromptShape | undefined {
+        const counts = readHeader(request, this.protocol.tokenCounts)?.split(",").map(Number);
+        const [inputTokens, maxOutputTokens] = counts ?? [];
+        if (!isTokenCount(inputTokens) || !isTokenCount(maxOutputTokens)) {
+            return undefined;
+        }
+        const parts = parsePromptParts(readHeader(request, this.protocol.promptParts) ?? "");
+        return { parts, inputTokens, maxOutputTokens };
+    }
+}
+
+/** Parses the parts of a prompt; what cannot be read ends the list, since parts only help in order. */
+export function parsePromptParts(text: string): PromptPart[] {
+    const parts: PromptPart[] = [];
+    for (const item of text.split(",").slice(0, partLimit)) {
+        const match = partPattern.exec(item.trim());
+        if (!match) {
+            return parts;
+        }
+        parts.push({ id: (match[1] as string).toLowerCase(), tokens: Number(match[2]) });
+    }
+    return parts;
+}
+
+function readHeader(request: IncomingMessage, name: string): string | undefined {
+    const value = request.headers[name];
+    return typeof value === "string" ? value : value?.[0];
+}
+
+function readHost(request: IncomingMessage): string {
+    return (request.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
+}
+
+function isTokenCount(value: number | undefined): value is number {
+    return value !== undefined && Number.isFinite(value) && value >= 0;
+}
+
+function createRejection(message: Parameters<typeof Failure.create>[1], ...values: (string | number)[]): Failure {
+    return Failure.create(Verdict.NotRun, message, ...values);
+}
--- /dev/null
+++ b/src/gossip/gatewayContent.ts
@@ -0,0 +1,200 @@
+import { z } from "zod";
+import { Clock } from "../common/clock.js";
+import { EventLog } from "../common/eventLog.js";
+import { LogEvents } from "../common/logEvents.js";
+import { DutyLease } from "../duties/dutyLease.js";
+import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
+import { EndpointFollower } from "../fleet/endpointFollower.js";
+import { endpointEntrySchema } from "../fleet/types.js";
+import { PlacementNews } from "../placement/placementNews.js";
+import { WorkMeter } from "../placement/workMeter.js";
+import { ObjectFollower } from "../provider/objectFollower.js";
+import { SharedRateLimiter } from "../quotas/sharedRateLimiter.js";
+import { QuarantineLedger } from "../requests/quarantineLedger.js";
+import { ConfigurationFollower } from "../routes/configurationFollower.js";
+import { ConfigurationHolder } from "../routes/configurationHolder.js";
+import { routeConfigurationSchema } from "../routes/types.js";
+import { UsageCounter } from "../usage/usageCounter.js";
+import { UsageLedger } from "../usage/usageLedger.js";
+import { GossipContent } from "./gossipExchange.js";
+import { PeerTable } from "./peerTable.js";
+import { GatewayDigest, GatewayDigestInit, GatewayPeer, SharedState, SharedStateInit } from "./types.js";
+
+/** Windows of usage that are told: the one that runs and those whose report may still be due. */
+const toldWindows = 4;
+
+const revisedEntriesSchema = z.array(z.object({ entry: endpointEntrySchema, revision: z.number() }));
+
+/** What a node tells of itself and where it puts what others tell. */
+export interface GatewayContentParts {
+    readonly clock: Clock;
+    readonly log: EventLog;
+    readonly table: PeerTable;
+    readonly configuration: ConfigurationHolder;
+    readonly configurationFollower: ConfigurationFollower;
+    readonly directory: EndpointDirectory;
+    readonly endpointFollower: EndpointFollower;
+    readonly watches: readonly ObjectFollower[];
+    readonly news: PlacementNews;
+    readonly caps: SharedRateLimiter;
+    readonly usage: UsageCounter;
+    readonly usageLedger: UsageLedger;
+    readonly work: WorkMeter;
+    readonly lease: DutyLease;
+    readonly ledger: QuarantineLedger;
+    readonly getIsLeaving: () => boolean;
+}
+
+/** The digest of a gateway. */
+export class GatewayContent implements GossipContent {
+    private constructor(private readonly parts: GatewayContentParts) {}
+
+    static create(parts: GatewayContentParts): GatewayContent {
+        return new GatewayContent(parts);
+    }
+
+    createDigest(peer: GatewayPeer | undefined): GatewayDigestInit {
+        const { parts } = this;
+        const { identity } = parts.table;
+        const placements = parts.news.listSince(peer?.toldPlacements ?? parts.news.getSequence());
+        if (peer !== undefined) {
+            peer.toldPlacements = parts.news.getSequence();
+        }
+        return {
+            member: { ...identity, incarnation: BigInt(identity.incarnation) },
+            isLeaving: parts.getIsLeaving(),
+            isStoreReachable: this.isStoreCurrent(),
+            configurationVersion: BigInt(parts.configuration.getVersion()),
+            directoryRevision: BigInt(parts.endpointFollower.getRevision()),
+            knownMembers: this.listMembers(),
+            demands: parts.caps.listDemands().map(({ name, demand }) => ({ team: name, demand })),
+            loads: this.listLoads(),
+            placements: placements.map(placed => ({ endpoint: placed.endpointId, parts: [...placed.parts] })),
+            placementSequence: BigInt(parts.news.getSequence()),
+            usage: this.listUsage(),
+            lease: { holder: parts.lease.getHolder(), fencing: BigInt(parts.lease.getFencing()) },
+            suspects: parts.ledger.listRecords().map(record => ({
+                fingerprint: record.fingerprint,
+                endpoints: [...record.endpoints],
+                untilMilliseconds: BigInt(Math.round(record.until)),
+            })),
+            works: parts.work.listOwn().map(({ service, work }) => ({ service, work })),
+        };
+    }
+
+    applyDigest(peer: GatewayPeer, digest: GatewayDigest): void {
+        const { parts } = this;
+        digest.demands.forEach(({ team, demand }) => parts.caps.recordOtherDemand(team, peer.name, demand));
+        for (const placed of digest.placements) {
+            const endpoint = parts.directory.findEndpoint(placed.endpoint);
+            placed.parts.forEach(part => endpoint?.cache.recordPart(part));
+        }
+        for (const suspect of digest.suspects) {
+            const { fingerprint, endpoints } = suspect;
+            const isNew = parts.ledger.mergeRecord({ fingerprint, endpoints, until: Number(suspect.untilMilliseconds) });
+            if (isNew && parts.ledger.isQuarantined(fingerprint)) {
+                parts.log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: endpoints.join(","), source: peer.name });
+            }
+        }
+        for (const { window, teams } of digest.usage) {
+            parts.usageLedger.recordUsage(`${peer.name}/${peer.incarnation}`, Number(window), teams);
+        }
+        digest.works.forEach(({ service, work }) => parts.work.recordOther(service, peer.name, work));
+        parts.lease.recordNews(digest.lease?.holder ?? "", Number(digest.lease?.fencing ?? 0));
+        this.updateSharedLoads();
+    }
+
+    createStateFor(digest: GatewayDigest): SharedStateInit | undefined {
+        const { parts } = this;
+        const lacksConfiguration = Number(digest.configurationVersion) < parts.configuration.getVersion();
+        // A node whose watches are current gets the entries from the store; they are only on their way.
+        const lacksEndpoints = !digest.isStoreReachable && Number(digest.directoryRevision) < parts.endpointFollower.getRevision();
+        if (!lacksConfiguration && !lacksEndpoints) {
+            return undefined;
+        }
+        const configuration = parts.configuration.getTable()?.configuration;
+        return {
+            configurationJson: lacksConfiguration ? JSON.stringify(configuration) : "",
+            endpointsJson: lacksEndpoints ? JSON.stringify(parts.directory.listEntries()) : "",
+        };
+    }
+
+    applyState(state: SharedState, source: string): void {
+        const { parts } = this;
+        if (state.configurationJson !== "") {
+            const parsed = routeConfigurationSchema.safeParse(JSON.parse(state.configurationJson));
+            if (parsed.success) {
+                parts.configurationFollower.applyConfiguration(parsed.data, source);
+            }
+        }
+        if (state.endpointsJson !== "") {
+            const parsed = revisedEntriesSchema.safeParse(JSON.parse(state.endpointsJson));
+            if (parsed.success) {
+                this.applyEntries(parsed.data, source);
+            }
+        }
+    }
+
+    /** Takes a peer's whole list of entries while the store cannot be asked: what is missing there was removed since. */
+    private applyEntries(entries: readonly RevisedEntry[], source: string): void {
+        const { parts } = this;
+        entries.forEach(entry => parts.directory.applyEntry(entry, source));
+        const listed = new Set(entries.map(revised => revised.entry.id));
+        const newest = Math.max(0, ...entries.map(revised => revised.revision));
+        for (const known of parts.directory.listEntries()) {
+            if (!listed.has(known.entry.id) && known.revision < newest) {
+                parts.directory.removeEntry(known.entry.id, undefined, source);
+            }
+        }
+    }
+
+    private isStoreCurrent(): boolean {
+        return this.parts.watches.every(watch => watch.isCurrent());
+    }
+
+    private listMembers() {
+        return this.parts.table.listHeard().map(peer => ({
+            name: peer.name,
+            failureDomain: peer.failureDomain,
+            address: peer.address,
+            incarnation: BigInt(peer.incarnation),
+        }));
+    }
+
+    private listLoads() {
+        return this.parts.directory.listAll()
+            .filter(endpoint => endpoint.running > 0)
+            .map(endpoint => ({
+                endpoint: endpoint.entry.id,
+                running: endpoint.running,
+                promptTokens: Math.max(0, Math.round(endpoint.promptTokens)),
+            }));
+    }
+
+    private listUsage() {
+        const { clock, usage } = this.parts;
+        const current = usage.getWindow(clock.getWallTime());
+        const windows: { window: bigint; teams: { team: string; requests: number; }[]; }[] = [];
+        for (let window = current - toldWindows + 1; window <= current; window += 1) {
+            windows.push({ window: BigInt(window), teams: usage.listUsage(window) });
+        }
+        return windows;
+    }
+
+    /** Adds up what the peers that are heard have at each endpoint. */
+    private updateSharedLoads(): void {
+        const { parts } = this;
+        const sums = new Map<string, { running: number; promptTokens: number; }>();
+        for (const peer of parts.table.listHeard()) {
+            for (const load of peer.digest?.loads ?? []) {
+                const sum = sums.get(load.endpoint) ?? { running: 0, promptTokens: 0 };
+                sum.running += load.running;
+                sum.promptTokens += load.promptTokens;
+                sums.set(load.endpoint, sum);
+            }
+        }
+        for (const endpoint of parts.directory.listAll()) {
+            endpoint.sharedLoad = sums.get(endpoint.entry.id) ?? { running: 0, promptTokens: 0 };
+        }
+    }
+}
--- /dev/null
+++ b/src/gossip/nodeRegistry.ts
@@ -0,0 +1,94 @@
+import { z } from "zod";
+import { Clock } from "../common/clock.js";
+import { EventLog } from "../common/eventLog.js";
+import { LogEvents } from "../common/logEvents.js";
+import { ObjectHandler } from "../provider/objectFollower.js";
+import { ObjectStore } from "../provider/objectStore.js";
+import { ObjectList, StoredObject, WriteOutcome } from "../provider/types.js";
+import { PeerIdentity, PeerTable } from "./peerTable.js";
+
+/** Prefix of the objects by which nodes find one another. */
+export const nodePrefix = "nodes/";
+/** Pause after a registration that failed, in milliseconds. */
+const retryPauseMilliseconds = 1_000;
+
+const nodeSchema = z.object({
+    name: z.string().min(1),
+    failureDomain: z.string(),
+    address: z.string().min(1),
+    incarnation: z.number(),
+});
+
+/** Registers this node in the store and finds the others there. */
+export class NodeRegistry implements ObjectHandler {
+    private readonly stopping = new AbortController();
+
+    private constructor(
+        private readonly store: ObjectStore,
+        private readonly table: PeerTable,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+    ) {}
+
+    static create(store: ObjectStore, table: PeerTable, clock: Clock, log: EventLog): NodeRegistry {
+        return new NodeRegistry(store, table, clock, log);
+    }
+
+    handleListing(list: ObjectList): void {
+        const listed = new Set(list.objects.map(object => object.name.slice(nodePrefix.length)));
+        list.objects.forEach(object => this.handleChange(object));
+        for (const peer of this.table.listPeers()) {
+            if (!listed.has(peer.name) && !this.table.isHeard(peer)) {
+                this.table.removePeer(peer.name);
+            }
+        }
+    }
+
+    handleChange(object: StoredObject): void {
+        const parsed = nodeSchema.safeParse(object.value);
+        if (!parsed.success) {
+            this.log.log(LogEvents.EndpointEntryFaulty, { entry: object.name, revision: object.revision, fault: parsed.error.message });
+            return;
+        }
+        this.table.addPeer(parsed.data);
+    }
+
+    handleRemoval(name: string): void {
+        const peer = this.table.findPeer(name.slice(nodePrefix.length));
+        if (peer !== undefined && !this.table.isHeard(peer)) {
+            this.table.removePeer(peer.name);
+        }
+    }
+
+    /** Writes this node's entry until the store has it. */
+    async registerNode(): Promise<void> {
+        const { identity } = this.table;
+        const name = nodePrefix + identity.name;
+        while (!this.stopping.signal.aborted) {
+            if (await this.writeEntry(name, identity)) {
+                return;
+            }
+            await this.clock.sleep(retryPauseMilliseconds, this.stopping.signal);
+        }
+    }
+
+    stop(): void {
+        this.stopping.abort();
+    }
+
+    private async writeEntry(name: string, identity: PeerIdentity): Promise<boolean> {
+        const created = await this.store.createObject(name, identity);
+        if (created.ok) {
+            return true;
+        }
+        if (created.val.outcome !== WriteOutcome.Conflict) {
+            return false;
+        }
+        const found = await this.store.getObject(name);
+        if (found.err || found.val === undefined) {
+            return false;
+        }
+        const replaced = await this.store.replaceObject(name, identity, found.val.revision);
+        return replaced.ok;
+    }
+}
--- /dev/null
+++ b/src/gossip/peerTable.ts
@@ -0,0 +1,112 @@
+import { Clock } from "../common/clock.js";
+import { GatewayDigest, GatewayPeer } from "./types.js";
+
+/** Where a node is reached. */
+export interface PeerIdentity {
+    readonly name: string;
+    readonly failureDomain: string;
+    readonly address: string;
+    readonly incarnation: number;
+}
+
+/** Time after which a peer that was never heard, or no more, is not counted as a node that serves, in milliseconds. */
+const forgottenMilliseconds = 30_000;
+
+/** The other nodes, from the store, from the settings' seeds and from what peers tell of one another. */
+export class PeerTable {
+    private readonly peers = new Map<string, GatewayPeer>();
+    private readonly addedAt = new Map<string, number>();
+
+    private constructor(readonly identity: PeerIdentity, private readonly clock: Clock, private readonly silenceLimit: number) {}
+
+    /** The silence after which a peer counts as lost is in milliseconds. */
+    static create(identity: PeerIdentity, clock: Clock, silenceLimit: number): PeerTable {
+        return new PeerTable(identity, clock, silenceLimit);
+    }
+
+    /** Adds a peer, or takes over a newer life or another address of it. */
+    addPeer(identity: PeerIdentity): void {
+        if (identity.name === this.identity.name || identity.name === "" || identity.address === "") {
+            return;
+        }
+        const known = this.peers.get(identity.name);
+        if (known === undefined) {
+            this.peers.set(identity.name, {
+                ...identity,
+                heardAt: -Infinity,
+                failedAt: -Infinity,
+                failuresInRow: 0,
+                isLeaving: false,
+                digest: undefined,
+                toldPlacements: 0,
+            });
+            this.addedAt.set(identity.name, this.clock.getMonotonicTime());
+            return;
+        }
+        if (identity.incarnation > known.incarnation) {
+            known.incarnation = identity.incarnation;
+            known.address = identity.address;
+            known.failureDomain = identity.failureDomain;
+            known.failuresInRow = 0;
+            known.toldPlacements = 0;
+        }
+    }
+
+    removePeer(name: string): void {
+        this.peers.delete(name);
+    }
+
+    findPeer(name: string): GatewayPeer | undefined {
+        return this.peers.get(name);
+    }
+
+    /** Records what a peer told; returns whether it had been silent before. */
+    recordDigest(digest: GatewayDigest): boolean {
+        const member = digest.member;
+        if (member === undefined || member.name === this.identity.name) {
+            return false;
+        }
+        this.addPeer({ ...member, incarnation: Number(member.incarnation) });
+        const peer = this.peers.get(member.name);
+        if (peer === undefined || Number(member.incarnation) < peer.incarnation) {
+            return false;
+        }
+        const wasSilent = !this.isHeard(peer);
+        peer.heardAt = this.clock.getMonotonicTime();
+        peer.failuresInRow = 0;
+        peer.isLeaving = digest.isLeaving;
+        peer.digest = digest;
+        for (const other of digest.knownMembers) {
+            this.addPeer({ ...other, incarnation: Number(other.incarnation) });
+        }
+        return wasSilent;
+    }
+
+    recordFailure(peer: GatewayPeer): void {
+        peer.failedAt = this.clock.getMonotonicTime();
+        peer.failuresInRow += 1;
+    }
+
+    /** Whether a peer was heard lately. */
+    isHeard(peer: GatewayPeer): boolean {
+        return this.clock.getMonotonicTime() - peer.heardAt <= this.silenceLimit;
+    }
+
+    listPeers(): GatewayPeer[] {
+        return [...this.peers.values()];
+    }
+
+    listHeard(): GatewayPeer[] {
+        return this.listPeers().filter(peer => this.isHeard(peer));
+    }
+
+    /** Returns how many nodes may be serving, this one included: those that cannot be heard may serve all the same. */
+    countServing(): number {
+        const now = this.clock.getMonotonicTime();
+        const serving = this.listPeers().filter(peer => {
+            const lastSign = Math.max(peer.heardAt, this.addedAt.get(peer.name) ?? -Infinity);
+            return now - lastSign <= forgottenMilliseconds;
+        });
+        return serving.length + 1;
+    }
+}
--- a/src/node/bindings/commonBindings.ts
+++ b/src/node/bindings/commonBindings.ts
@@ -10,10 +10,10 @@
 import { ExchangeLoop } from "../../peers/exchangeLoop.js";
 import { MemberDirectory } from "../../peers/memberDirectory.js";
 import { TlsMaterial } from "../../peers/tlsMaterial.js";
-import { HttpCloud } from "../../platform/cloud.js";
-import { HttpHostList } from "../../platform/hostList.js";
-import { HttpObjectStore } from "../../platform/httpObjectStore.js";
-import { HttpWeightStore } from "../../platform/weightStore.js";
+import { HttpCloud } from "../../provider/cloud.js";
+import { HttpHostList } from "../../provider/hostList.js";
+import { HttpObjectStore } from "../../provider/httpObjectStore.js";
+import { HttpWeightStore } from "../../provider/weightStore.js";
 import { Keys } from "../keys.js";
 import { NodeDigests } from "../nodeDigests.js";
 
--- a/src/node/bindings/controlBindings.ts
+++ b/src/node/bindings/controlBindings.ts
@@ -110,8 +110,12 @@
         context.get(Keys.Directory).identity,
         leasePrefix + name,
         settings.timing.leaseTerm,
-        context.get(Keys.Metrics),
-        context.get(Keys.Logger),
+        {
+            recordTaken: (lease, fencing) => {
+                context.get(Keys.Logger).info("lease taken", { lease, fencing });
+                context.get(Keys.Metrics).leaseHeld.set({ lease }, 1);
+            },
+        },
     );
 }
 
--- /dev/null
+++ b/src/node/bindings/gatewayBindings.ts
@@ -0,0 +1,260 @@
+import { Container } from "inversify";
+import { SystemClock } from "../../common/clock.js";
+import { JsonEventLog } from "../../common/eventLog.js";
+import { SeededRandom } from "../../common/random.js";
+import { GatewaySettings } from "../../config/gatewaySettings.js";
+import { formatAddress } from "../../config/sectionReader.js";
+import { DutyLease } from "../../duties/dutyLease.js";
+import { Duty, DutyRunner } from "../../duties/dutyRunner.js";
+import { FleetDuty } from "../../duties/fleetDuty.js";
+import { UsageDuty } from "../../duties/usageDuty.js";
+import { EndpointDirectory } from "../../fleet/endpointDirectory.js";
+import { EndpointFollower } from "../../fleet/endpointFollower.js";
+import { CallForwarder } from "../../gateway/callForwarder.js";
+import { CallReader } from "../../gateway/callReader.js";
+import { EndpointConnections } from "../../gateway/endpointConnections.js";
+import { HeaderForwarder } from "../../gateway/forwardedHeaders.js";
+import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
+import { GatewayServer } from "../../gateway/gatewayServer.js";
+import { GatewayPeerService } from "../../generated/corianderward/gateway/v1/gateway_pb.js";
+import { GatewayContent } from "../../gossip/gatewayContent.js";
+import { GossipExchange } from "../../gossip/gossipExchange.js";
+import { ConnectGossipLink } from "../../gossip/gossipLink.js";
+import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
+import { PeerTable } from "../../gossip/peerTable.js";
+import { PeerSessions } from "../../peers/peerSessions.js";
+import { CallPlacement } from "../../placement/callPlacement.js";
+import { EndpointChooser } from "../../placement/endpointChooser.js";
+import { EnginePlacement } from "../../placement/enginePlacement.js";
+import { PlacementNews } from "../../placement/placementNews.js";
+import { WorkMeter } from "../../placement/workMeter.js";
+import { ObjectFollower } from "../../provider/objectFollower.js";
+import { RetryAllowance } from "../../quotas/retryAllowance.js";
+import { SharedRateLimiter } from "../../quotas/sharedRateLimiter.js";
+import { QuarantineLedger } from "../../requests/quarantineLedger.js";
+import { ConfigurationFollower } from "../../routes/configurationFollower.js";
+import { ConfigurationHolder } from "../../routes/configurationHolder.js";
+import { UsageCounter } from "../../usage/usageCounter.js";
+import { UsageLedger } from "../../usage/usageLedger.js";
+import { GatewayKeys as Keys } from "../gatewayKeys.js";
+
+/** Seeds fit in 31 bits. */
+const seedRange = 2 ** 31;
+
+/** Binds every part of a gateway that is the same in each kind of deployment. */
+export function addGatewayBindings(container: Container, settings: GatewaySettings): void {
+    addFoundations(container, settings);
+    addBeliefs(container, settings);
+    addPlacement(container, settings);
+    addPeers(container, settings);
+    addDuties(container, settings);
+    addDataPath(container, settings);
+}
+
+function addFoundations(container: Container, settings: GatewaySettings): void {
+    container.bind(Keys.Settings).toConstantValue(settings);
+    container.bind(Keys.Clock).toDynamicValue(() => SystemClock.create());
+    container.bind(Keys.Random).toDynamicValue(() => SeededRandom.create((Date.now() ^ process.pid) % seedRange));
+    container.bind(Keys.Log).toDynamicValue(() => JsonEventLog.create(settings.name));
+    container.bind(Keys.Metrics).toDynamicValue(() => GatewayMetrics.create());
+    container.bind(Keys.Gate).toConstantValue({ isLeaving: false });
+}
+
+/** Binds what a node believes: configuration, endpoints, peers, and how it learns of them. */
+function addBeliefs(container: Container, settings: GatewaySettings): void {
+    container.bind(Keys.Configuration).toDynamicValue(() => ConfigurationHolder.create());
+    container.bind(Keys.ConfigurationFollower).toDynamicValue(context =>
+        ConfigurationFollower.create(context.get(Keys.Configuration), context.get(Keys.ConfigurationDecoder), context.get(Keys.Log))
+    );
+    container.bind(Keys.Directory).toDynamicValue(context => {
+        const directory = EndpointDirectory.create(context.get(Keys.Clock));
+        const configuration = context.get(Keys.Configuration);
+        directory.setMemorySource(service => configuration.getTable()?.findService(service)?.engine?.memoryTokens ?? 0);
+        return directory;
+    });
+    container.bind(Keys.EndpointFollower).toDynamicValue(context =>
+        EndpointFollower.create(
+            context.get(Keys.Directory),
+            context.get(Keys.EndpointDecoder),
+            context.get(Keys.Clock),
+            context.get(Keys.Log),
+        )
+    );
+    container.bind(Keys.Peers).toDynamicValue(context => {
+        const clock = context.get(Keys.Clock);
+        const identity = {
+            name: settings.name,
+            failureDomain: settings.failureDomain,
+            address: formatAddress(settings.peersListen),
+            incarnation: clock.getWallTime(),
+        };
+        return PeerTable.create(identity, clock, settings.timing.peerSilence);
+    });
+    container.bind(Keys.Registry).toDynamicValue(context =>
+        NodeRegistry.create(context.get(Keys.Store), context.get(Keys.Peers), context.get(Keys.Clock), context.get(Keys.Log))
+    );
+    container.bind(Keys.Watches).toDynamicValue(context => {
+        const store = context.get(Keys.Store);
+        const clock = context.get(Keys.Clock);
+        const log = context.get(Keys.Log);
+        const configurationPrefix = `${context.get(Keys.ConfigurationDecoder).objectName.split("/")[0]}/`;
+        const endpointFollower = context.get(Keys.EndpointFollower);
+        const endpoints = ObjectFollower.create(store, context.get(Keys.EndpointDecoder).prefix, endpointFollower, clock, log);
+        endpointFollower.setOutageSource(() => endpoints.getRegainedAt());
+        return {
+            configuration: ObjectFollower.create(store, configurationPrefix, context.get(Keys.ConfigurationFollower), clock, log),
+            endpoints,
+            nodes: ObjectFollower.create(store, nodePrefix, context.get(Keys.Registry), clock, log),
+        };
+    });
+}
+
+function addPlacement(container: Container, settings: GatewaySettings): void {
+    container.bind(Keys.News).toDynamicValue(() => PlacementNews.create());
+    container.bind(Keys.Work).toDynamicValue(context => WorkMeter.create(context.get(Keys.Clock), settings.engines));
+    container.bind(Keys.EnginePlacement).toDynamicValue(() => EnginePlacement.create(settings.engines, settings.failureDomain));
+    container.bind(Keys.CallPlacement).toDynamicValue(context => {
+        const clock = context.get(Keys.Clock);
+        return CallPlacement.create(settings.calls, settings.failureDomain, () => clock.getMonotonicTime());
+    });
+    container.bind(Keys.Chooser).toDynamicValue(context => {
+        const configuration = context.get(Keys.Configuration);
+        const peers = context.get(Keys.Peers);
+        const engines = context.get(Keys.EnginePlacement);
+        const calls = context.get(Keys.CallPlacement);
+        return EndpointChooser.create(
+            context.get(Keys.Directory),
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+            service => (configuration.getTable()?.findService(service)?.engine === undefined ? calls : engines),
+            service => Math.floor((configuration.getTable()?.findService(service)?.connectionLimit ?? 1) / peers.countServing()),
+        );
+    });
+}
+
+function addPeers(container: Container, settings: GatewaySettings): void {
+    container.bind(Keys.GossipLink).toDynamicValue(context => {
+        const metrics = context.get(Keys.Metrics);
+        return ConnectGossipLink.create(PeerSessions.create(GatewayPeerService, undefined, {
+            recordSilence: () => metrics.peerExchanges.inc({ outcome: "silence" }),
+            recordSessionError: () => metrics.peerExchanges.inc({ outcome: "session-error" }),
+        }));
+    });
+    container.bind(Keys.Gossip).toDynamicValue(context => {
+        const watches = context.get(Keys.Watches);
+        const gate = context.get(Keys.Gate);
+        const content = GatewayContent.create({
+            clock: context.get(Keys.Clock),
+            log: context.get(Keys.Log),
+            table: context.get(Keys.Peers),
+            configuration: context.get(Keys.Configuration),
+            configurationFollower: context.get(Keys.ConfigurationFollower),
+            directory: context.get(Keys.Directory),
+            endpointFollower: context.get(Keys.EndpointFollower),
+            watches: [watches.configuration, watches.endpoints],
+            news: context.get(Keys.News),
+            caps: context.get(Keys.Caps),
+            usage: context.get(Keys.Usage),
+            usageLedger: context.get(Keys.UsageLedger),
+            work: context.get(Keys.Work),
+            lease: context.get(Keys.Lease),
+            ledger: context.get(Keys.Ledger),
+            getIsLeaving: () => gate.isLeaving,
+        });
+        return GossipExchange.create(
+            context.get(Keys.Peers),
+            context.get(Keys.GossipLink),
+            content,
+            context.get(Keys.Clock),
+            settings.timing.gossipInterval,
+            context.get(Keys.Log),
+        );
+    });
+}
+
+function addDuties(container: Container, settings: GatewaySettings): void {
+    container.bind(Keys.Usage).toDynamicValue(context => UsageCounter.create(context.get(Keys.Clock), settings.usage.windowLength));
+    container.bind(Keys.UsageLedger).toDynamicValue(() => UsageLedger.create());
+    container.bind(Keys.Lease).toDynamicValue(context =>
+        DutyLease.create(
+            context.get(Keys.Store),
+            context.get(Keys.Clock),
+            context.get(Keys.Peers).identity,
+            settings.timing.leaseTerm,
+            context.get(Keys.Peers),
+            context.get(Keys.Log),
+        )
+    );
+    container.bind(Keys.Duties).toDynamicValue(context => {
+        const api = context.get(Keys.DutyApi);
+        const lease = context.get(Keys.Lease);
+        const clock = context.get(Keys.Clock);
+        const log = context.get(Keys.Log);
+        const duties: Duty[] = [];
+        if (api !== undefined) {
+            duties.push(
+                UsageDuty.create({
+                    store: context.get(Keys.Store),
+                    api,
+                    clock,
+                    log,
+                    lease,
+                    table: context.get(Keys.Peers),
+                    counter: context.get(Keys.Usage),
+                    ledger: context.get(Keys.UsageLedger),
+                    dueTime: settings.usage.dueTime,
+                }),
+                FleetDuty.create({
+                    api,
+                    clock,
+                    log,
+                    lease,
+                    configuration: context.get(Keys.Configuration),
+                    directory: context.get(Keys.Directory),
+                    work: context.get(Keys.Work),
+                    settings: settings.fleet,
+                }),
+            );
+        }
+        return DutyRunner.create(lease, duties, clock, log);
+    });
+}
+
+function addDataPath(container: Container, settings: GatewaySettings): void {
+    container.bind(Keys.Caps).toDynamicValue(context => SharedRateLimiter.create(context.get(Keys.Clock)));
+    container.bind(Keys.Allowance).toDynamicValue(context => RetryAllowance.create(context.get(Keys.Clock), settings.retries));
+    container.bind(Keys.Ledger).toDynamicValue(context => QuarantineLedger.create(context.get(Keys.Clock), settings.timing.quarantineTerm));
+    container.bind(Keys.Connections).toDynamicValue(() => EndpointConnections.create());
+    container.bind(Keys.Forwarder).toDynamicValue(context => {
+        const protocol = context.get(Keys.Protocol);
+        return CallForwarder.create({
+            clock: context.get(Keys.Clock),
+            log: context.get(Keys.Log),
+            protocol,
+            headers: HeaderForwarder.create(protocol),
+            connections: context.get(Keys.Connections),
+            directory: context.get(Keys.Directory),
+            callPlacement: context.get(Keys.CallPlacement),
+            chooser: context.get(Keys.Chooser),
+            allowance: context.get(Keys.Allowance),
+            usage: context.get(Keys.Usage),
+            news: context.get(Keys.News),
+            work: context.get(Keys.Work),
+            timing: settings.timing,
+        });
+    });
+    container.bind(Keys.Server).toDynamicValue(context => {
+        const protocol = context.get(Keys.Protocol);
+        const clock = context.get(Keys.Clock);
+        return GatewayServer.create({
+            clock,
+            log: context.get(Keys.Log),
+            metrics: context.get(Keys.Metrics),
+            configuration: context.get(Keys.Configuration),
+            reader: CallReader.create(protocol, clock, context.get(Keys.Random)),
+            forwarder: context.get(Keys.Forwarder),
+            caps: context.get(Keys.Caps),
+            retryAfterHeader: protocol.retryAfter,
+        });
+    });
+}
--- a/src/node/nodeDigests.ts
+++ b/src/node/nodeDigests.ts
@@ -7,7 +7,7 @@
 import { EndpointEvidence, EndpointState } from "../endpoints/types.js";
 import { MemberDirectory } from "../peers/memberDirectory.js";
 import { DigestExchange, NodeDigest, NodeDigestInit } from "../peers/types.js";
-import { ObjectStore } from "../platform/objectStore.js";
+import { ObjectStore } from "../provider/objectStore.js";
 import { TeamLimiter } from "../requests/commands/teamLimiter.js";
 import { EndpointEntry, EndpointRegistry } from "../requests/endpointRegistry.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
--- a/src/operators/types.ts
+++ b/src/operators/types.ts
@@ -6,7 +6,7 @@
 import { MoveOperations } from "../control/moves/moveOperations.js";
 import { MemberDirectory } from "../peers/memberDirectory.js";
 import { PeerLink } from "../peers/types.js";
-import { ObjectStore } from "../platform/objectStore.js";
+import { ObjectStore } from "../provider/objectStore.js";
 import { AdmissionQueue } from "../requests/commands/admissionQueue.js";
 import { EndpointRegistry } from "../requests/endpointRegistry.js";
 import { RequestTable } from "../requests/requestTable.js";
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -15,8 +15,8 @@
     private closedBytes = 0;
     private readonly sessions = new Set<ServerHttp2Session>();
 
-    private constructor(handler: PeerHandler, tls: TlsMaterial | undefined) {
-        const listener = connectNodeAdapter({ routes: router => addRoutes(router, handler) });
+    private constructor(routes: (router: ConnectRouter) => void, tls: TlsMaterial | undefined) {
+        const listener = connectNodeAdapter({ routes });
         this.server = createListeningServer(listener, tls);
         this.server.on("connection", (socket: Socket) => {
             this.sockets.add(socket);
@@ -33,7 +33,12 @@
     }
 
     static create(handler: PeerHandler, tls: TlsMaterial | undefined): PeerServer {
-        return new PeerServer(handler, tls);
+        return new PeerServer(router => addRoutes(router, handler), tls);
+    }
+
+    /** Creates a server for another service between nodes. */
+    static createForRoutes(routes: (router: ConnectRouter) => void, tls: TlsMaterial | undefined): PeerServer {
+        return new PeerServer(routes, tls);
     }
 
     /** Starts listening; returns the address, whose port is a free one when 0 was asked for. */
--- /dev/null
+++ b/src/peers/peerSessions.ts
@@ -0,0 +1,137 @@
+import { DescService } from "@bufbuild/protobuf";
+import { Client, Code, ConnectError, createClient, Transport } from "@connectrpc/connect";
+import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
+import { EventEmitter } from "node:events";
+import { SecureContextOptions } from "node:tls";
+import { Diagnostics } from "../common/diagnostics.js";
+import { describeError, Failure, readErrorCode } from "../common/failure.js";
+import { Err, Ok, Result } from "../common/results.js";
+import { Verdict } from "../common/verdict.js";
+import { formatAddress } from "../config/sectionReader.js";
+import { NetworkAddress } from "../config/types.js";
+import { TlsMaterial } from "./tlsMaterial.js";
+
+/** Time between two pings on a connection with open calls, in milliseconds. */
+const pingIntervalMilliseconds = 1_000;
+const pingTimeoutMilliseconds = 1_000;
+/** Time after which an unused connection is closed, in milliseconds. */
+const idleConnectionMilliseconds = 10_000;
+
+/** The part of the session manager's state that holds its session. */
+interface SessionManagerState {
+    readonly s: { readonly conn?: unknown; };
+}
+
+interface OpenPeer<S extends DescService> {
+    readonly client: Client<S>;
+    readonly sessions: Http2SessionManager;
+}
+
+/** Hears what happens to sessions, for metrics. */
+export interface SessionObserver {
+    recordSilence(): void;
+    recordSessionError(): void;
+}
+
+/** Sessions to peers over Connect on HTTP/2, one for each peer, with mutual TLS when certificates are set. */
+export class PeerSessions<S extends DescService> {
+    private readonly peers = new Map<string, OpenPeer<S>>();
+    private readonly guardedSessions = new WeakSet<EventEmitter>();
+
+    private constructor(
+        private readonly service: S,
+        private readonly tls: TlsMaterial | undefined,
+        private readonly observer: SessionObserver,
+    ) {
+        tls?.addListener(() => this.closePeers());
+    }
+
+    static create<S extends DescService>(service: S, tls: TlsMaterial | undefined, observer: SessionObserver): PeerSessions<S> {
+        return new PeerSessions(service, tls, observer);
+    }
+
+    /** Makes one call; a connection that gave no answer is not used again. */
+    async send<T>(address: NetworkAddress, call: (client: Client<S>) => Promise<T>): Promise<Result<T, Failure>> {
+        const peer = this.openPeer(address);
+        try {
+            await this.connect(peer);
+            return Ok(await call(peer.client));
+        }
+        catch (error) {
+            const connectError = ConnectError.from(error);
+            if (connectError.code === Code.DeadlineExceeded || connectError.code === Code.Unavailable) {
+                // It may be silent for good.
+                this.observer.recordSilence();
+                peer.sessions.abort();
+                this.peers.delete(formatAddress(address));
+            }
+            return Err(createPeerFailure(address, connectError));
+        }
+    }
+
+    /** Returns a client whose session is open. */
+    async openClient(address: NetworkAddress): Promise<Client<S>> {
+        const peer = this.openPeer(address);
+        await this.connect(peer);
+        return peer.client;
+    }
+
+    closePeers(): void {
+        for (const peer of this.peers.values()) {
+            peer.sessions.abort();
+        }
+        this.peers.clear();
+    }
+
+    private async connect(peer: OpenPeer<S>): Promise<void> {
+        await peer.sessions.connect();
+        this.guardSession(peer.sessions);
+    }
+
+    private openPeer(address: NetworkAddress): OpenPeer<S> {
+        const key = formatAddress(address);
+        const existing = this.peers.get(key);
+        if (existing !== undefined) {
+            return existing;
+        }
+        const scheme = this.tls === undefined ? "http" : "https";
+        const baseUrl = `${scheme}://${key}`;
+        const options = this.tls === undefined ? undefined : createClientOptions(this.tls.getOptions());
+        const sessions = new Http2SessionManager(baseUrl, {
+            pingIntervalMs: pingIntervalMilliseconds,
+            pingTimeoutMs: pingTimeoutMilliseconds,
+            idleConnectionTimeoutMs: idleConnectionMilliseconds,
+        }, options);
+        const transport: Transport = createConnectTransport({ httpVersion: "2", baseUrl, sessionManager: sessions });
+        const peer: OpenPeer<S> = { client: createClient(this.service, transport), sessions };
+        this.peers.set(key, peer);
+        return peer;
+    }
+
+    /**
+     * Keeps the errors of a session from ending the process. When a peer says that it goes away, the session manager
+     * destroys its idle session with an error, at times after it has removed its own listener.
+     */
+    private guardSession(sessions: Http2SessionManager): void {
+        const state = (sessions as unknown as SessionManagerState).s;
+        if (state.conn instanceof EventEmitter && !this.guardedSessions.has(state.conn)) {
+            this.guardedSessions.add(state.conn);
+            state.conn.on("error", () => this.observer.recordSessionError());
+        }
+    }
+}
+
+function createClientOptions(options: SecureContextOptions) {
+    return {
+        ...options,
+        // Every holder of a certificate of the authority is a node; hosts change their addresses too often to name them.
+        checkServerIdentity: () => undefined,
+    };
+}
+
+function createPeerFailure(address: NetworkAddress, error: ConnectError): Failure {
+    const causeCode = readErrorCode(error.cause);
+    const neverConnected = causeCode === "ECONNREFUSED" || causeCode === "EHOSTUNREACH" || causeCode === "ENETUNREACH";
+    const verdict = neverConnected ? Verdict.NotRun : Verdict.MayHaveRun;
+    return Failure.create(verdict, Diagnostics.Node_at_0_did_not_answer_1, formatAddress(address), describeError(error));
+}
--- /dev/null
+++ b/src/placement/endpointChooser.ts
@@ -0,0 +1,78 @@
+import { Clock } from "../common/clock.js";
+import { Diagnostics } from "../common/diagnostics.js";
+import { Failure } from "../common/failure.js";
+import { RandomSource } from "../common/random.js";
+import { Err, Ok, Result } from "../common/results.js";
+import { Verdict } from "../common/verdict.js";
+import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { Placement, PlacementPolicy, PlacementQuery } from "./types.js";
+
+/** Parts of the caller's time left that the expected time may take: what is expected later than that is not served in time. */
+const usableShareOfTimeLeft = 0.9;
+/** Costs that differ by less, in milliseconds, count as equal, so that nodes with the same reports spread their choices. */
+const equalCostMilliseconds = 2;
+/** Requests of this node that one of an endpoint's connections may wait for; the limit of connections is shared by all nodes. */
+const spareConnections = 2;
+
+/** Reads how many connections one node may open to an endpoint of a service. */
+export type ConnectionLimitSource = (service: string) => number;
+
+/** Chooses the endpoint for each request among those that may have it. */
+export class EndpointChooser {
+    private constructor(
+        private readonly directory: EndpointDirectory,
+        private readonly clock: Clock,
+        private readonly random: RandomSource,
+        private readonly getPolicy: (service: string) => PlacementPolicy,
+        private readonly getConnectionLimit: ConnectionLimitSource,
+    ) {}
+
+    static create(
+        directory: EndpointDirectory,
+        clock: Clock,
+        random: RandomSource,
+        getPolicy: (service: string) => PlacementPolicy,
+        getConnectionLimit: ConnectionLimitSource,
+    ): EndpointChooser {
+        return new EndpointChooser(directory, clock, random, getPolicy, getConnectionLimit);
+    }
+
+    /** Chooses an endpoint, or fails when none is there or none is expected to serve the request in time. */
+    choosePlacement(query: PlacementQuery): Result<Placement, Failure> {
+        const candidates = this.listCandidates(query);
+        const policy = this.getPolicy(query.service);
+        let best: Placement | undefined;
+        let lowestCost = Infinity;
+        let equalCount = 0;
+        for (const endpoint of candidates) {
+            const { cost, expectedTime, tokensToRead } = policy.computeCost(endpoint, query);
+            const isEqual = Math.abs(cost - lowestCost) < equalCostMilliseconds;
+            equalCount = isEqual ? equalCount + 1 : 1;
+            const isPicked = isEqual ? this.random.pickIndex(equalCount) === 0 : cost < lowestCost;
+            if (!isPicked) {
+                continue;
+            }
+            lowestCost = Math.min(cost, lowestCost);
+            best = { endpoint, expectedTime, tokensToRead };
+        }
+        if (best === undefined) {
+            return Err(Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service));
+        }
+        if (best.expectedTime > query.timeLeft * usableShareOfTimeLeft) {
+            const wait = Math.round(best.expectedTime);
+            return Err(Failure.create(Verdict.NotRun, Diagnostics.Expected_wait_of_0_milliseconds_passes_the_deadline, wait));
+        }
+        return Ok(best);
+    }
+
+    private listCandidates(query: PlacementQuery): FleetEndpoint[] {
+        const now = this.clock.getMonotonicTime();
+        const limit = Math.max(1, this.getConnectionLimit(query.service) - spareConnections);
+        const usable = this.directory.listEndpoints(query.service).filter(endpoint => endpoint.isUsable());
+        const untried = usable.filter(endpoint => !query.tried.has(endpoint) && !endpoint.isFull(now) && endpoint.running < limit);
+        const ready = untried.filter(endpoint => !endpoint.isExcluded(now));
+        // Any endpoint is better than none.
+        return ready.length > 0 ? ready : untried;
+    }
+}
--- /dev/null
+++ b/src/placement/enginePlacement.ts
@@ -0,0 +1,78 @@
+import { hashToNumber } from "../common/hashing.js";
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { PromptPart, PromptShape } from "../fleet/types.js";
+import { PlacementCost, PlacementPolicy, PlacementQuery } from "./types.js";
+
+/** Speeds of the engines and what routing weighs, from the settings. Times are in milliseconds. */
+export interface EngineSpeeds {
+    /** Prompt tokens that an engine reads in a millisecond. */
+    readonly promptTokensPerMillisecond: number;
+    /** Time that one more running request adds to the first event of another. */
+    readonly batchPenalty: number;
+    /** What sending to another failure domain is worth avoiding. */
+    readonly domainPenalty: number;
+    /** What reading a shared part at an endpoint that is not its home is worth avoiding. */
+    readonly homePenalty: number;
+}
+
+/** Cost of an endpoint that fails often, in milliseconds: any healthy one is better. */
+const unhealthyPenaltyMilliseconds = 5_000;
+const hashRange = 2 ** 32;
+
+/** Places generations where the prompt is cached and few tokens wait to be read; cold prompts go to the part's home by hashing. */
+export class EnginePlacement implements PlacementPolicy {
+    private readonly homeScores = new Map<string, number>();
+
+    private constructor(private readonly speeds: EngineSpeeds, private readonly failureDomain: string) {}
+
+    static create(speeds: EngineSpeeds, failureDomain: string): EnginePlacement {
+        return new EnginePlacement(speeds, failureDomain);
+    }
+
+    computeCost(endpoint: FleetEndpoint, query: PlacementQuery): PlacementCost {
+        const { speeds } = this;
+        const prompt = query.prompt;
+        const tokensToRead = prompt === undefined ? 0 : prompt.inputTokens - endpoint.cache.countCachedTokens(prompt.parts);
+        const readTime = (endpoint.countPromptTokens() + tokensToRead) / speeds.promptTokensPerMillisecond;
+        const batchTime = endpoint.countRequests() * speeds.batchPenalty;
+        const expectedTime = (readTime + batchTime) * endpoint.getLatencyRatio();
+        let cost = expectedTime;
+        if (endpoint.entry.failureDomain !== this.failureDomain) {
+            cost += speeds.domainPenalty;
+        }
+        if (prompt !== undefined) {
+            cost += speeds.homePenalty * this.computeDistance(endpoint.entry.id, prompt);
+        }
+        if (endpoint.isUnhealthy()) {
+            cost += unhealthyPenaltyMilliseconds;
+        }
+        return { cost, expectedTime, tokensToRead };
+    }
+
+    /** Returns 0 to 1: how far an endpoint is from being the home of a prompt's longest shared part, the same on every node. */
+    private computeDistance(endpointId: string, prompt: PromptShape): number {
+        const part = findSharedPart(prompt.parts);
+        if (part === undefined) {
+            return 0;
+        }
+        const key = `${part.id}\n${endpointId}`;
+        const known = this.homeScores.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        if (this.homeScores.size >= homeScoreLimit) {
+            this.homeScores.clear();
+        }
+        const score = hashToNumber(key) / hashRange;
+        this.homeScores.set(key, score);
+        return score;
+    }
+}
+
+/** Hashes that are remembered: several days' prompts at every endpoint of a large fleet. */
+const homeScoreLimit = 100_000;
+
+/** Returns the last part that other requests share: the very last belongs to the request itself. */
+function findSharedPart(parts: readonly PromptPart[]): PromptPart | undefined {
+    return parts.length >= 2 ? parts[parts.length - 2] : parts[0];
+}
--- /dev/null
+++ b/src/placement/types.ts
@@ -0,0 +1,37 @@
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { PromptShape } from "../fleet/types.js";
+
+/** A request that needs an endpoint. Times are in milliseconds. */
+export interface PlacementQuery {
+    readonly service: string;
+    readonly prompt: PromptShape | undefined;
+    /** How long the caller still waits. */
+    readonly timeLeft: number;
+    readonly objective: number;
+    /** Endpoints that have had this request already. */
+    readonly tried: ReadonlySet<FleetEndpoint>;
+    /** Whether it may run twice; such requests test endpoints that failed. */
+    readonly isIdempotent: boolean;
+}
+
+/** Where a request goes. */
+export interface Placement {
+    readonly endpoint: FleetEndpoint;
+    /** Expected time to the first event or the whole answer, in milliseconds. */
+    readonly expectedTime: number;
+    /** Tokens that the endpoint is expected to read for it. */
+    readonly tokensToRead: number;
+}
+
+/** Says how well an endpoint suits a request; the lowest cost wins. */
+export interface PlacementCost {
+    /** In milliseconds of the caller's time; other costs are given in the same unit. */
+    readonly cost: number;
+    readonly expectedTime: number;
+    readonly tokensToRead: number;
+}
+
+/** A way to judge endpoints. */
+export interface PlacementPolicy {
+    computeCost(endpoint: FleetEndpoint, query: PlacementQuery): PlacementCost;
+}
--- /dev/null
+++ b/src/placement/workMeter.ts
@@ -0,0 +1,73 @@
+import { Clock } from "../common/clock.js";
+import { millisecondsPerSecond } from "../common/units.js";
+
+/** Time constant of the measured work, in milliseconds: long against a burst of requests, short against a change of load. */
+const workWindowMilliseconds = 4_000;
+/** Time after which another node's work is no longer counted, in milliseconds. */
+const workAgeLimitMilliseconds = 10_000;
+
+/** How long an engine works on tokens, in milliseconds. */
+export interface TokenTimes {
+    readonly promptTokensPerMillisecond: number;
+    /** One output token in a usual batch. */
+    readonly outputToken: number;
+}
+
+/** Work of one service, in milliseconds of one engine a second. */
+export interface ServiceWork {
+    readonly service: string;
+    readonly work: number;
+}
+
+interface WorkRate {
+    work: number;
+    at: number;
+}
+
+/** Measures how much work goes to each service's engines, by what this node sends and what others tell. */
+export class WorkMeter {
+    private readonly own = new Map<string, WorkRate>();
+    private readonly others = new Map<string, Map<string, WorkRate>>();
+
+    private constructor(private readonly clock: Clock, private readonly times: TokenTimes) {}
+
+    static create(clock: Clock, times: TokenTimes): WorkMeter {
+        return new WorkMeter(clock, times);
+    }
+
+    /** Records a generation that is sent to an engine. */
+    recordWork(service: string, tokensToRead: number, outputTokens: number): void {
+        const now = this.clock.getMonotonicTime();
+        const rate = this.own.get(service) ?? { work: 0, at: now };
+        const milliseconds = tokensToRead / this.times.promptTokensPerMillisecond + outputTokens * this.times.outputToken;
+        rate.work = computeWork(rate, now) + milliseconds * millisecondsPerSecond / workWindowMilliseconds;
+        rate.at = now;
+        this.own.set(service, rate);
+    }
+
+    recordOther(service: string, node: string, work: number): void {
+        const nodes = this.others.get(service) ?? new Map<string, WorkRate>();
+        nodes.set(node, { work, at: this.clock.getMonotonicTime() });
+        this.others.set(service, nodes);
+    }
+
+    listOwn(): ServiceWork[] {
+        const now = this.clock.getMonotonicTime();
+        return [...this.own].map(([service, rate]) => ({ service, work: computeWork(rate, now) }));
+    }
+
+    /** Returns the work of all nodes. */
+    computeTotal(service: string): number {
+        const now = this.clock.getMonotonicTime();
+        const own = this.own.get(service);
+        let total = own === undefined ? 0 : computeWork(own, now);
+        for (const rate of this.others.get(service)?.values() ?? []) {
+            total += now - rate.at <= workAgeLimitMilliseconds ? rate.work : 0;
+        }
+        return total;
+    }
+}
+
+function computeWork(rate: WorkRate, now: number): number {
+    return rate.work * Math.exp(-(now - rate.at) / workWindowMilliseconds);
+}
--- a/src/requests/commands/claimStore.ts
+++ b/src/requests/commands/claimStore.ts
@@ -6,8 +6,8 @@
 import { Logger } from "../../common/logging.js";
 import { Metrics } from "../../common/metrics.js";
 import { Verdict } from "../../common/verdict.js";
-import { ObjectStore } from "../../platform/objectStore.js";
-import { StoredObject, WriteOutcome } from "../../platform/types.js";
+import { ObjectStore } from "../../provider/objectStore.js";
+import { StoredObject, WriteOutcome } from "../../provider/types.js";
 
 /** Largest answer that is kept with a claim, in bytes. */
 const storedAnswerBytes = 65_536;
--- a/src/requests/endpointRegistry.ts
+++ b/src/requests/endpointRegistry.ts
@@ -4,7 +4,7 @@
 import { Logger } from "../common/logging.js";
 import { Metrics } from "../common/metrics.js";
 import { EndpointDescription, EndpointEvidence, EndpointState, LoadReport } from "../endpoints/types.js";
-import { HostState } from "../platform/types.js";
+import { HostState } from "../provider/types.js";
 import { ConcurrencyLimit } from "./concurrencyLimit.js";
 
 /** Time for which an endpoint gets no work after a failure, in milliseconds; doubled for each further one. */
--- a/src/requests/queries/endpointSelector.ts
+++ b/src/requests/queries/endpointSelector.ts
@@ -1,6 +1,6 @@
 import { Priority, RoutingWeights } from "../../config/types.js";
 import { EndpointState } from "../../endpoints/types.js";
-import { PurchaseKind } from "../../platform/types.js";
+import { PurchaseKind } from "../../provider/types.js";
 import { EndpointEntry, EndpointRegistry } from "../endpointRegistry.js";
 import { PrefixIndex, PromptPrefixes } from "../prefixIndex.js";
 
--- /dev/null
+++ b/src/routes/configurationFollower.ts
@@ -0,0 +1,62 @@
+import { EventLog } from "../common/eventLog.js";
+import { LogEvents } from "../common/logEvents.js";
+import { Result } from "../common/results.js";
+import { ObjectHandler } from "../provider/objectFollower.js";
+import { ObjectList, StoredObject } from "../provider/types.js";
+import { ConfigurationHolder } from "./configurationHolder.js";
+import { RouteConfiguration } from "./types.js";
+
+/** Reads the operator's configuration from the form in which a deployment stores it; fails with every fault. */
+export interface ConfigurationDecoder {
+    /** Name of the object that holds the configuration. */
+    readonly objectName: string;
+    decodeConfiguration(value: unknown): Result<RouteConfiguration, string[]>;
+}
+
+/** Puts in force what the operator writes to the store. */
+export class ConfigurationFollower implements ObjectHandler {
+    private constructor(
+        private readonly holder: ConfigurationHolder,
+        private readonly decoder: ConfigurationDecoder,
+        private readonly log: EventLog,
+    ) {}
+
+    static create(holder: ConfigurationHolder, decoder: ConfigurationDecoder, log: EventLog): ConfigurationFollower {
+        return new ConfigurationFollower(holder, decoder, log);
+    }
+
+    handleListing(list: ObjectList): void {
+        list.objects.forEach(object => this.handleChange(object));
+    }
+
+    handleChange(object: StoredObject): void {
+        if (object.name !== this.decoder.objectName) {
+            return;
+        }
+        const decoded = this.decoder.decodeConfiguration(object.value);
+        if (decoded.err) {
+            this.log.log(LogEvents.ConfigurationFaulty, { revision: object.revision, faults: decoded.val.join("; ") });
+            return;
+        }
+        this.applyConfiguration(decoded.val, "store");
+    }
+
+    /** A configuration that was removed stays in force until there is another. */
+    handleRemoval(): void {}
+
+    /** Puts a configuration in force if it is newer. */
+    applyConfiguration(configuration: RouteConfiguration, source: string): void {
+        const before = this.holder.getVersion();
+        if (!this.holder.applyConfiguration(configuration)) {
+            return;
+        }
+        this.log.log(LogEvents.ConfigurationApplied, {
+            version: configuration.version,
+            before,
+            source,
+            routes: configuration.routes.length,
+            services: configuration.services.length,
+            teams: configuration.teams.length,
+        });
+    }
+}
--- a/src/testing/daemons.ts
+++ b/src/testing/daemons.ts
@@ -5,7 +5,7 @@
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
 
-const binary = fileURLToPath(new URL("../../bin/corianderwardd.js", import.meta.url));
+const binary = fileURLToPath(new URL("../../../bin/corianderwardd.js", import.meta.url));
 const readyLimitMilliseconds = 20_000;
 
 /** A daemon in a process of its own. */
--- a/src/testing/failures/leases.test.ts
+++ b/src/testing/failures/leases.test.ts
@@ -2,8 +2,6 @@
 import { test } from "node:test";
 import { Diagnostics } from "../../common/diagnostics.js";
 import { Failure } from "../../common/failure.js";
-import { createSilentLogger } from "../../common/logging.js";
-import { Metrics } from "../../common/metrics.js";
 import { SeededRandom } from "../../common/random.js";
 import { Err, Ok } from "../../common/results.js";
 import { Verdict } from "../../common/verdict.js";
@@ -75,8 +73,7 @@
             { name: `node-${index}`, incarnation: 1 },
             "leases/test",
             term,
-            Metrics.create(),
-            createSilentLogger(),
+            { recordTaken: () => {} },
         );
         const client = createClient(endpoint, index, world, clock, SeededRandom.create(seed * 10 + index + 5), checksFencing);
         const sender = OrderSender.create(client, lease, clock, () => checksFencing);
@@ -182,8 +179,7 @@
             { name: `node-${index}`, incarnation: 1 },
             "leases/test",
             term,
-            Metrics.create(),
-            createSilentLogger(),
+            { recordTaken: () => {} },
         );
     });
     void leases[0]?.runRounds();
--- a/src/testing/memoryObjectStore.ts
+++ b/src/testing/memoryObjectStore.ts
@@ -4,8 +4,8 @@
 import { RandomSource } from "../common/random.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
-import { ObjectStore } from "../platform/objectStore.js";
-import { ObjectList, StoredObject, WatchEvent, WatchEventKind, WriteFailure, WriteOutcome } from "../platform/types.js";
+import { ObjectStore } from "../provider/objectStore.js";
+import { ObjectList, StoredObject, WatchEvent, WatchEventKind, WriteFailure, WriteOutcome } from "../provider/types.js";
 import { PausableClock, VirtualClock } from "./virtualClock.js";
 
 const watchPollMilliseconds = 20;
--- a/src/testing/virtualFleet.ts
+++ b/src/testing/virtualFleet.ts
@@ -26,7 +26,7 @@
     PeerLink,
     PeerResult,
 } from "../peers/types.js";
-import { HostRole, HostState, ListedHost, PurchaseKind } from "../platform/types.js";
+import { HostRole, HostState, ListedHost, PurchaseKind } from "../provider/types.js";
 import { createTestSettings } from "./deployment.js";
 import { MemoryObjects, MemoryObjectStore } from "./memoryObjectStore.js";
 import { PausableClock, VirtualClock } from "./virtualClock.js";
