--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -5,7 +5,21 @@
 import { findNearestName, parseAddress, SectionReader } from "./sectionReader.js";
 import { NetworkAddress } from "./types.js";
 
-const sectionNames = ["node", "listen", "store", "cloud", "peers", "retries", "engines", "calls", "fleet", "usage", "timing", "tracing"];
+const sectionNames = [
+    "node",
+    "listen",
+    "store",
+    "cloud",
+    "peers",
+    "retries",
+    "engines",
+    "calls",
+    "fleet",
+    "caps",
+    "usage",
+    "timing",
+    "tracing",
+];
 const requiredSections = ["node", "listen", "store"];
 const visiblePattern = /^[!-~]{1,200}$/;
 const visibleAllowed = "1 to 200 visible characters";
@@ -53,6 +67,8 @@
     };
     readonly calls: { readonly initialCallTime: number; readonly domainPenalty: number; };
     readonly fleet: { readonly targetUtilization: number; readonly leastNeeded: number; readonly shrinkDelay: number; };
+    /** Units that all nodes together may pass beyond a team's usage cap, at once. */
+    readonly caps: { readonly slack: number; };
     readonly usage: { readonly windowLength: number; readonly dueTime: number; };
     readonly timing: GatewayTiming;
     readonly collectorUrl: string | undefined;
@@ -105,6 +121,7 @@
             engines: readEngines(openSection("engines")),
             calls: readCalls(openSection("calls")),
             fleet: readFleet(openSection("fleet")),
+            caps: { slack: openSection("caps").readNumber("slack", 0, 1e12, 0) },
             usage: readUsage(openSection("usage")),
             timing: readTiming(openSection("timing")),
             collectorUrl: openSection("tracing").readOptionalUrl("collector-url"),
--- a/src/gossip/gatewayContent.ts
+++ b/src/gossip/gatewayContent.ts
@@ -9,6 +9,7 @@
 import { PlacementNews } from "../placement/placementNews.js";
 import { WorkMeter } from "../placement/workMeter.js";
 import { ObjectFollower } from "../provider/objectFollower.js";
+import { RetryAllowance } from "../quotas/retryAllowance.js";
 import { SharedRateLimiter } from "../quotas/sharedRateLimiter.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { ConfigurationFollower } from "../routes/configurationFollower.js";
@@ -37,6 +38,7 @@
     readonly watches: readonly ObjectFollower[];
     readonly news: PlacementNews;
     readonly caps: SharedRateLimiter;
+    readonly allowance: RetryAllowance;
     readonly usage: UsageCounter;
     readonly usageLedger: UsageLedger;
     readonly work: WorkMeter;
@@ -56,6 +58,7 @@
     createDigest(peer: GatewayPeer | undefined): GatewayDigestInit {
         const { parts } = this;
         const { identity } = parts.table;
+        this.updateNodeCount();
         const placements = parts.news.listSince(peer?.toldPlacements ?? parts.news.getSequence());
         if (peer !== undefined) {
             peer.toldPlacements = parts.news.getSequence();
@@ -148,6 +151,12 @@
         }
     }
 
+    private updateNodeCount(): void {
+        const count = this.parts.table.countServing();
+        this.parts.caps.setNodeCount(count);
+        this.parts.allowance.setNodeCount(count);
+    }
+
     private isStoreCurrent(): boolean {
         return this.parts.watches.every(watch => watch.isCurrent());
     }
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -12,6 +12,9 @@
 /** Time after which a peer that was never heard, or no more, is not counted as a node that serves, in milliseconds. */
 const forgottenMilliseconds = 30_000;
 
+/** Nodes that are taken to serve while none has been heard: what they use of shared limits is then not known. */
+const assumedNodes = 10;
+
 /** The other nodes, from the store, from the settings' seeds and from what peers tell of one another. */
 export class PeerTable {
     private readonly peers = new Map<string, GatewayPeer>();
@@ -107,6 +110,8 @@
             const lastSign = Math.max(peer.heardAt, this.addedAt.get(peer.name) ?? -Infinity);
             return now - lastSign <= forgottenMilliseconds;
         });
-        return serving.length + 1;
+        const count = serving.length + 1;
+        const isSettled = serving.some(peer => peer.heardAt > -Infinity);
+        return isSettled ? count : Math.max(count, assumedNodes);
     }
 }
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -154,6 +154,7 @@
             watches: [watches.configuration, watches.endpoints],
             news: context.get(Keys.News),
             caps: context.get(Keys.Caps),
+            allowance: context.get(Keys.Allowance),
             usage: context.get(Keys.Usage),
             usageLedger: context.get(Keys.UsageLedger),
             work: context.get(Keys.Work),
@@ -221,7 +222,7 @@
 }
 
 function addDataPath(container: Container, settings: GatewaySettings): void {
-    container.bind(Keys.Caps).toDynamicValue(context => SharedRateLimiter.create(context.get(Keys.Clock)));
+    container.bind(Keys.Caps).toDynamicValue(context => SharedRateLimiter.create(context.get(Keys.Clock), settings.caps.slack));
     container.bind(Keys.Allowance).toDynamicValue(context => RetryAllowance.create(context.get(Keys.Clock), settings.retries));
     container.bind(Keys.Ledger).toDynamicValue(context => QuarantineLedger.create(context.get(Keys.Clock), settings.timing.quarantineTerm));
     container.bind(Keys.Connections).toDynamicValue(() => EndpointConnections.create());
--- a/src/quotas/sharedRateLimiter.ts
+++ b/src/quotas/sharedRateLimiter.ts
@@ -6,6 +6,9 @@
 /** Time after which another node's demand is no longer counted, in milliseconds. */
 const demandAgeLimitMilliseconds = 15_000;
 
+/** Share of the slack that is used; the rest is for what is sent before a limit is lowered and arrives after. */
+const usedSlackShare = 0.8;
+
 /** A limit on all nodes together, in units a second and units at once. */
 export interface SharedRate {
     readonly name: string;
@@ -35,11 +38,15 @@
 export class SharedRateLimiter {
     private readonly buckets = new Map<string, RateBucket>();
     private nodeCount = 1;
+    private readonly createdAt: number;
 
-    private constructor(private readonly clock: Clock) {}
+    private constructor(private readonly clock: Clock, private readonly slack: number) {
+        this.createdAt = clock.getMonotonicTime();
+    }
 
-    static create(clock: Clock): SharedRateLimiter {
-        return new SharedRateLimiter(clock);
+    /** The slack, in units, is what all nodes together may pass beyond each limit; it covers what shares of the demand get wrong. */
+    static create(clock: Clock, slack = 0): SharedRateLimiter {
+        return new SharedRateLimiter(clock, slack);
     }
 
     /** Sets how many nodes serve callers. */
@@ -53,11 +60,11 @@
      */
     takeUnits(limit: SharedRate, units: number, leastBurst: number): number | undefined {
         const now = this.clock.getMonotonicTime();
-        const bucket = this.getBucket(limit, now, leastBurst);
+        const bucket = this.getBucket(limit, now);
         this.recordDemand(bucket, units, now);
         const share = this.computeOwnShare(bucket, now);
         const rate = limit.rate * share;
-        const burst = Math.max(leastBurst, limit.burst * share);
+        const burst = Math.max(leastBurst, limit.burst * share + this.getOwnSlack());
         bucket.available = Math.min(burst, bucket.available + (now - bucket.refilledAt) / millisecondsPerSecond * rate);
         bucket.refilledAt = now;
         if (bucket.available < units) {
@@ -78,17 +85,21 @@
         return [...this.buckets].map(([name, bucket]) => ({ name, demand: computeDemand(bucket, now) }));
     }
 
-    private getBucket(limit: SharedRate, now: number, leastBurst: number): RateBucket {
+    private getBucket(limit: SharedRate, now: number): RateBucket {
         const existing = this.buckets.get(limit.name);
         if (existing !== undefined) {
             return existing;
         }
-        const available = Math.max(leastBurst, limit.burst / this.nodeCount);
-        const bucket: RateBucket = { available, refilledAt: now, demand: 0, demandAt: now, others: new Map() };
+        // What an earlier life of this node passed is not known, so a bucket fills from the start of the process on.
+        const bucket: RateBucket = { available: 0, refilledAt: this.createdAt, demand: 0, demandAt: now, others: new Map() };
         this.buckets.set(limit.name, bucket);
         return bucket;
     }
 
+    private getOwnSlack(): number {
+        return this.slack * usedSlackShare / this.nodeCount;
+    }
+
     private recordDemand(bucket: RateBucket, units: number, now: number): void {
         bucket.demand = computeDemand(bucket, now) + units * millisecondsPerSecond / demandWindowMilliseconds;
         bucket.demandAt = now;
