--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -30,8 +30,6 @@
     /** Silence of an endpoint after which work that may be repeated goes on elsewhere. */
     readonly endpointSilence: number;
     readonly storeTimeout: number;
-    /** Longest wait of one watch call. */
-    readonly watchWait: number;
     readonly cloudTimeout: number;
     readonly gossipInterval: number;
     /** Silence after which a peer counts as lost. */
@@ -219,7 +217,6 @@
         connectTimeout: readMilliseconds("connect-timeout", 300),
         endpointSilence: readMilliseconds("endpoint-silence", 900),
         storeTimeout: readMilliseconds("store-timeout", 1_000),
-        watchWait: readMilliseconds("watch-wait", 6_000),
         cloudTimeout: readMilliseconds("cloud-timeout", 1_500),
         gossipInterval: readMilliseconds("gossip-interval", 500),
         peerSilence: readMilliseconds("peer-silence", 2_000),
--- a/src/fleet/endpointFollower.ts
+++ b/src/fleet/endpointFollower.ts
@@ -9,6 +9,8 @@
 
 /** Time after an outage of the store until which missing entries may come back, in milliseconds: two seconds by the store's terms, and a little. */
 const returnMilliseconds = 2_300;
+/** Time in which a change reaches every node that watches the store, in milliseconds: a few answers of the store. */
+const newsMilliseconds = 250;
 const storeSource = "store";
 
 /** Reads an endpoint's entry from the form in which a deployment stores it. */
@@ -24,6 +26,7 @@
     private readonly pendingRemovals = new Map<string, number>();
     private getRegainedAt: () => number = () => -Infinity;
     private revision = 0;
+    private changedAt = -Infinity;
 
     private constructor(
         private readonly directory: EndpointDirectory,
@@ -46,7 +49,29 @@
         return this.revision;
     }
 
+    /** Records that the directory is complete up to a revision of the store, by what a peer told. */
+    recordRevision(revision: number): void {
+        if (revision > this.revision) {
+            this.revision = revision;
+            this.changedAt = this.clock.getMonotonicTime();
+        }
+    }
+
+    /** Whether its newest change is so old that other nodes' watches would have shown it to them. */
+    hasOldNews(): boolean {
+        return this.clock.getMonotonicTime() - this.changedAt > newsMilliseconds;
+    }
+
     handleListing(list: ObjectList): void {
+        const before = this.revision;
+        this.applyListing(list);
+        if (this.revision > before) {
+            // Found by listing, so it happened some time ago.
+            this.changedAt = -Infinity;
+        }
+    }
+
+    private applyListing(list: ObjectList): void {
         const listed = new Set(list.objects.map(object => object.name));
         list.objects.forEach(object => this.handleChange(object));
         for (const name of this.ids.keys()) {
@@ -64,7 +89,7 @@
         }
         this.pendingRemovals.delete(object.name);
         this.ids.set(object.name, decoded.val.id);
-        this.revision = Math.max(this.revision, object.revision);
+        this.recordRevision(object.revision);
         this.directory.applyEntry({ entry: decoded.val, revision: object.revision }, storeSource);
     }
 
@@ -89,7 +114,7 @@
         this.pendingRemovals.delete(name);
         this.ids.delete(name);
         if (id !== undefined) {
-            this.revision = Math.max(this.revision, revision);
+            this.recordRevision(revision);
             this.directory.removeEntry(id, revision, storeSource);
         }
     }
--- a/src/gossip/gatewayContent.ts
+++ b/src/gossip/gatewayContent.ts
@@ -110,8 +110,9 @@
     createStateFor(digest: GatewayDigest): SharedStateInit | undefined {
         const { parts } = this;
         const lacksConfiguration = Number(digest.configurationVersion) < parts.configuration.getVersion();
-        // A node whose watches are current gets the entries from the store; they are only on their way.
-        const lacksEndpoints = !digest.isStoreReachable && Number(digest.directoryRevision) < parts.endpointFollower.getRevision();
+        const isBehind = Number(digest.directoryRevision) < parts.endpointFollower.getRevision();
+        // To a node that watches the store, news that is quite new is still on its way.
+        const lacksEndpoints = isBehind && (!digest.isStoreReachable || parts.endpointFollower.hasOldNews());
         if (!lacksConfiguration && !lacksEndpoints) {
             return undefined;
         }
@@ -119,6 +120,7 @@
         return {
             configurationJson: lacksConfiguration ? JSON.stringify(configuration) : "",
             endpointsJson: lacksEndpoints ? JSON.stringify(parts.directory.listEntries()) : "",
+            directoryRevision: BigInt(parts.endpointFollower.getRevision()),
         };
     }
 
@@ -133,22 +135,22 @@
         if (state.endpointsJson !== "") {
             const parsed = revisedEntriesSchema.safeParse(JSON.parse(state.endpointsJson));
             if (parsed.success) {
-                this.applyEntries(parsed.data, source);
+                this.applyEntries(parsed.data, Number(state.directoryRevision), source);
             }
         }
     }
 
-    /** Takes a peer's whole list of entries while the store cannot be asked: what is missing there was removed since. */
-    private applyEntries(entries: readonly RevisedEntry[], source: string): void {
+    /** Takes a peer's whole list of entries: what is missing there was removed by its revision. */
+    private applyEntries(entries: readonly RevisedEntry[], revision: number, source: string): void {
         const { parts } = this;
         entries.forEach(entry => parts.directory.applyEntry(entry, source));
         const listed = new Set(entries.map(revised => revised.entry.id));
-        const newest = Math.max(0, ...entries.map(revised => revised.revision));
         for (const known of parts.directory.listEntries()) {
-            if (!listed.has(known.entry.id) && known.revision < newest) {
-                parts.directory.removeEntry(known.entry.id, undefined, source);
+            if (!listed.has(known.entry.id) && known.revision < revision) {
+                parts.directory.removeEntry(known.entry.id, revision, source);
             }
         }
+        parts.endpointFollower.recordRevision(revision);
     }
 
     private updateNodeCount(): void {
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -22,6 +22,7 @@
 import { ConnectGossipLink } from "../../gossip/gossipLink.js";
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
 import { PeerTable } from "../../gossip/peerTable.js";
+import { WatchPacing } from "../../gossip/watchPacing.js";
 import { PeerSessions } from "../../peers/peerSessions.js";
 import { CallPlacement } from "../../placement/callPlacement.js";
 import { EndpointChooser } from "../../placement/endpointChooser.js";
@@ -90,6 +91,7 @@
         };
         return PeerTable.create(identity, clock, settings.timing.peerSilence);
     });
+    container.bind(Keys.Pacing).toDynamicValue(context => WatchPacing.create(context.get(Keys.Peers), context.get(Keys.Clock)));
     container.bind(Keys.Registry).toDynamicValue(context =>
         NodeRegistry.create(context.get(Keys.Store), context.get(Keys.Peers), context.get(Keys.Clock), context.get(Keys.Log))
     );
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -17,6 +17,7 @@
 import { GossipLink } from "../gossip/gossipLink.js";
 import { NodeRegistry } from "../gossip/nodeRegistry.js";
 import { PeerTable } from "../gossip/peerTable.js";
+import { WatchPacing } from "../gossip/watchPacing.js";
 import { CallPlacement } from "../placement/callPlacement.js";
 import { EndpointChooser } from "../placement/endpointChooser.js";
 import { EnginePlacement } from "../placement/enginePlacement.js";
@@ -62,6 +63,7 @@
     Directory: createKey<EndpointDirectory>("Directory"),
     EndpointFollower: createKey<EndpointFollower>("EndpointFollower"),
     Watches: createKey<GatewayWatches>("Watches"),
+    Pacing: createKey<WatchPacing>("Pacing"),
     Peers: createKey<PeerTable>("Peers"),
     Registry: createKey<NodeRegistry>("Registry"),
     GossipLink: createKey<GossipLink>("GossipLink"),
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -72,6 +72,9 @@
             await this.status.startMetrics(settings.metrics);
         }
         const watches = container.get(Keys.Watches);
+        const gossip = container.get(Keys.Gossip);
+        watches.configuration.setLateNewsHandler(() => void gossip.publishNow());
+        watches.endpoints.setLateNewsHandler(() => void gossip.publishNow());
         void watches.configuration.run();
         void watches.endpoints.run();
         void watches.nodes.run();
--- a/src/provider/objectFollower.ts
+++ b/src/provider/objectFollower.ts
@@ -23,6 +23,7 @@
     private failuresInRow = 0;
     private lostAt: number | undefined;
     private currentAt = -Infinity;
+    private handleLateNews: () => void = () => {};
 
     private constructor(
         private readonly store: ObjectStore,
@@ -36,6 +37,11 @@
         return new ObjectFollower(store, prefix, handler, clock, log);
     }
 
+    /** Says what to do after changes were found by listing again: others' watches may have missed them too. */
+    setLateNewsHandler(handleLateNews: () => void): void {
+        this.handleLateNews = handleLateNews;
+    }
+
     /** Runs until stop is called. */
     async run(): Promise<void> {
         while (!this.stopping.signal.aborted) {
@@ -75,6 +81,7 @@
         this.recordReached();
         this.revision = listed.val.revision;
         this.handler.handleListing(listed.val);
+        this.handleLateNews();
         return true;
     }
 
