Plan fleets for the loss of a failure domain; test forwarding against a stand-in of the platform

Now a new holder keeps what serves until the load was measured for 8 s, ordered endpoints count while they boot, and what is given back is not missed. Found by the new tests: a call ended by its deadline was told 502 instead of 504.

--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -3,6 +3,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { millisecondsPerSecond } from "../common/units.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { WorkMeter } from "../placement/workMeter.js";
 import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { RoutedService, ScalingBounds } from "../routes/types.js";
@@ -39,6 +40,16 @@
     readonly settings: FleetSettings;
 }
 
+/** Time of load after which its measure counts, in milliseconds: twice the time constant of the measure. */
+const measureMilliseconds = 8_000;
+
+/** What served when this node took the duty over. */
+interface FleetBaseline {
+    readonly endpoints: number;
+    /** Since when there has been load. */
+    loadSince: number | undefined;
+}
+
 interface OrderState {
     ordered: number | undefined;
     orderedAt: number;
@@ -52,6 +63,7 @@
 export class FleetDuty {
     private readonly states = new Map<string, OrderState>();
     private readonly plan = FleetPlan.create();
+    private readonly baselines = new Map<string, FleetBaseline>();
     private actingFencing = 0;
 
     private constructor(private readonly parts: FleetDutyParts) {}
@@ -64,6 +76,7 @@
         if (credentials.fencing !== this.actingFencing) {
             // What an earlier holder ordered last is not known: the next orders stand on what is there.
             this.states.clear();
+            this.baselines.clear();
             this.actingFencing = credentials.fencing;
         }
         for (const service of this.parts.configuration.getTable()?.configuration.services ?? []) {
@@ -75,27 +88,43 @@
 
     private async runService(service: RoutedService, scaling: ScalingBounds): Promise<void> {
         const domains = scaling.domainPrices.map(({ failureDomain, price }) => this.createDomain(service, scaling, failureDomain, price));
-        const targets = this.plan.computeTargets(domains, {
-            needed: this.computeNeeded(service),
-            minimum: scaling.minimum,
-            maximum: scaling.maximum,
-        });
-        // New reclaimable endpoints first: the others are given back once they serve.
-        for (const target of targets) {
-            const isOffering = domains.find(domain => domain.failureDomain === target.failureDomain)?.hasReclaimable === true;
-            if (isOffering) {
-                await this.orderCount(service, scaling, target.failureDomain, true, target.reclaimable);
+        const needed = this.computeNeeded(service);
+        const targets = this.plan.computeTargets(domains, { needed, minimum: scaling.minimum, maximum: scaling.maximum });
+        // What is given back must not be missed before what is ordered serves.
+        let spare = this.listServing(service.name).length - needed;
+        for (const isReclaimable of [true, false]) {
+            for (const target of targets) {
+                const domain = domains.find(candidate => candidate.failureDomain === target.failureDomain);
+                if (isReclaimable && domain?.hasReclaimable !== true) {
+                    continue;
+                }
+                const count = isReclaimable ? target.reclaimable : target.onDemand;
+                const serving = this.countServing(service.name, target.failureDomain, isReclaimable);
+                const kept = Math.max(count, serving - Math.max(0, spare));
+                spare -= Math.max(0, serving - kept);
+                await this.orderCount(service, scaling, target.failureDomain, isReclaimable, kept);
             }
         }
-        for (const target of targets) {
-            await this.orderCount(service, scaling, target.failureDomain, false, target.onDemand);
-        }
     }
 
     private computeNeeded(service: RoutedService): number {
         const { settings, work } = this.parts;
         const busyEngines = work.computeTotal(service.name) / millisecondsPerSecond;
-        return Math.max(settings.leastNeeded, Math.ceil(busyEngines / settings.targetUtilization));
+        const measured = Math.ceil(busyEngines / settings.targetUtilization);
+        return Math.max(settings.leastNeeded, measured, this.computeBaseline(service, busyEngines > 0));
+    }
+
+    /** Returns the endpoints that are kept until the load has been measured for a while: a new holder knows nothing of it. */
+    private computeBaseline(service: RoutedService, hasLoad: boolean): number {
+        const now = this.parts.clock.getMonotonicTime();
+        const serving = this.listServing(service.name).length;
+        const baseline = this.baselines.get(service.name) ?? { endpoints: serving, loadSince: undefined };
+        this.baselines.set(service.name, baseline);
+        if (hasLoad) {
+            baseline.loadSince ??= now;
+        }
+        const isMeasured = baseline.loadSince !== undefined && now - baseline.loadSince > measureMilliseconds;
+        return isMeasured ? 0 : baseline.endpoints;
     }
 
     private createDomain(service: RoutedService, scaling: ScalingBounds, failureDomain: string, price: number): DomainFleet {
@@ -104,19 +133,27 @@
         return {
             failureDomain,
             price,
-            reclaimable: this.countServing(service.name, failureDomain, true),
-            onDemand: this.countServing(service.name, failureDomain, false),
+            reclaimable: Math.max(this.countServing(service.name, failureDomain, true), this.countBooting(state, scaling)),
             hasReclaimable: scaling.reclaimablePrice !== undefined && now >= state.unavailableUntil,
         };
     }
 
+    /** Returns the endpoints of an order that are still about to serve. */
+    private countBooting(state: OrderState, scaling: ScalingBounds): number {
+        const age = this.parts.clock.getMonotonicTime() - state.orderedAt;
+        return age < scaling.bootSeconds * millisecondsPerSecond + orderMarginMilliseconds ? state.ordered ?? 0 : 0;
+    }
+
     private countServing(service: string, failureDomain: string, isReclaimable: boolean): number {
-        const endpoints = this.parts.directory.listEndpoints(service);
-        return endpoints.filter(endpoint =>
-            endpoint.isUsable() && endpoint.entry.failureDomain === failureDomain && endpoint.entry.isReclaimable === isReclaimable
+        return this.listServing(service).filter(({ entry }) =>
+            entry.failureDomain === failureDomain && entry.isReclaimable === isReclaimable
         ).length;
     }
 
+    private listServing(service: string): FleetEndpoint[] {
+        return this.parts.directory.listEndpoints(service).filter(endpoint => endpoint.isUsable());
+    }
+
     private async orderCount(
         service: RoutedService,
         scaling: ScalingBounds,
--- a/src/duties/fleetPlan.ts
+++ b/src/duties/fleetPlan.ts
@@ -1,11 +1,12 @@
+/** Share of the needed endpoints that must still serve when the failure domain with most reclaimable ones loses them all. */
+const shareAfterReclaim = 0.6;
+
 /** What is wanted and there in one failure domain. */
 export interface DomainFleet {
     readonly failureDomain: string;
     readonly price: number;
-    /** Reclaimable endpoints that serve or boot. */
+    /** Reclaimable endpoints that serve or are about to. */
     readonly reclaimable: number;
-    /** On-demand endpoints that serve or boot. */
-    readonly onDemand: number;
     /** Whether reclaimable endpoints can be had there now, as far as is known. */
     readonly hasReclaimable: boolean;
 }
@@ -22,13 +23,13 @@
 /** Endpoints to have in one failure domain. */
 export interface DomainTarget {
     readonly failureDomain: string;
-    readonly reclaimable: number;
-    readonly onDemand: number;
+    reclaimable: number;
+    onDemand: number;
 }
 
 /**
- * Plans a fleet: as many reclaimable endpoints as let the load be carried when one whole failure domain is reclaimed, and
- * on-demand ones for what reclaimable ones cannot cover.
+ * Plans a fleet of reclaimable endpoints, spread over the failure domains, and of on-demand ones for what reclaimable ones
+ * do not cover: what cannot be had, and what the loss of one whole failure domain would leave too little of.
  */
 export class FleetPlan {
     private constructor() {}
@@ -38,38 +39,40 @@
     }
 
     computeTargets(domains: readonly DomainFleet[], needs: FleetNeeds): DomainTarget[] {
-        const offering = domains.filter(domain => domain.hasReclaimable);
-        const perDomain = offering.length > 1
-            ? Math.ceil(needs.needed / (offering.length - 1))
-            : needs.needed;
-        const targets = domains.map(domain => ({
+        const byPrice = [...domains].sort((left, right) => left.price - right.price);
+        const targets = byPrice.map(domain => ({
             failureDomain: domain.failureDomain,
-            price: domain.price,
             // What serves is kept also where no more can be had.
-            reclaimable: Math.min(needs.maximum, domain.hasReclaimable ? perDomain : Math.min(domain.reclaimable, perDomain)),
+            reclaimable: domain.hasReclaimable ? 0 : Math.min(domain.reclaimable, needs.maximum),
             onDemand: 0,
         }));
+        const offering = targets.filter((_target, index) => byPrice[index]?.hasReclaimable === true);
+        this.addReclaimable(offering, targets, needs);
         this.addOnDemand(targets, domains, needs);
-        return targets.map(({ failureDomain, reclaimable, onDemand }) => ({ failureDomain, reclaimable, onDemand }));
+        return targets;
     }
 
-    /** Covers with on-demand endpoints what would be missing if the largest reclaimable part went, the cheapest domain first. */
-    private addOnDemand(
-        targets: { failureDomain: string; price: number; reclaimable: number; onDemand: number; }[],
-        domains: readonly DomainFleet[],
-        needs: FleetNeeds,
-    ): void {
-        // Reclaimable endpoints that are only ordered do not serve yet, and may not be had.
+    /** Spreads reclaimable endpoints evenly over the failure domains that offer them, the cheapest first. */
+    private addReclaimable(offering: DomainTarget[], targets: readonly DomainTarget[], needs: FleetNeeds): void {
+        let missing = needs.needed - targets.reduce((sum, target) => sum + target.reclaimable, 0);
+        while (missing > 0) {
+            const least = selectSmallest(offering.filter(target => target.reclaimable < needs.maximum), target => target.reclaimable);
+            if (least === undefined) {
+                return;
+            }
+            least.reclaimable += 1;
+            missing -= 1;
+        }
+    }
+
+    private addOnDemand(targets: DomainTarget[], domains: readonly DomainFleet[], needs: FleetNeeds): void {
         const serving = domains.map(domain => domain.reclaimable);
-        const certain = serving.reduce((sum, count) => sum + count, 0) - Math.max(0, ...serving);
-        let missing = Math.max(0, needs.needed - certain);
-        const byPrice = [...targets].sort((left, right) => left.price - right.price);
+        const total = serving.reduce((sum, count) => sum + count, 0);
+        const certain = total - Math.max(0, ...serving);
+        let missing = Math.max(needs.needed - total, Math.ceil(needs.needed * shareAfterReclaim) - certain);
         while (missing > 0) {
-            const open = byPrice.filter(target => target.onDemand + target.reclaimable < needs.maximum);
-            const least = open.reduce<typeof open[number] | undefined>(
-                (best, target) => (best === undefined || target.onDemand < best.onDemand ? target : best),
-                undefined,
-            );
+            const open = targets.filter(target => target.onDemand + target.reclaimable < needs.maximum);
+            const least = selectSmallest(open, target => target.onDemand);
             if (least === undefined) {
                 break;
             }
@@ -81,3 +84,11 @@
         }
     }
 }
+
+/** Returns the first target with the smallest count. */
+function selectSmallest(targets: readonly DomainTarget[], getCount: (target: DomainTarget) => number): DomainTarget | undefined {
+    return targets.reduce<DomainTarget | undefined>(
+        (best, target) => (best === undefined || getCount(target) < getCount(best) ? target : best),
+        undefined,
+    );
+}
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -62,6 +62,8 @@
 /** How an attempt ended; without a failure the whole answer has reached the caller. */
 export interface AttemptEnd {
     readonly failure: Failure | undefined;
+    /** Whether the deadline ended it. */
+    readonly isLate: boolean;
     /** Whether the request may have reached the endpoint. */
     readonly hasArrived: boolean;
     readonly sentAt: number;
@@ -76,6 +78,7 @@
     private firstEventAt: number | undefined;
     private heardAt: number;
     private isSilent = false;
+    private isLate = false;
     private waitingTokens: number;
 
     private constructor(private readonly parts: CallAttemptParts, private readonly options: AttemptOptions) {
@@ -95,7 +98,10 @@
         const stop = () => this.stopping.abort();
         const leaving = options.caller.getLeavingSignal();
         leaving.addEventListener("abort", stop);
-        const deadlineTimer = setTimeout(stop, Math.max(1, options.deadline - this.sentAt));
+        const deadlineTimer = setTimeout(() => {
+            this.isLate = true;
+            stop();
+        }, Math.max(1, options.deadline - this.sentAt));
         const silenceTimer = options.mayRunAgain ? setInterval(() => this.checkSilence(), silenceCheckMilliseconds) : undefined;
         this.addLoad();
         try {
@@ -224,7 +230,7 @@
     }
 
     private createEnd(failure: Failure | undefined, hasArrived = true): AttemptEnd {
-        return { failure, hasArrived, sentAt: this.sentAt, firstEventAt: this.firstEventAt };
+        return { failure, hasArrived, isLate: this.isLate, sentAt: this.sentAt, firstEventAt: this.firstEventAt };
     }
 
     private markHeard(): void {
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -164,8 +164,8 @@
             sends: this.sends,
         });
         const mayGoOn = this.verdict === Verdict.NotRun || (this.isIdempotent && this.runs < call.route.attempts);
-        if (!mayGoOn || this.sends >= sendLimit || parts.clock.getMonotonicTime() >= this.deadline) {
-            return this.createFailureReport(end.failure);
+        if (!mayGoOn || this.sends >= sendLimit || end.isLate) {
+            return this.createFailureReport(end.failure, end.isLate);
         }
         return undefined;
     }
@@ -184,12 +184,11 @@
         }
     }
 
-    private createFailureReport(failure: Failure): CallReport {
+    private createFailureReport(failure: Failure, isLate = false): CallReport {
         if (this.caller.hasBegun()) {
             return this.createReport(CallOutcome.Broken, failure);
         }
         const outcome = this.verdict === Verdict.NotRun ? CallOutcome.Refused : CallOutcome.Failed;
-        const isLate = this.parts.clock.getMonotonicTime() >= this.deadline;
         return this.createReport(outcome, this.chooseFailure(failure, isLate));
     }
 
--- /dev/null
+++ b/src/gateway/defaultCallProtocol.ts
@@ -0,0 +1,21 @@
+import { CallProtocol } from "./callProtocol.js";
+
+/** The product's own headers of calls, as docs/INTERFACES.md gives them. */
+export const defaultCallProtocol: CallProtocol = {
+    attemptId: "x-attempt-id",
+    timeLeft: "x-time-left-milliseconds",
+    team: "x-team",
+    expectedEndpoint: "x-expected-endpoint",
+    endpointIdentity: "x-endpoint",
+    notRun: "x-request-not-run",
+    signature: "x-answer-signature",
+    load: "x-endpoint-load",
+    retryAfter: "retry-after",
+    lastEventId: "last-event-id",
+    promptParts: "x-prompt-parts",
+    tokenCounts: "x-token-counts",
+    urgency: "x-urgency",
+    authorizationScheme: "Bearer",
+    reservedHeaders: [],
+    readinessPath: "/ready",
+};
--- /dev/null
+++ b/src/node/bindings/plainDeployment.ts
@@ -0,0 +1,56 @@
+import { Container } from "inversify";
+import { z } from "zod";
+import { Err, Ok, Result } from "../../common/results.js";
+import { EndpointDecoder } from "../../fleet/endpointFollower.js";
+import { EndpointEntry, endpointEntrySchema } from "../../fleet/types.js";
+import { defaultCallProtocol } from "../../gateway/defaultCallProtocol.js";
+import { ObjectStore } from "../../provider/objectStore.js";
+import { StoredObject } from "../../provider/types.js";
+import { ConfigurationDecoder } from "../../routes/configurationFollower.js";
+import { RouteConfiguration, routeConfigurationSchema } from "../../routes/types.js";
+import { GatewayKeys as Keys } from "../gatewayKeys.js";
+
+/** Reads configurations in the product's own form. */
+export class PlainConfigurationDecoder implements ConfigurationDecoder {
+    readonly objectName = "routes/main";
+
+    private constructor() {}
+
+    static create(): PlainConfigurationDecoder {
+        return new PlainConfigurationDecoder();
+    }
+
+    decodeConfiguration(value: unknown): Result<RouteConfiguration, string[]> {
+        const parsed = routeConfigurationSchema.safeParse(value);
+        return parsed.success ? Ok(parsed.data) : Err(listIssues(parsed.error));
+    }
+}
+
+/** Reads endpoints' entries in the product's own form. */
+export class PlainEndpointDecoder implements EndpointDecoder {
+    readonly prefix = "endpoints/";
+
+    private constructor() {}
+
+    static create(): PlainEndpointDecoder {
+        return new PlainEndpointDecoder();
+    }
+
+    decodeEndpoint(object: StoredObject): Result<EndpointEntry, string> {
+        const parsed = endpointEntrySchema.safeParse(object.value);
+        return parsed.success ? Ok(parsed.data) : Err(listIssues(parsed.error).join("; "));
+    }
+}
+
+function listIssues(error: z.ZodError): string[] {
+    return error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`);
+}
+
+/** Binds the product's own forms and headers on a store. */
+export function addPlainBindings(container: Container, store: ObjectStore): void {
+    container.bind(Keys.Store).toConstantValue(store);
+    container.bind(Keys.DutyApi).toConstantValue(undefined);
+    container.bind(Keys.Protocol).toConstantValue(defaultCallProtocol);
+    container.bind(Keys.ConfigurationDecoder).toDynamicValue(() => PlainConfigurationDecoder.create());
+    container.bind(Keys.EndpointDecoder).toDynamicValue(() => PlainEndpointDecoder.create());
+}
--- /dev/null
+++ b/src/routes/routeTable.test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createRoute, createRouteConfiguration } from "../testing/gatewayParts.js";
+import { ConfigurationHolder } from "./configurationHolder.js";
+import { RouteTable } from "./routeTable.js";
+
+test("the longest prefix of whole path segments wins, per host, and the query is not part of the path", () => {
+    const table = RouteTable.create(createRouteConfiguration(1, [
+        createRoute({ name: "root", pathPrefix: "/" }),
+        createRoute({ name: "outer", pathPrefix: "/a/" }),
+        createRoute({ name: "inner", pathPrefix: "/a/b/" }),
+        createRoute({ name: "other", host: "other.example", pathPrefix: "/a/" }),
+    ]));
+    const findName = (host: string, target: string) => table.findRoute(host, target)?.name;
+    assert.equal(findName("desk.example", "/a/b/c"), "inner");
+    assert.equal(findName("desk.example", "/a/b"), "outer");
+    assert.equal(findName("desk.example", "/a/bc/"), "outer");
+    assert.equal(findName("desk.example", "/z?x=/a/b/"), "root");
+    assert.equal(findName("other.example", "/a/b/c"), "other");
+    assert.equal(findName("other.example", "/b"), undefined);
+    assert.equal(findName("third.example", "/a/"), undefined);
+});
+
+test("an older configuration is never applied, whoever brings it", () => {
+    const holder = ConfigurationHolder.create();
+    const versions: number[] = [];
+    holder.addListener(table => versions.push(table.configuration.version));
+    for (const version of [3, 7, 5, 7, 9]) {
+        holder.applyConfiguration(createRouteConfiguration(version, []));
+    }
+    assert.deepEqual(versions, [3, 7, 9]);
+});
--- /dev/null
+++ b/src/standins/routed/routedStore.ts
@@ -0,0 +1,243 @@
+import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { AddressInfo } from "node:net";
+import { Paths, StoreQuery } from "../../../platform/wire.js";
+
+const statusOk = 200;
+const statusBadRequest = 400;
+const statusNotFound = 404;
+const statusConflict = 409;
+const statusGone = 410;
+const statusUnavailable = 503;
+/** Objects in one page of a listing; small, so that tests meet several pages. */
+const pageSize = 3;
+
+/** An object as the store sends it. */
+export interface WireObject {
+    readonly meta: { readonly name: string; readonly rev: number; readonly created: number; };
+    readonly spec: unknown;
+    readonly status: unknown;
+}
+
+interface StoreEvent {
+    readonly kind: string;
+    readonly revision: number;
+    readonly object: WireObject;
+    readonly tombstone: boolean;
+}
+
+/** How the store treats calls. */
+export enum StoreMood {
+    Well = "well",
+    /** Every call is refused. */
+    Refusing = "refusing",
+    /** Calls get no answer. */
+    Silent = "silent",
+    /** Writes are done and their connections are closed without an answer. */
+    LosingAnswers = "losing-answers",
+}
+
+/** The platform's object store, by its published protocol, in memory. */
+export class RoutedStore {
+    mood = StoreMood.Well;
+    readonly calls: string[] = [];
+    private readonly server: Server;
+    private readonly objects = new Map<string, WireObject>();
+    private events: StoreEvent[] = [];
+    private revision = 10;
+    private oldestRevision = 0;
+    private readonly waiting = new Set<() => void>();
+
+    private constructor() {
+        this.server = createServer((request, response) => void this.serve(request, response));
+    }
+
+    static create(): RoutedStore {
+        return new RoutedStore();
+    }
+
+    async start(): Promise<string> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeAllConnections();
+        await closed;
+    }
+
+    /** Writes an object as an operator or an endpoint does; returns its revision. */
+    putObject(kind: string, name: string, spec: unknown): number {
+        const known = this.objects.get(`${kind}/${name}`);
+        this.revision += 1;
+        const meta = { name, rev: this.revision, created: known?.meta.created ?? this.revision };
+        const object: WireObject = { meta, spec, status: known?.status };
+        this.objects.set(`${kind}/${name}`, object);
+        this.record({ kind, revision: this.revision, object, tombstone: false });
+        return this.revision;
+    }
+
+    removeObject(kind: string, name: string): void {
+        const known = this.objects.get(`${kind}/${name}`);
+        if (known === undefined) {
+            return;
+        }
+        this.revision += 1;
+        this.objects.delete(`${kind}/${name}`);
+        const object: WireObject = { ...known, meta: { ...known.meta, rev: this.revision } };
+        this.record({ kind, revision: this.revision, object, tombstone: true });
+    }
+
+    getObject(kind: string, name: string): WireObject | undefined {
+        return this.objects.get(`${kind}/${name}`);
+    }
+
+    /** Forgets the history: watches that started before get 410. */
+    dropHistory(): void {
+        this.events = [];
+        this.oldestRevision = this.revision;
+        this.wakeWatches();
+    }
+
+    /** Makes changes that no watch is told of, then forgets the history without ending the watches. */
+    changeUnseen(change: () => void): void {
+        const waiting = [...this.waiting];
+        this.waiting.clear();
+        change();
+        this.events = [];
+        this.oldestRevision = this.revision;
+        waiting.forEach(wake => this.waiting.add(wake));
+    }
+
+    private record(event: StoreEvent): void {
+        this.events.push(event);
+        this.wakeWatches();
+    }
+
+    private wakeWatches(): void {
+        const waiting = [...this.waiting];
+        this.waiting.clear();
+        waiting.forEach(wake => wake());
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const url = new URL(request.url ?? "", "http://store");
+        const body = await readJson(request);
+        const watch = url.searchParams.get(StoreQuery.watch);
+        this.calls.push(`${request.method} ${url.pathname}${watch ? " watch" : ""}`);
+        if (this.mood === StoreMood.Silent) {
+            return;
+        }
+        if (this.mood === StoreMood.Refusing) {
+            sendJson(response, statusUnavailable, { error: "unavailable" });
+            return;
+        }
+        const [kind, name] = url.pathname.slice(Paths.objects.length + 1).split("/").map(decodeURIComponent);
+        if (kind === undefined || !url.pathname.startsWith(`${Paths.objects}/`)) {
+            sendJson(response, statusNotFound, { error: "no such path" });
+            return;
+        }
+        if (request.method === "GET") {
+            await this.serveRead(kind, name, url, watch ?? undefined, response);
+            return;
+        }
+        this.serveWrite(request, kind, name, body, response);
+    }
+
+    private async serveRead(
+        kind: string,
+        name: string | undefined,
+        url: URL,
+        watch: string | undefined,
+        response: ServerResponse,
+    ): Promise<void> {
+        if (name !== undefined) {
+            const object = this.getObject(kind, name);
+            sendJson(response, object === undefined ? statusNotFound : statusOk, object ?? { error: "none" });
+            return;
+        }
+        if (watch !== undefined) {
+            await this.serveWatch(kind, Number(watch), Number(url.searchParams.get(StoreQuery.wait) ?? 0), response);
+            return;
+        }
+        const after = url.searchParams.get(StoreQuery.continueAfter) ?? "";
+        const names = [...this.objects.keys()].filter(key => key.startsWith(`${kind}/`)).map(key => key.slice(kind.length + 1)).sort();
+        const rest = names.filter(item => item > after);
+        const items = rest.slice(0, pageSize).map(item => this.getObject(kind, item));
+        sendJson(response, statusOk, { items, "has-more": rest.length > pageSize, "as-of": this.revision });
+    }
+
+    private async serveWatch(kind: string, after: number, wait: number, response: ServerResponse): Promise<void> {
+        if (after < this.oldestRevision) {
+            sendJson(response, statusGone, { error: "history is gone" });
+            return;
+        }
+        const listEvents = () => this.events.filter(event => event.kind === kind && event.revision > after);
+        const endsAt = performance.now() + wait;
+        while (listEvents().length === 0 && performance.now() < endsAt && after >= this.oldestRevision && !response.destroyed) {
+            await this.waitForEvent(endsAt - performance.now(), response);
+        }
+        const events = listEvents().map(({ object, tombstone }) => ({ object, tombstone }));
+        sendJson(response, statusOk, { events, "as-of": after < this.oldestRevision ? after : this.revision });
+    }
+
+    private waitForEvent(milliseconds: number, response: ServerResponse): Promise<void> {
+        return new Promise(resolve => {
+            const wake = () => {
+                clearTimeout(timer);
+                this.waiting.delete(wake);
+                resolve();
+            };
+            const timer = setTimeout(wake, milliseconds);
+            this.waiting.add(wake);
+            response.once("close", wake);
+        });
+    }
+
+    private serveWrite(request: IncomingMessage, kind: string, name: string | undefined, body: unknown, response: ServerResponse): void {
+        const { meta, spec } = (body ?? {}) as { meta?: { name?: string; rev?: number; }; spec?: unknown; };
+        const target = name ?? meta?.name;
+        if (target === undefined) {
+            sendJson(response, statusBadRequest, { error: "no name" });
+            return;
+        }
+        const known = this.getObject(kind, target);
+        const isConflict = request.method === "POST"
+            ? known !== undefined
+            : known !== undefined && meta?.rev !== undefined && meta.rev !== known.meta.rev;
+        if (isConflict) {
+            sendJson(response, statusConflict, known);
+            return;
+        }
+        if (request.method !== "POST" && known === undefined) {
+            sendJson(response, statusNotFound, { error: "none" });
+            return;
+        }
+        if (request.method === "DELETE") {
+            this.removeObject(kind, target);
+        }
+        else {
+            this.putObject(kind, target, spec);
+        }
+        if (this.mood === StoreMood.LosingAnswers) {
+            request.socket.destroy();
+            return;
+        }
+        sendJson(response, statusOk, this.getObject(kind, target) ?? {});
+    }
+}
+
+/** Reads a JSON body; undefined when there is none. */
+export async function readJson(request: IncomingMessage): Promise<unknown> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return chunks.length === 0 ? undefined : JSON.parse(Buffer.concat(chunks).toString());
+}
+
+/** Sends a JSON body. */
+export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+    response.writeHead(status, { "content-type": "application/json" });
+    response.end(JSON.stringify(body));
+}
--- /dev/null
+++ b/src/standins/routed/routedWorker.ts
@@ -0,0 +1,206 @@
+import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { AddressInfo, Socket } from "node:net";
+import { HeaderNames } from "../../../platform/wire.js";
+
+const statusOk = 200;
+const statusMisdirected = 421;
+const statusUnavailable = 503;
+
+/** What goes wrong with the next request of a worker. */
+export enum WorkerFault {
+    None = "none",
+    /** The worker refuses and says that it did not run the request. */
+    Shed = "shed",
+    /** The worker runs the request and resets the connection. */
+    ResetAfterRun = "reset-after-run",
+    /** It runs the request and answers a failure. */
+    Fail = "fail",
+    /** It answers without a length and resets the connection in the middle. */
+    ResetUnframed = "reset-unframed",
+    /** It answers without a length and ends the connection in order. */
+    Unframed = "unframed",
+    /** Its answer stops short of its length. */
+    Truncate = "truncate",
+    /** After its answer it sends another one that nobody asked for. */
+    ExtraAnswer = "extra-answer",
+    /** It answers with bytes that are no HTTP. */
+    Garble = "garble",
+    /** It takes the request and never answers. */
+    Hang = "hang",
+    /** It answers 503 without saying that the request did not run. */
+    Unpromised = "unpromised",
+    /** A stream stops in the middle of an event. */
+    BreakStream = "break-stream",
+}
+
+/** A request that a worker ran. */
+export interface RunRecord {
+    readonly attemptId: string;
+    readonly method: string;
+    readonly target: string;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+    readonly startedAfter: number;
+    isCancelled: boolean;
+}
+
+/** A worker of the platform: plain calls, or event streams with ids. */
+export class RoutedWorker {
+    readonly runs: RunRecord[] = [];
+    readonly faults: WorkerFault[] = [];
+    connections = 0;
+    isDraining = false;
+    workMilliseconds = 0;
+    eventCount = 5;
+    eventMilliseconds = 5;
+    readonly born = Date.now();
+    private readonly server: Server;
+
+    private constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly isEngine: boolean) {
+        this.server = createServer({ keepAliveTimeout: 5_000 }, (request, response) => void this.serve(request, response));
+        this.server.on("connection", (socket: Socket) => {
+            this.connections += 1;
+            socket.on("error", () => {});
+        });
+    }
+
+    static create(id: string, service: string, zone: string, isEngine: boolean): RoutedWorker {
+        return new RoutedWorker(id, service, zone, isEngine);
+    }
+
+    async start(): Promise<void> {
+        await new Promise<void>(resolve => this.server.listen(0, "127.0.0.1", resolve));
+    }
+
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        this.server.closeAllConnections();
+        await closed;
+    }
+
+    getAddress(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    /** Returns what the worker writes of itself to the store. */
+    createEntry(): Readonly<Record<string, unknown>> {
+        return {
+            service: this.service,
+            addr: this.getAddress(),
+            zone: this.zone,
+            version: "v1",
+            slots: 6,
+            state: this.isDraining ? "draining" : "ready",
+            "cold-left-ms": 0,
+            seq: 1,
+            born: this.born,
+        };
+    }
+
+    private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        const body = await readText(request);
+        const attemptId = String(request.headers[HeaderNames.attemptId] ?? "");
+        response.setHeader(HeaderNames.attemptId, attemptId);
+        const expected = request.headers[HeaderNames.expectInstance];
+        if (expected !== undefined && expected !== this.id) {
+            response.writeHead(statusMisdirected, { [HeaderNames.instanceId]: this.id });
+            response.end();
+            return;
+        }
+        const fault = this.faults.shift() ?? WorkerFault.None;
+        if (fault === WorkerFault.Shed) {
+            response.writeHead(statusUnavailable, { [HeaderNames.notRun]: "1" });
+            response.end();
+            return;
+        }
+        const startedAfter = Number(request.headers["last-event-id"] ?? 0);
+        const { method = "", url = "", headers } = request;
+        const run: RunRecord = { attemptId, method, target: url, headers, body, startedAfter, isCancelled: false };
+        this.runs.push(run);
+        response.once("close", () => {
+            run.isCancelled = !response.writableFinished;
+        });
+        await sleep(this.workMilliseconds);
+        if (this.isEngine) {
+            await this.sendStream(run, fault, response);
+            return;
+        }
+        this.sendAnswer(run, fault, response);
+    }
+
+    private sendAnswer(run: RunRecord, fault: WorkerFault, response: ServerResponse): void {
+        const { socket } = response;
+        if (!socket) {
+            return;
+        }
+        const text = `answer to ${run.attemptId}`;
+        const seal = `seal-${run.attemptId}`;
+        const head = `HTTP/1.1 200 OK\r\n${HeaderNames.attemptId}: ${run.attemptId}\r\n${HeaderNames.seal}: ${seal}\r\n`;
+        switch (fault) {
+            case WorkerFault.ResetAfterRun:
+                socket.resetAndDestroy();
+                return;
+            case WorkerFault.Hang:
+                return;
+            case WorkerFault.Garble:
+                socket.end("this is no answer\r\n\r\n");
+                return;
+            case WorkerFault.Unpromised:
+                response.writeHead(statusUnavailable, { [HeaderNames.seal]: seal });
+                response.end(text);
+                return;
+            case WorkerFault.Fail:
+                response.writeHead(500, { [HeaderNames.seal]: seal });
+                response.end("failed");
+                return;
+            case WorkerFault.Unframed:
+                socket.end(`${head}connection: close\r\n\r\n${text}`);
+                return;
+            case WorkerFault.ResetUnframed:
+                socket.write(`${head}connection: close\r\n\r\n${text.slice(0, 5)}`, () => setTimeout(() => socket.resetAndDestroy(), 20));
+                return;
+            case WorkerFault.Truncate:
+                socket.end(`${head}content-length: ${text.length}\r\n\r\n${text.slice(0, 5)}`);
+                return;
+            case WorkerFault.ExtraAnswer:
+                socket.write(`${head}content-length: ${text.length}\r\n\r\n${text}`);
+                setTimeout(() => socket.write(`${head}content-length: 5\r\n\r\nstray`), 10);
+                return;
+            default:
+                response.writeHead(statusOk, {
+                    [HeaderNames.seal]: seal,
+                    [HeaderNames.serverLoad]: "1,0,6",
+                    "content-length": text.length,
+                });
+                response.end(text);
+        }
+    }
+
+    private async sendStream(run: RunRecord, fault: WorkerFault, response: ServerResponse): Promise<void> {
+        response.writeHead(statusOk, { "content-type": "text/event-stream", [HeaderNames.seal]: `seal-${run.attemptId}` });
+        for (let event = run.startedAfter + 1; event <= this.eventCount; event += 1) {
+            await sleep(this.eventMilliseconds);
+            if (response.destroyed) {
+                return;
+            }
+            if (fault === WorkerFault.BreakStream && event === Math.ceil(this.eventCount / 2) + 1) {
+                response.write(`id: ${event}\nda`, () => response.socket?.resetAndDestroy());
+                return;
+            }
+            response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+        }
+        response.end();
+    }
+}
+
+async function readText(request: IncomingMessage): Promise<string> {
+    const chunks: Buffer[] = [];
+    for await (const chunk of request as AsyncIterable<Buffer>) {
+        chunks.push(chunk);
+    }
+    return Buffer.concat(chunks).toString();
+}
+
+function sleep(milliseconds: number): Promise<void> {
+    return milliseconds <= 0 ? Promise.resolve() : new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- /dev/null
+++ b/src/testing/routedGateway.ts
@@ -0,0 +1,129 @@
+import { Agent, request as sendHttpRequest } from "node:http";
+import { addPlatformBindings } from "../../platform/bindings.js";
+import { HeaderNames } from "../../platform/wire.js";
+import { SilentEventLog } from "../common/eventLog.js";
+import { GatewaySettings, parseGatewaySettings } from "../config/gatewaySettings.js";
+import { parseIniDocument } from "../config/iniDocument.js";
+import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
+import { GatewayAddresses, GatewayNode } from "../node/gatewayNode.js";
+import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
+
+/** An answer as a caller sees it; status 0 when the connection ended without a whole head. */
+export interface CallerView {
+    readonly status: number;
+    readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+    readonly body: string;
+    readonly isWhole: boolean;
+}
+
+/** What a caller sends besides the path. */
+export interface CallOptions {
+    readonly method?: string;
+    readonly body?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly agent?: Agent;
+    readonly signal?: AbortSignal;
+}
+
+/** Creates settings for a gateway on loopback with free ports. */
+export function createGatewaySettings(name: string, platform: RoutedPlatform, lines: readonly string[] = []): GatewaySettings {
+    const text = [
+        "[node]",
+        `name = ${name}`,
+        "failure-domain = xela",
+        "[listen]",
+        "callers = 127.0.0.1:0",
+        "readiness = 127.0.0.1:0",
+        "peers = 127.0.0.1:0",
+        "[store]",
+        `address = ${platform.storeAddress}`,
+        "[cloud]",
+        `address = ${platform.cloudAddress}`,
+        "[timing]",
+        "gossip-interval-milliseconds = 50",
+        "listener-grace-milliseconds = 100",
+        "drain-limit-milliseconds = 3000",
+        "lease-term-milliseconds = 1500",
+        ...lines,
+    ].join("\n");
+    const document = parseIniDocument("gateway.ini", text);
+    const settings = document.ok ? parseGatewaySettings(document.val) : document;
+    if (settings.err) {
+        throw new Error(settings.val.map(fault => fault.text).join("; "));
+    }
+    return settings.val;
+}
+
+/** A gateway in this process before a stand-in of the platform. */
+export class RoutedGateway {
+    private sequence = 0;
+
+    private constructor(readonly node: GatewayNode, private readonly addresses: GatewayAddresses) {}
+
+    /** Starts a gateway and waits until it is ready. */
+    static async start(platform: RoutedPlatform, name = "node-1", lines: readonly string[] = []): Promise<RoutedGateway> {
+        const node = GatewayNode.create(createGatewaySettings(name, platform, lines), (container, settings) => {
+            addPlatformBindings(container, settings);
+            container.unbind(Keys.Log);
+            container.bind(Keys.Log).toConstantValue(SilentEventLog.create());
+        });
+        const gateway = new RoutedGateway(node, await node.start());
+        await waitUntil(() => node.isReady());
+        return gateway;
+    }
+
+    async stop(): Promise<void> {
+        await this.node.stop();
+    }
+
+    getPort(): number {
+        return this.addresses.callers.port;
+    }
+
+    createAttemptId(): string {
+        this.sequence += 1;
+        return `attempt-${this.sequence}`;
+    }
+
+    /** Sends one call as a shop does and reads the whole answer. */
+    sendCall(path: string, options: CallOptions = {}): Promise<CallerView> {
+        const headers = {
+            host: routedNames.host,
+            authorization: `Bearer ${routedNames.key}`,
+            [HeaderNames.attemptId]: this.createAttemptId(),
+            [HeaderNames.deadline]: "2000",
+            ...options.headers,
+        };
+        return new Promise(resolve => {
+            const request = sendHttpRequest({
+                host: "127.0.0.1",
+                port: this.getPort(),
+                path,
+                method: options.method ?? "GET",
+                headers,
+                agent: options.agent,
+                signal: options.signal,
+            });
+            request.once("error", () => resolve({ status: 0, headers: {}, body: "", isWhole: false }));
+            request.once("response", answer => {
+                let body = "";
+                const finish = () => resolve({ status: answer.statusCode ?? 0, headers: answer.headers, body, isWhole: answer.complete });
+                answer.on("data", (chunk: Buffer) => (body += chunk.toString()));
+                answer.once("error", finish);
+                answer.once("close", finish);
+            });
+            request.end(options.body);
+        });
+    }
+}
+
+/** Waits until a condition holds; fails after ten seconds. */
+export async function waitUntil(condition: () => boolean): Promise<void> {
+    const endsAt = performance.now() + 10_000;
+    while (!condition()) {
+        if (performance.now() > endsAt) {
+            throw new Error("the condition did not come to hold within ten seconds");
+        }
+        await new Promise(resolve => setTimeout(resolve, 10));
+    }
+}
