--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -129,6 +129,8 @@
     Endpoint_did_not_answer_in_time: createError(3028, "The endpoint did not answer before the deadline.", 504),
     Deadline_passed_before_it_ran: createError(3029, "The deadline passed before the request could run.", 503),
 
+    Request_ended_0_endpoints_and_is_not_sent_again: createError(3030, "The request ended {0} endpoints and is not sent again.", 503),
+
     // Platform.
     Revision_conflict_on_0: createError(4001, "Object '{0}' was changed by another writer.", 409),
     Platform_answered_with_status_0: createError(4002, "The platform answered with status {0}.", 503),
--- a/src/duties/fleetPlan.test.ts
+++ b/src/duties/fleetPlan.test.ts
@@ -7,7 +7,7 @@
     return { failureDomain, price: 1, reclaimable: 0, hasReclaimable: true, ...parts };
 }
 
-function sumTargets(targets: readonly { reclaimable: number; onDemand: number; }[]) {
+function countTargets(targets: readonly { reclaimable: number; onDemand: number; }[]) {
     const reclaimable = targets.reduce((sum, target) => sum + target.reclaimable, 0);
     const onDemand = targets.reduce((sum, target) => sum + target.onDemand, 0);
     return { reclaimable, onDemand };
@@ -17,7 +17,7 @@
     const domains = ["a", "b", "c"].map(name => createDomain(name, { reclaimable: 2 }));
     const targets = FleetPlan.create().computeTargets(domains, { needed: 6, minimum: 1, maximum: 8 });
     assert.deepEqual(targets.map(target => target.reclaimable), [2, 2, 2]);
-    assert.equal(sumTargets(targets).onDemand, 0);
+    assert.equal(countTargets(targets).onDemand, 0);
 });
 
 test("a failure domain is reclaimed and offers none for a while: the others take its part, on-demand ones the rest", () => {
@@ -27,14 +27,14 @@
         createDomain("c", { reclaimable: 2 }),
     ];
     const targets = FleetPlan.create().computeTargets(domains, { needed: 6, minimum: 1, maximum: 8 });
-    assert.equal(sumTargets(targets).reclaimable, 6);
-    assert.equal(sumTargets(targets).onDemand >= 2, true);
+    assert.equal(countTargets(targets).reclaimable, 6);
+    assert.equal(countTargets(targets).onDemand >= 2, true);
 });
 
 test("nothing reclaimable is to be had anywhere: the whole load is carried on demand", () => {
     const domains = ["a", "b", "c"].map(name => createDomain(name, { hasReclaimable: false }));
     const targets = FleetPlan.create().computeTargets(domains, { needed: 6, minimum: 1, maximum: 8 });
-    assert.deepEqual(sumTargets(targets), { reclaimable: 0, onDemand: 6 });
+    assert.deepEqual(countTargets(targets), { reclaimable: 0, onDemand: 6 });
 });
 
 test("no plan leaves the bounds of a failure domain, and every plan carries the load where the bounds allow it", () => {
@@ -50,7 +50,7 @@
             for (const target of targets) {
                 assert.equal(target.reclaimable + target.onDemand >= 1 && target.reclaimable + target.onDemand <= 8, true);
             }
-            const planned = sumTargets(targets);
+            const planned = countTargets(targets);
             assert.equal(planned.reclaimable + planned.onDemand >= Math.min(needed, 8 * domains.length), true);
         }),
         { seed: 20_261_204 },
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -12,6 +12,7 @@
 import { EventStreamRelay, RelayEnd, WholeAnswerRelay } from "./answerRelay.js";
 import { CallerAnswer } from "./callerAnswer.js";
 import { CallProtocol } from "./callProtocol.js";
+import { CrashWatch } from "./crashWatch.js";
 import { EndpointConnections } from "./endpointConnections.js";
 import { EndpointExchange } from "./endpointExchange.js";
 import { HeaderForwarder } from "./forwardedHeaders.js";
@@ -40,6 +41,7 @@
     readonly connections: EndpointConnections;
     readonly directory: EndpointDirectory;
     readonly callPlacement: CallPlacement;
+    readonly crashes: CrashWatch;
     readonly news: PlacementNews;
     readonly work: WorkMeter;
     readonly timing: AttemptTiming;
@@ -198,8 +200,9 @@
     }
 
     private settleBroken(): AttemptEnd {
-        if (!this.options.caller.isCallerGone()) {
+        if (!this.stopping.signal.aborted) {
             this.endpoint.recordLoss(this.parts.clock.getMonotonicTime());
+            this.parts.crashes.recordLoss(this.endpoint, this.options.call.fingerprint);
         }
         return this.createEnd(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
     }
@@ -220,6 +223,7 @@
         }
         else if (!options.caller.isCallerGone()) {
             this.endpoint.recordLoss(now);
+            this.recordSignOfDeath(code, exchange);
         }
         if (this.isSilent) {
             const limit = parts.timing.endpointSilence;
@@ -229,6 +233,17 @@
         return this.createEnd(failure, hasArrived);
     }
 
+    private recordSignOfDeath(code: number, exchange: EndpointExchange): void {
+        const { parts, options } = this;
+        if (!exchange.hasConnection()) {
+            parts.crashes.recordDeath(this.endpoint);
+            return;
+        }
+        if (code === Diagnostics.Connection_was_lost_after_the_request_was_sent_0.code && !this.stopping.signal.aborted) {
+            parts.crashes.recordLoss(this.endpoint, options.call.fingerprint);
+        }
+    }
+
     private createEnd(failure: Failure | undefined, hasArrived = true): AttemptEnd {
         return { failure, hasArrived, isLate: this.isLate, sentAt: this.sentAt, firstEventAt: this.firstEventAt };
     }
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -11,6 +11,7 @@
 import { EndpointChooser } from "../placement/endpointChooser.js";
 import { Placement } from "../placement/types.js";
 import { RetryAllowance } from "../quotas/retryAllowance.js";
+import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { RouteKind } from "../routes/types.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { EventStreamRelay } from "./answerRelay.js";
@@ -32,6 +33,7 @@
     readonly allowance: RetryAllowance;
     readonly callPlacement: CallPlacement;
     readonly usage: UsageCounter;
+    readonly ledger: QuarantineLedger;
 }
 
 /** How a call ended. */
@@ -94,6 +96,12 @@
             if (caller.isCallerGone()) {
                 return this.createReport(CallOutcome.CallerLeft, undefined);
             }
+            if (parts.crashes.isRefused(call.fingerprint)) {
+                const deaths = parts.ledger.countDeaths(call.fingerprint);
+                return this.createFailureReport(
+                    Failure.create(this.verdict, Diagnostics.Request_ended_0_endpoints_and_is_not_sent_again, deaths),
+                );
+            }
             const placement = this.choosePlacement();
             if (placement.err) {
                 return this.createFailureReport(placement.val);
--- a/src/gateway/callReader.ts
+++ b/src/gateway/callReader.ts
@@ -2,6 +2,7 @@
 import { Clock } from "../common/clock.js";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
+import { hashCall } from "../common/hashing.js";
 import { RandomSource } from "../common/random.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
@@ -68,6 +69,7 @@
             service: pickService(route, this.random),
             team: team.val,
             isKeyed: table.hasTeams(),
+            fingerprint: hashCall(team.val?.name ?? "", request.method ?? "", target, body.bytes),
             prompt: this.readPrompt(request),
             lastEventId: readHeader(request, protocol.lastEventId),
             arrivedAt,
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -12,6 +12,7 @@
 import { EndpointFollower } from "../../fleet/endpointFollower.js";
 import { CallForwarder } from "../../gateway/callForwarder.js";
 import { CallReader } from "../../gateway/callReader.js";
+import { CrashWatch } from "../../gateway/crashWatch.js";
 import { EndpointConnections } from "../../gateway/endpointConnections.js";
 import { HeaderForwarder } from "../../gateway/forwardedHeaders.js";
 import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
@@ -227,6 +228,9 @@
     container.bind(Keys.Caps).toDynamicValue(context => SharedRateLimiter.create(context.get(Keys.Clock), settings.caps.slack));
     container.bind(Keys.Allowance).toDynamicValue(context => RetryAllowance.create(context.get(Keys.Clock), settings.retries));
     container.bind(Keys.Ledger).toDynamicValue(context => QuarantineLedger.create(context.get(Keys.Clock), settings.timing.quarantineTerm));
+    container.bind(Keys.Crashes).toDynamicValue(context =>
+        CrashWatch.create(context.get(Keys.Ledger), context.get(Keys.Clock), context.get(Keys.Log))
+    );
     container.bind(Keys.Connections).toDynamicValue(() => EndpointConnections.create());
     container.bind(Keys.Forwarder).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
@@ -241,6 +245,8 @@
             chooser: context.get(Keys.Chooser),
             allowance: context.get(Keys.Allowance),
             usage: context.get(Keys.Usage),
+            ledger: context.get(Keys.Ledger),
+            crashes: context.get(Keys.Crashes),
             news: context.get(Keys.News),
             work: context.get(Keys.Work),
             timing: settings.timing,
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -10,6 +10,7 @@
 import { EndpointDecoder, EndpointFollower } from "../fleet/endpointFollower.js";
 import { CallForwarder } from "../gateway/callForwarder.js";
 import { CallProtocol } from "../gateway/callProtocol.js";
+import { CrashWatch } from "../gateway/crashWatch.js";
 import { EndpointConnections } from "../gateway/endpointConnections.js";
 import { GatewayMetrics } from "../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../gateway/gatewayServer.js";
@@ -78,6 +79,7 @@
     EnginePlacement: createKey<EnginePlacement>("EnginePlacement"),
     CallPlacement: createKey<CallPlacement>("CallPlacement"),
     Chooser: createKey<EndpointChooser>("Chooser"),
+    Crashes: createKey<CrashWatch>("Crashes"),
     Connections: createKey<EndpointConnections>("Connections"),
     Forwarder: createKey<CallForwarder>("Forwarder"),
     Server: createKey<GatewayServer>("Server"),
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -145,6 +145,9 @@
         container.get(Keys.Configuration).addListener(table => metrics.configurationVersion.set(table.configuration.version));
         container.get(Keys.Directory).addListener(change => {
             const { entry } = change.endpoint;
+            if (change.kind === DirectoryChangeKind.Reborn || change.kind === DirectoryChangeKind.Removed) {
+                container.get(Keys.Crashes).recordDeath(change.endpoint);
+            }
             if (change.kind === DirectoryChangeKind.Removed) {
                 connections.removeEndpoint(change.endpoint);
             }
--- a/src/quotas/sharedLimits.test.ts
+++ b/src/quotas/sharedLimits.test.ts
@@ -26,7 +26,7 @@
                 passed.push({ at: step * 10, units });
             }
             if (step % 50 === 0) {
-                shareDemands(limiters);
+                exchangeDemands(limiters);
             }
         }
         const window = 8_000;
@@ -38,7 +38,7 @@
     }
 });
 
-function shareDemands(limiters: readonly SharedRateLimiter[]): void {
+function exchangeDemands(limiters: readonly SharedRateLimiter[]): void {
     limiters.forEach((limiter, from) => {
         for (const { name, demand } of limiter.listDemands()) {
             limiters.filter((_other, to) => to !== from).forEach(other => other.recordOtherDemand(name, `node-${from}`, demand));
--- a/src/standins/routed/routedStore.ts
+++ b/src/standins/routed/routedStore.ts
@@ -93,14 +93,14 @@
     }
 
     /** Forgets the history: watches that started before get 410. */
-    dropHistory(): void {
+    removeHistory(): void {
         this.events = [];
         this.oldestRevision = this.revision;
         this.wakeWatches();
     }
 
     /** Makes changes that no watch is told of, then forgets the history without ending the watches. */
-    changeUnseen(change: () => void): void {
+    applyUnseen(change: () => void): void {
         const waiting = [...this.waiting];
         this.waiting.clear();
         change();
