Tell a reset that comes together with data from an orderly end of an answer without a length

When data and the reset arrive in one poll, the event loop reports an end of the stream in place of the error, and the parser calls the answer complete. Ruled out: the order of error handlers (the test with a pause between data and reset passed). A connection that was reset has no peer any more, which tells the two apart. The new test failed before (200 for half an answer).

--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -36,7 +36,8 @@
     hasError = false;
     private socket: Socket | undefined;
     private readonly handleEnd = () => {
-        this.isEndedByEndpoint = true;
+        // A reset that comes together with data is read as an end; but a connection that was reset has no peer any more.
+        this.isEndedByEndpoint = this.socket?.remoteAddress !== undefined;
     };
     private readonly handleError = () => {
         this.hasError = true;
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -77,6 +77,7 @@
         WorkerFault.ResetAfterRun,
         WorkerFault.Truncate,
         WorkerFault.ResetUnframed,
+        WorkerFault.ResetUnframedAtOnce,
         WorkerFault.Garble,
         WorkerFault.Unpromised,
     ]
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -17,6 +17,8 @@
     Fail = "fail",
     /** It answers without a length and resets the connection in the middle. */
     ResetUnframed = "reset-unframed",
+    /** It does so at once, so that data and reset arrive together. */
+    ResetUnframedAtOnce = "reset-unframed-at-once",
     /** It answers without a length and ends the connection in order. */
     Unframed = "unframed",
     /** Its answer stops short of its length. */
@@ -159,6 +161,10 @@
             case WorkerFault.ResetUnframed:
                 socket.write(`${head}connection: close\r\n\r\n${text.slice(0, 5)}`, () => setTimeout(() => socket.resetAndDestroy(), 20));
                 return;
+            case WorkerFault.ResetUnframedAtOnce:
+                socket.write(`${head}connection: close\r\n\r\n${text.slice(0, 5)}`);
+                socket.resetAndDestroy();
+                return;
             case WorkerFault.Truncate:
                 socket.end(`${head}content-length: ${text.length}\r\n\r\n${text.slice(0, 5)}`);
                 return;
