--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -65,7 +65,12 @@
         readonly homePenalty: number;
     };
     readonly calls: { readonly initialCallTime: number; readonly domainPenalty: number; };
-    readonly fleet: { readonly targetUtilization: number; readonly leastNeeded: number; readonly shrinkDelay: number; };
+    readonly fleet: {
+        readonly targetUtilization: number;
+        readonly leastNeeded: number;
+        readonly shrinkDelay: number;
+        readonly reclaimableShrinkDelay: number;
+    };
     /** Units that all nodes together may pass beyond a team's usage cap, and the window, in milliseconds, in which it is judged. */
     readonly caps: { readonly slack: number; readonly window: number; };
     readonly usage: { readonly windowLength: number; readonly dueTime: number; };
@@ -199,9 +204,10 @@
 
 function readFleet(reader: SectionReader): GatewaySettings["fleet"] {
     return {
-        targetUtilization: reader.readNumber("target-utilization", 0.05, 1, 0.5),
+        targetUtilization: reader.readNumber("target-utilization", 0.05, 2, 1),
         leastNeeded: reader.readInteger("least-needed", 0, 10_000, 2),
-        shrinkDelay: reader.readInteger("shrink-delay-milliseconds", 0, millisecondsPerMinute, 3_000),
+        shrinkDelay: reader.readInteger("shrink-delay-milliseconds", 0, millisecondsPerMinute, 2_500),
+        reclaimableShrinkDelay: reader.readInteger("reclaimable-shrink-delay-milliseconds", 0, millisecondsPerMinute, 10_000),
     };
 }
 
--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -11,8 +11,8 @@
 import { DomainFleet, FleetPlan } from "./fleetPlan.js";
 import { DutyApi, DutyCredentials, DutyOutcome, EndpointOrder } from "./types.js";
 
-/** Time after a refusal for which no more reclaimable endpoints are asked for in that failure domain, in milliseconds. */
-const unavailableMilliseconds = 2_000;
+/** Pause between two tries to get reclaimable endpoints where there were none, in milliseconds: each try is a counted call. */
+const offerCheckMilliseconds = 2_000;
 /** Time beyond an endpoint's start after which an order that was not carried out is given again, in milliseconds. */
 const orderMarginMilliseconds = 2_500;
 /** Pause before an order is given again whose answer was lost, in milliseconds: it may still be carried out. */
@@ -24,8 +24,10 @@
     readonly targetUtilization: number;
     /** Fewest endpoints that the load is taken to need. */
     readonly leastNeeded: number;
-    /** Time after which an endpoint that is no longer needed is given back, in milliseconds. */
+    /** Time after which an on-demand endpoint that is no longer needed is given back, in milliseconds. */
     readonly shrinkDelay: number;
+    /** The same for reclaimable endpoints: they cost little, and what they hold of prompts would be read again. */
+    readonly reclaimableShrinkDelay: number;
 }
 
 /** What the duty works with. */
@@ -54,7 +56,8 @@
     ordered: number | undefined;
     orderedAt: number;
     retryAt: number;
-    unavailableUntil: number;
+    /** Whether the last order for more of this kind was not refused for want of endpoints. */
+    isOffering: boolean;
     /** Since when fewer endpoints than ordered have been enough. */
     smallerSince: number | undefined;
 }
@@ -79,6 +82,9 @@
             this.baselines.clear();
             this.actingFencing = credentials.fencing;
         }
+        if (this.parts.directory.listAll().length === 0) {
+            return;
+        }
         for (const service of this.parts.configuration.getTable()?.configuration.services ?? []) {
             if (service.scaling !== undefined && service.engine !== undefined) {
                 await this.runService(service, service.scaling);
@@ -95,10 +101,10 @@
         for (const isReclaimable of [true, false]) {
             for (const target of targets) {
                 const domain = domains.find(candidate => candidate.failureDomain === target.failureDomain);
-                if (isReclaimable && domain?.hasReclaimable !== true) {
-                    continue;
-                }
-                const count = isReclaimable ? target.reclaimable : target.onDemand;
+                const isRefused = isReclaimable && domain?.hasReclaimable !== true;
+                const planned = isReclaimable ? target.reclaimable : target.onDemand;
+                // Where none could be had, an even part is asked for from time to time.
+                const count = isRefused ? Math.min(scaling.maximum, Math.ceil(needed / domains.length)) : planned;
                 const serving = this.countServing(service.name, target.failureDomain, isReclaimable);
                 const kept = Math.max(count, serving - Math.max(0, spare));
                 spare -= Math.max(0, serving - kept);
@@ -119,7 +125,10 @@
         const now = this.parts.clock.getMonotonicTime();
         const serving = this.listServing(service.name).length;
         const baseline = this.baselines.get(service.name) ?? { endpoints: serving, loadSince: undefined };
-        this.baselines.set(service.name, baseline);
+        // Before any entry was read there is nothing to keep yet.
+        if (serving > 0) {
+            this.baselines.set(service.name, baseline);
+        }
         if (hasLoad) {
             baseline.loadSince ??= now;
         }
@@ -128,13 +137,12 @@
     }
 
     private createDomain(service: RoutedService, scaling: ScalingBounds, failureDomain: string, price: number): DomainFleet {
-        const now = this.parts.clock.getMonotonicTime();
         const state = this.getState(service.name, failureDomain, true);
         return {
             failureDomain,
             price,
             reclaimable: Math.max(this.countServing(service.name, failureDomain, true), this.countBooting(state, scaling)),
-            hasReclaimable: scaling.reclaimablePrice !== undefined && now >= state.unavailableUntil,
+            hasReclaimable: scaling.reclaimablePrice !== undefined && state.isOffering,
         };
     }
 
@@ -173,15 +181,16 @@
         if (state.ordered === undefined && serving === count) {
             return;
         }
-        if (now < state.retryAt || (count < (state.ordered ?? serving) && !this.isLongEnoughSmaller(state, now))) {
+        if (now < state.retryAt || (count < (state.ordered ?? serving) && !this.isLongEnoughSmaller(state, now, isReclaimable))) {
             return;
         }
         await this.sendOrder({ service: service.name, failureDomain, isReclaimable, count }, state, serving);
     }
 
-    private isLongEnoughSmaller(state: OrderState, now: number): boolean {
+    private isLongEnoughSmaller(state: OrderState, now: number, isReclaimable: boolean): boolean {
+        const { settings } = this.parts;
         state.smallerSince ??= now;
-        return now - state.smallerSince >= this.parts.settings.shrinkDelay;
+        return now - state.smallerSince >= (isReclaimable ? settings.reclaimableShrinkDelay : settings.shrinkDelay);
     }
 
     private async sendOrder(order: EndpointOrder, state: OrderState, serving: number): Promise<void> {
@@ -206,6 +215,7 @@
             state.ordered = order.count;
             state.orderedAt = now;
             state.smallerSince = undefined;
+            state.isOffering = true;
             parts.log.log(LogEvents.DutyDone, fields);
             return;
         }
@@ -220,8 +230,8 @@
             this.parts.lease.recordFenced(fencing);
         }
         if (outcome === DutyOutcome.Unavailable) {
-            state.unavailableUntil = now + unavailableMilliseconds;
-            state.retryAt = state.unavailableUntil;
+            state.isOffering = false;
+            state.retryAt = now + offerCheckMilliseconds;
         }
     }
 
@@ -235,7 +245,7 @@
             ordered: undefined,
             orderedAt: -Infinity,
             retryAt: -Infinity,
-            unavailableUntil: -Infinity,
+            isOffering: true,
             smallerSince: undefined,
         };
         this.states.set(key, state);
