--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -189,9 +189,9 @@
         promptTokensPerMillisecond: reader.readNumber("prompt-tokens-per-millisecond", 0.001, 100_000, 48.2),
         outputToken: reader.readNumber("output-token-milliseconds", 0, 1_000, 0.4),
         batchPenalty: reader.readNumber("batch-penalty-milliseconds", 0, 1_000, 1.5),
-        domainPenalty: reader.readNumber("domain-penalty-milliseconds", 0, 10_000, 10),
+        domainPenalty: reader.readNumber("domain-penalty-milliseconds", 0, 10_000, 30),
         copyPenalty: reader.readNumber("copy-penalty-milliseconds-per-1000-tokens", 0, 10_000, 20),
-        homePenalty: reader.readNumber("home-penalty-milliseconds", 0, 10_000, 20),
+        homePenalty: reader.readNumber("home-penalty-milliseconds", 0, 10_000, 15),
     };
 }
 
--- a/src/provider/objectFollower.ts
+++ b/src/provider/objectFollower.ts
@@ -2,12 +2,15 @@
 import { EventLog } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
 import { ObjectStore } from "./objectStore.js";
-import { ObjectList, StoredObject, WatchEventKind } from "./types.js";
+import { ObjectList, StoredObject, WatchEvent, WatchEventKind } from "./types.js";
 
 /** First pause after a failed call, in milliseconds; it doubles up to the longest: each call is counted, also in an outage. */
 const firstPauseMilliseconds = 100;
 const longestPauseMilliseconds = 1_000;
 
+/** Pause after changes before the next call, in milliseconds: changes come in groups, and one call brings a whole group. */
+const groupMilliseconds = 200;
+
 /** Takes what a follower reads. */
 export interface ObjectHandler {
     /** Called with everything that is there, at the start and whenever the history was lost. */
@@ -88,6 +91,7 @@
     /** Watches until the watch ends; returns whether it got any answer. */
     private async watchOnce(after: number): Promise<boolean> {
         let hasAnswer = false;
+        let hasChange = false;
         for await (const event of this.store.watchObjects(this.prefix, after, this.stopping.signal)) {
             hasAnswer = true;
             this.recordReached();
@@ -96,17 +100,31 @@
                 this.revision = undefined;
                 return true;
             }
-            if (event.kind === WatchEventKind.Changed && event.object !== undefined) {
-                this.handler.handleChange(event.object);
-            }
-            if (event.kind === WatchEventKind.Removed && event.object !== undefined) {
-                this.handler.handleRemoval(event.object.name, event.object.revision);
-            }
             this.revision = Math.max(event.revision, this.revision ?? 0);
+            if (event.kind === WatchEventKind.Heartbeat) {
+                if (hasChange) {
+                    hasChange = false;
+                    await this.clock.sleep(groupMilliseconds, this.stopping.signal);
+                }
+                continue;
+            }
+            hasChange = true;
+            this.applyChange(event);
         }
         return hasAnswer;
     }
 
+    private applyChange(event: WatchEvent): void {
+        if (event.object === undefined) {
+            return;
+        }
+        if (event.kind === WatchEventKind.Changed) {
+            this.handler.handleChange(event.object);
+            return;
+        }
+        this.handler.handleRemoval(event.object.name, event.object.revision);
+    }
+
     private recordReached(): void {
         this.failuresInRow = 0;
         if (this.lostAt === undefined) {
