--- a/src/cli/commandLine.test.ts
+++ b/src/cli/commandLine.test.ts
@@ -157,3 +157,21 @@
     assert.equal((await run("corianderward.js", ["keys", "check", certificate, "--authority", join(keys, "authority.pem")])).code, 0);
     assert.equal((await run("corianderward.js", ["keys", "check", certificate, "--authority", join(other, "authority.pem")])).code, 1);
 });
+
+test("logs: a request is explained, causes are counted, and what cannot be read or found is said", async () => {
+    const createLine = (message: string, fields: Readonly<Record<string, unknown>>) =>
+        JSON.stringify({ level: "warn", message, node: "node-1", timestamp: "2026-12-04T10:00:00.000Z", ...fields });
+    const file = writeFile(
+        "node-1.log",
+        [
+            createLine("endpoint changed", { endpoint: "i-1", change: "draining", source: "store" }),
+            createLine("attempt failed", { request: "r-1", endpoint: "i-1", cause: "socket hang up", verdict: "MayHaveRun" }),
+            createLine("request failed", { request: "r-1", endpoint: "i-1", outcome: "failed", cause: "The connection was lost." }),
+        ].join("\n"),
+    );
+    await compareBaseline("logs-explain", "corianderward.js", ["logs", "explain", "r-1", file], 0);
+    await compareBaseline("logs-explain-unknown", "corianderward.js", ["logs", "explain", "r-2", file], 1);
+    await compareBaseline("logs-summary", "corianderward.js", ["logs", "summary", file, "--changes"], 0);
+    await compareBaseline("logs-missing", "corianderward.js", ["logs", "summary", join(directory, "none.log")], 2);
+    await compareBaseline("logs-kinds", "corianderward.js", ["logs", "kinds"], 0);
+});
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -1,7 +1,9 @@
 import { CheckCommand } from "./check.js";
 import { DemoCommand } from "./demo.js";
+import { EmulateCommand } from "./emulate.js";
 import { EndpointDrainCommand } from "./endpointDrain.js";
 import { KeysAuthorityCommand, KeysCheckCommand, KeysIssueCommand } from "./keys.js";
+import { LogsExplainCommand, LogsKindsCommand, LogsSummaryCommand } from "./logs.js";
 import { MoveAbortCommand, MoveShowCommand, MoveStartCommand } from "./moves.js";
 import { PublishCommand } from "./publish.js";
 import { ReplayCommand } from "./replay.js";
@@ -24,5 +26,9 @@
     "keys:check": KeysCheckCommand,
     "replay": ReplayCommand,
     "demo": DemoCommand,
+    "emulate": EmulateCommand,
+    "logs:explain": LogsExplainCommand,
+    "logs:summary": LogsSummaryCommand,
+    "logs:kinds": LogsKindsCommand,
     "trace:generate": TraceGenerateCommand,
 };
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -165,6 +165,10 @@
     Endpoint_0_is_draining: createNote(6012, "Endpoint '{0}' is draining."),
     File_0_exists: createError(6015, "File '{0}' exists; --force replaces it."),
     Certificate_0_is_not_valid_1: createError(6016, "Certificate '{0}' is not valid: {1}."),
+    No_line_names_request_0: createError(
+        6017,
+        "No line names request '{0}' ({1} lines read). Lines of served requests are sampled under load.",
+    ),
     Every_outcome_holds: createNote(6013, "Every stated outcome holds."),
 } as const;
 
