Compare a sample of endpoints, so that nodes with the same old loads do not all choose one

Now the nearest and three by chance are compared. A generation that is late anyway tells its engine so. A kept connection no longer gathers listeners: the overridden method of the agent has to call its base; the new test failed with a warning before.

--- a/src/duties/dutyLease.ts
+++ b/src/duties/dutyLease.ts
@@ -9,9 +9,13 @@
 /** Object that holds the lease of the duties. */
 const leaseName = "leases/duties";
 
+/** Age up to which a node leaves the lease to older ones, in milliseconds: it has not heard what was counted before its start. */
+const youngMilliseconds = 15_000;
+
 /** The lease under which one node at a time carries out the duties, and what is known of who holds it. */
 export class DutyLease implements HolderWatch {
     private readonly keeper: LeaseKeeper;
+    private readonly clock: Clock;
     private knownHolder = "";
     private knownFencing = 0;
     private lostFencing = 0;
@@ -24,6 +28,7 @@
         private readonly table: PeerTable,
         private readonly log: EventLog,
     ) {
+        this.clock = clock;
         this.keeper = LeaseKeeper.create(store, clock, candidate, leaseName, term, {
             recordTaken: (_lease, fencing) => this.recordTaken(fencing),
         }, this);
@@ -82,6 +87,21 @@
     }
 
     isHolderHeard(): boolean {
+        return this.isKnownHolderHeard() || this.hasOlderCandidate();
+    }
+
+    /** Whether this node has just started and an older one could take the lease. */
+    private hasOlderCandidate(): boolean {
+        if (this.clock.getWallTime() - this.candidate.incarnation > youngMilliseconds) {
+            return false;
+        }
+        return this.table.listHeard().some(peer =>
+            !peer.isLeaving && peer.digest?.isStoreReachable === true
+            && peer.incarnation + youngMilliseconds < this.candidate.incarnation
+        );
+    }
+
+    private isKnownHolderHeard(): boolean {
         const holder = this.table.findPeer(this.knownHolder);
         if (holder === undefined || holder.isLeaving || !this.table.isHeard(holder)) {
             return false;
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -145,7 +145,7 @@
                 endpointId: this.endpoint.entry.id,
                 timeLeft,
                 lastEventId: options.lastEventId,
-                urgency: call.prompt === undefined ? undefined : computeUrgency(call),
+                urgency: call.prompt === undefined ? undefined : computeUrgency(call, options.placement.expectedTime),
                 cacheSource: this.getCacheSource(),
                 traceHeaders: {},
             }),
@@ -292,8 +292,11 @@
     }
 }
 
-/** Returns how urgent a generation is for its engine: the most urgent rank comes before what carries no urgency. */
-function computeUrgency(call: IncomingCall): number {
+/** Returns how urgent a generation is for its engine. One that is late anyway lets those before it that may still be in time. */
+function computeUrgency(call: IncomingCall, expectedTime: number): number {
+    if (expectedTime > call.route.objective) {
+        return leastUrgent;
+    }
     const rank = call.team?.priority ?? call.route.priority;
     return Math.min(leastUrgent, mostUrgent + rank);
 }
--- a/src/gateway/endpointConnections.ts
+++ b/src/gateway/endpointConnections.ts
@@ -47,7 +47,7 @@
             socket.off("timeout", destroy);
         }
         socket.setTimeout(0);
-        request.reusedSocket = true;
+        super.reuseSocket(stream, request);
     }
 }
 
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -200,6 +200,20 @@
     await waitUntil(() => directory.findEndpoint(leaving.id)?.isUsable() === true);
 });
 
+test("a kept connection to a worker carries many calls without gathering listeners", async () => {
+    const warnings: string[] = [];
+    const record = (warning: Error) => warnings.push(warning.message);
+    process.on("warning", record);
+    const before = platform.callWorkers.reduce((sum, worker) => sum + worker.connections, 0);
+    for (let index = 0; index < 40; index += 1) {
+        assert.equal((await gateway.sendCall("/lookup/1")).status, 200);
+    }
+    const opened = platform.callWorkers.reduce((sum, worker) => sum + worker.connections, 0) - before;
+    process.off("warning", record);
+    assert.equal(opened <= 4, true, `${opened} connections for 40 calls`);
+    assert.deepEqual(warnings, []);
+});
+
 test("kept connections of callers carry many calls", async () => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     for (let index = 0; index < 5; index += 1) {
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -118,6 +118,8 @@
             await clock.sleep(drainCheckMilliseconds);
             server.closeIdle();
         }
+        // What it counted last would be missing in the usage reports.
+        await container.get(Keys.Gossip).publishNow();
         log.log(LogEvents.ProcessStopped, { cutOff: server.countOpenCalls() });
         this.stopTasks();
         server.closeAll();
--- a/src/placement/callPlacement.ts
+++ b/src/placement/callPlacement.ts
@@ -45,16 +45,16 @@
         const before = this.countRequests(endpoint);
         const waiting = Math.max(0, before + 1 - endpoint.entry.slots);
         const expectedTime = (waiting / endpoint.entry.slots + 1) * callTime * endpoint.getLatencyRatio();
-        // Below its slots a busier endpoint is a little worse: what other nodes send there now is not known yet.
-        let cost = expectedTime + callTime * before / endpoint.entry.slots / 2;
+        let fixedCost = callTime * endpoint.getFailureShare();
         if (endpoint.entry.failureDomain !== this.failureDomain) {
-            cost += this.speeds.domainPenalty;
+            fixedCost += this.speeds.domainPenalty;
         }
-        cost += callTime * endpoint.getFailureShare();
         if (endpoint.isUnhealthy()) {
-            cost += unhealthyPenaltyMilliseconds;
+            fixedCost += unhealthyPenaltyMilliseconds;
         }
-        return { cost, expectedTime, tokensToRead: 0, cacheSource: undefined };
+        // Below its slots a busier endpoint is a little worse: what other nodes send there now is not known yet.
+        const cost = fixedCost + expectedTime + callTime * before / endpoint.entry.slots / 2;
+        return { cost, fixedCost, expectedTime, tokensToRead: 0, cacheSource: undefined };
     }
 
     private countRequests(endpoint: FleetEndpoint): number {
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -6,7 +6,7 @@
 import { Verdict } from "../common/verdict.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { Placement, PlacementPolicy, PlacementQuery } from "./types.js";
+import { Placement, PlacementCost, PlacementPolicy, PlacementQuery } from "./types.js";
 
 /** Parts of the caller's time left that the expected time may take: what is expected later than that is not served in time. */
 const usableShareOfTimeLeft = 0.9;
@@ -15,6 +15,11 @@
 /** Requests of this node that one of an endpoint's connections may wait for; the limit of connections is shared by all nodes. */
 const spareConnections = 2;
 
+/** Options that are compared for one request: two by chance beside the nearest keep queues nearly as short as all would. */
+const sampleSize = 4;
+
+type PlacementOption = Placement & PlacementCost;
+
 /** Reads how many connections one node may open to an endpoint of a service. */
 export type ConnectionLimitSource = (service: string) => number;
 
@@ -40,23 +45,8 @@
 
     /** Chooses an endpoint, or fails when none is there or none is expected to serve the request in time. */
     choosePlacement(query: PlacementQuery): Result<Placement, Failure> {
-        const candidates = this.listCandidates(query);
-        const all = this.directory.listEndpoints(query.service);
-        const policy = this.getPolicy(query.service);
-        let best: Placement | undefined;
-        let lowestCost = Infinity;
-        let equalCount = 0;
-        for (const endpoint of candidates) {
-            const { cost, ...placed } = policy.computeCost(endpoint, query, all);
-            const isEqual = Math.abs(cost - lowestCost) < equalCostMilliseconds;
-            equalCount = isEqual ? equalCount + 1 : 1;
-            const isPicked = isEqual ? this.random.pickIndex(equalCount) === 0 : cost < lowestCost;
-            if (!isPicked) {
-                continue;
-            }
-            lowestCost = Math.min(cost, lowestCost);
-            best = { endpoint, ...placed };
-        }
+        const options = this.listOptions(query);
+        const best = this.selectBest(this.pickSample(options));
         if (best === undefined) {
             return Err(Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service));
         }
@@ -67,6 +57,44 @@
         return Ok(best);
     }
 
+    private listOptions(query: PlacementQuery): PlacementOption[] {
+        const all = this.directory.listEndpoints(query.service);
+        const policy = this.getPolicy(query.service);
+        return this.listCandidates(query).map(endpoint => ({ endpoint, ...policy.computeCost(endpoint, query, all) }));
+    }
+
+    /**
+     * Picks the options that are compared: the one that suits best whatever its load, and some others by chance. Nodes that
+     * know the same loads, all a little old, would otherwise send everything to one endpoint until they hear of it.
+     */
+    private pickSample(options: readonly PlacementOption[]): PlacementOption[] {
+        if (options.length <= sampleSize) {
+            return [...options];
+        }
+        const nearest = options.reduce((best, option) => (option.fixedCost < best.fixedCost ? option : best));
+        const sample = [nearest];
+        const rest = options.filter(option => option !== nearest);
+        while (sample.length < sampleSize) {
+            const [picked] = rest.splice(this.random.pickIndex(rest.length), 1);
+            sample.push(picked as PlacementOption);
+        }
+        return sample;
+    }
+
+    private selectBest(options: readonly PlacementOption[]): PlacementOption | undefined {
+        let best: PlacementOption | undefined;
+        let equalCount = 1;
+        for (const option of options) {
+            const isEqual = best !== undefined && Math.abs(option.cost - best.cost) < equalCostMilliseconds;
+            equalCount = isEqual ? equalCount + 1 : 1;
+            const isPicked = best === undefined || (isEqual ? this.random.pickIndex(equalCount) === 0 : option.cost < best.cost);
+            if (isPicked) {
+                best = option;
+            }
+        }
+        return best;
+    }
+
     private listCandidates(query: PlacementQuery): FleetEndpoint[] {
         const now = this.clock.getMonotonicTime();
         const limit = Math.max(1, this.getConnectionLimit(query.service) - spareConnections);
--- a/src/placement/enginePlacement.ts
+++ b/src/placement/enginePlacement.ts
@@ -48,9 +48,17 @@
         const readTime = (endpoint.countPromptTokens() + tokensToRead) / speeds.promptTokensPerMillisecond;
         const batchTime = endpoint.countRequests() * speeds.batchPenalty;
         const expectedTime = (readTime + batchTime) * endpoint.getLatencyRatio();
-        let cost = expectedTime + speeds.copyPenalty * copied / tokensPerCopyUnit;
+        const fixedCost = this.computeFixedCost(endpoint, prompt, copied) + tokensToRead / speeds.promptTokensPerMillisecond;
+        const waitCost = expectedTime - tokensToRead / speeds.promptTokensPerMillisecond;
         // Close to the objective every further millisecond makes it likelier that the answer is late.
-        cost += Math.max(0, expectedTime - query.objective * safeShareOfObjective) * lateWeight;
+        const lateCost = Math.max(0, expectedTime - query.objective * safeShareOfObjective) * lateWeight;
+        const cost = fixedCost + waitCost + lateCost;
+        return { cost, fixedCost, expectedTime, tokensToRead, cacheSource: source?.endpoint };
+    }
+
+    private computeFixedCost(endpoint: FleetEndpoint, prompt: PromptShape | undefined, copied: number): number {
+        const { speeds } = this;
+        let cost = speeds.copyPenalty * copied / tokensPerCopyUnit;
         if (endpoint.entry.failureDomain !== this.failureDomain) {
             cost += speeds.domainPenalty;
         }
@@ -60,7 +68,7 @@
         if (endpoint.isUnhealthy()) {
             cost += unhealthyPenaltyMilliseconds;
         }
-        return { cost, expectedTime, tokensToRead, cacheSource: source?.endpoint };
+        return cost;
     }
 
     /** Returns 0 to 1: how far an endpoint is from being the home of a prompt's longest shared part, the same on every node. */
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -29,6 +29,8 @@
 export interface PlacementCost {
     /** In milliseconds of the caller's time; other costs are given in the same unit. */
     readonly cost: number;
+    /** The part of it that does not depend on what others have sent there: distance, what is cached, health. */
+    readonly fixedCost: number;
     readonly expectedTime: number;
     readonly tokensToRead: number;
     readonly cacheSource: FleetEndpoint | undefined;
