--- a/src/fleet/endpointFollower.test.ts
+++ b/src/fleet/endpointFollower.test.ts
@@ -60,3 +60,20 @@
     assert.equal(after?.cache.countCachedTokens([{ id: "p", tokens: 5 }]), 0);
     assert.equal(before?.isGone, true);
 });
+
+test("an endpoint that only a peer told of is removed by the store like any other", () => {
+    for (const way of ["listing", "watch"]) {
+        const clock = VirtualClock.create();
+        const { directory, follower, isUsable } = createFollower(clock);
+        directory.applyEntry({ entry: createEndpointEntry({ id: "told" }), revision: 5 }, "peer");
+        directory.applyEntry({ entry: createEndpointEntry({ id: "newer" }), revision: 9 }, "peer");
+        if (way === "listing") {
+            follower.handleListing({ revision: 8, objects: [] });
+        }
+        else {
+            follower.handleRemoval("endpoints/told", 8);
+        }
+        assert.equal(isUsable("told"), false, way);
+        assert.equal(isUsable("newer"), true, way);
+    }
+});
--- a/src/fleet/endpointFollower.ts
+++ b/src/fleet/endpointFollower.ts
@@ -15,14 +15,13 @@
 
 /** Reads an endpoint's entry from the form in which a deployment stores it. */
 export interface EndpointDecoder {
-    /** Prefix of the objects that hold entries. */
+    /** Prefix of the objects that hold entries; the rest of an object's name is the endpoint's id. */
     readonly prefix: string;
     decodeEndpoint(object: StoredObject): Result<EndpointEntry, string>;
 }
 
 /** Keeps the directory by what endpoints write to the store. */
 export class EndpointFollower implements ObjectHandler {
-    private readonly ids = new Map<string, string>();
     private readonly pendingRemovals = new Map<string, number>();
     private getRegainedAt: () => number = () => -Infinity;
     private revision = 0;
@@ -74,8 +73,10 @@
     private applyListing(list: ObjectList): void {
         const listed = new Set(list.objects.map(object => object.name));
         list.objects.forEach(object => this.handleChange(object));
-        for (const name of this.ids.keys()) {
-            if (!listed.has(name)) {
+        // Also those that peers told of: the store never showed them to this node.
+        for (const { entry, revision } of this.directory.listEntries()) {
+            const name = this.decoder.prefix + entry.id;
+            if (!listed.has(name) && revision < list.revision) {
                 this.handleRemoval(name, list.revision);
             }
         }
@@ -88,7 +89,6 @@
             return;
         }
         this.pendingRemovals.delete(object.name);
-        this.ids.set(object.name, decoded.val.id);
         this.recordRevision(object.revision);
         this.directory.applyEntry({ entry: decoded.val, revision: object.revision }, storeSource);
     }
@@ -110,12 +110,8 @@
     }
 
     private removeEndpoint(name: string, revision: number): void {
-        const id = this.ids.get(name);
         this.pendingRemovals.delete(name);
-        this.ids.delete(name);
-        if (id !== undefined) {
-            this.recordRevision(revision);
-            this.directory.removeEntry(id, revision, storeSource);
-        }
+        this.recordRevision(revision);
+        this.directory.removeEntry(name.slice(this.decoder.prefix.length), revision, storeSource);
     }
 }
--- a/src/node/bindings/plainDeployment.ts
+++ b/src/node/bindings/plainDeployment.ts
@@ -38,7 +38,13 @@
 
     decodeEndpoint(object: StoredObject): Result<EndpointEntry, string> {
         const parsed = endpointEntrySchema.safeParse(object.value);
-        return parsed.success ? Ok(parsed.data) : Err(listIssues(parsed.error).join("; "));
+        if (!parsed.success) {
+            return Err(listIssues(parsed.error).join("; "));
+        }
+        if (object.name !== this.prefix + parsed.data.id) {
+            return Err(`the entry names endpoint ${parsed.data.id}`);
+        }
+        return Ok(parsed.data);
     }
 }
 
