Judge caps by what every node is taken to have passed, restarted and silent ones included

Now a silent node counts as its part of the limit, a young one adds the part that its earlier life may have passed, and a refusal says what was asked, passed and allowed.

--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -123,7 +123,11 @@
 
     Another_endpoint_has_the_address: createError(3023, "Another endpoint has the address.", 503),
     Header_0_is_missing: createError(3024, "Header '{0}' is missing.", 400),
-    Team_0_is_over_its_usage_cap: createError(3025, "Team '{0}' is over its usage cap.", 429),
+    Team_0_is_over_its_usage_cap_1_units_asked_2_of_3_passed: createError(
+        3025,
+        "Team '{0}' is over its usage cap: {1} units asked for, {2} of {3} passed in the window.",
+        429,
+    ),
     Headers_are_larger_than_0_bytes: createError(3026, "The headers are larger than {0} bytes.", 431),
     Answer_broke_off: createError(3027, "The endpoint's answer broke off.", 502),
     Endpoint_did_not_answer_in_time: createError(3028, "The endpoint did not answer before the deadline.", 504),
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -182,11 +182,13 @@
             return undefined;
         }
         const units = countUnits(call);
-        const wait = this.parts.caps.takeUnits(team, units, units);
-        if (wait === undefined) {
+        const refusal = this.parts.caps.takeUnits(team, units, units);
+        if (refusal === undefined) {
             return undefined;
         }
-        return Failure.create(Verdict.NotRun, Diagnostics.Team_0_is_over_its_usage_cap, team.name).setRetryAfter(wait);
+        const message = Diagnostics.Team_0_is_over_its_usage_cap_1_units_asked_2_of_3_passed;
+        const { passed, allowed, wait } = refusal;
+        return Failure.create(Verdict.NotRun, message, team.name, units, Math.round(passed), Math.round(allowed)).setRetryAfter(wait);
     }
 
     private rejectCall(request: IncomingMessage, caller: CallerAnswer, failure: Failure): void {
--- a/src/quotas/sharedLimits.test.ts
+++ b/src/quotas/sharedLimits.test.ts
@@ -49,6 +49,32 @@
 /** Share of the requests of a team at half of its limit that may be refused: what chance puts near the limit for a moment. */
 const refusedShareBound = 0.001;
 
+test("all nodes are killed in the middle of a flood: what their earlier lives passed still counts", async () => {
+    const limit = { name: "flood", rate: 1_000, burst: 1_000 };
+    const options = { slack: 1_400, window: 8_000 };
+    const clock = VirtualClock.create();
+    const passed: { at: number; units: number; }[] = [];
+    let limiters: SharedRateLimiter[] = [];
+    for (let step = 0; step < 4_000; step += 1) {
+        await clock.runUntil(step * 10);
+        if (step % 2_000 === 0) {
+            limiters = Array.from({ length: nodeCount }, () => SharedRateLimiter.create(clock, options));
+            limiters.forEach(limiter => limiter.setNodeCount(nodeCount));
+        }
+        if (limiters[step % nodeCount]?.takeUnits(limit, 40, 40) === undefined) {
+            passed.push({ at: step * 10, units: 40 });
+        }
+        if (step % 50 === 0) {
+            exchangeDemands(limiters);
+        }
+    }
+    const bound = (limit.rate * 8 + limit.burst) * 1.1 + options.slack;
+    for (const { at } of passed) {
+        const sum = passed.filter(other => other.at >= at && other.at < at + 8_000).reduce((total, other) => total + other.units, 0);
+        assert.equal(sum <= bound, true, `${sum} units from ${at} on, bound ${bound}`);
+    }
+});
+
 test("a team at half of its limit is all but never refused, however unevenly its large requests meet the nodes", async () => {
     let refused = 0;
     let sent = 0;
--- a/src/quotas/sharedRateLimiter.ts
+++ b/src/quotas/sharedRateLimiter.ts
@@ -27,10 +27,24 @@
 
 /** Share of a limit below which a window's sum over all nodes is taken to be clear of it, though the others' part is a little old. */
 const clearShare = 0.85;
+/** Shortest time after which a refused request may come back, in seconds: by then other nodes' counts are newer. */
+const leastWaitSeconds = 0.5;
 /** Age up to which what another node let pass is known well enough, in milliseconds: two exchanges. */
 const passedAgeLimitMilliseconds = 1_500;
 
+/** Why units were refused. */
+export interface RateRefusal {
+    /** Seconds after which they are likely to be there. */
+    readonly wait: number;
+    /** Units that all nodes are taken to have let pass in the window. */
+    readonly passed: number;
+    /** Units that the limit allows in the window. */
+    readonly allowed: number;
+}
+
 interface RateBucket {
+    /** Units that the limit allows in a window, when it was last asked. */
+    allowed: number;
     available: number;
     refilledAt: number;
     /** Units a second, smoothed. */
@@ -73,10 +87,10 @@
     }
 
     /**
-     * Takes units of a limit. Returns the seconds after which that many are there when there are too few now, and then
-     * takes nothing. The least burst lets limits that are small against one request work at all.
+     * Takes units of a limit, or returns why there are too few now, and then takes nothing. The least burst lets limits that
+     * are small against one request work at all.
      */
-    takeUnits(limit: SharedRate, units: number, leastBurst: number): number | undefined {
+    takeUnits(limit: SharedRate, units: number, leastBurst: number): RateRefusal | undefined {
         const now = this.clock.getMonotonicTime();
         const bucket = this.getBucket(limit.name, now);
         this.recordDemand(bucket, units, now);
@@ -85,23 +99,38 @@
         const burst = Math.max(leastBurst, limit.burst * share + this.getOwnSlack());
         bucket.available = Math.min(burst, bucket.available + (now - bucket.refilledAt) / millisecondsPerSecond * rate);
         bucket.refilledAt = now;
-        if (bucket.available < units && !this.isClear(limit, bucket, units, now)) {
-            return (units - bucket.available) / rate;
+        bucket.allowed = limit.rate * this.options.window / millisecondsPerSecond + limit.burst;
+        const passed = this.estimatePassed(bucket, now);
+        const isClear = passed + units <= bucket.allowed * clearShare;
+        const isWithinShare = bucket.available >= units && passed + units <= Math.max(units, bucket.allowed);
+        if (!isClear && !isWithinShare) {
+            return { wait: Math.max(leastWaitSeconds, (units - bucket.available) / rate), passed, allowed: bucket.allowed };
         }
         bucket.available = Math.max(0, bucket.available - units);
         bucket.passes.push({ units, at: now });
         return undefined;
     }
 
-    /** Whether all nodes together are well below a limit, so that this node's share of it does not matter. */
-    private isClear(limit: SharedRate, bucket: RateBucket, units: number, now: number): boolean {
-        const known = [...bucket.others.values()].filter(other => now - other.at <= passedAgeLimitMilliseconds);
-        if (known.length < this.nodeCount - 1 || now - this.createdAt < this.options.window) {
-            return false;
+    /** Returns what all nodes are taken to have let pass in the window; what is not known of a node counts as its part of the limit. */
+    private estimatePassed(bucket: RateBucket, now: number): number {
+        const part = bucket.allowed / this.nodeCount;
+        let passed = this.countOwnPassed(bucket, now);
+        let known = 0;
+        for (const other of bucket.others.values()) {
+            const age = now - other.at;
+            if (age > this.options.window) {
+                continue;
+            }
+            known += 1;
+            passed += age <= passedAgeLimitMilliseconds ? other.passed : Math.max(other.passed, part);
         }
-        const passed = known.reduce((sum, other) => sum + other.passed, this.countPassed(bucket, now));
-        const allowed = limit.rate * this.options.window / millisecondsPerSecond + limit.burst;
-        return passed + units <= allowed * clearShare;
+        return passed + Math.max(0, this.nodeCount - 1 - known) * part;
+    }
+
+    /** Returns what this node let pass; what an earlier life passed in the window is not known and counts as its part of the limit. */
+    private countOwnPassed(bucket: RateBucket, now: number): number {
+        const unknownShare = Math.max(0, 1 - (now - this.createdAt) / this.options.window);
+        return this.countPassed(bucket, now) + unknownShare * bucket.allowed / this.nodeCount;
     }
 
     private countPassed(bucket: RateBucket, now: number): number {
@@ -123,7 +152,7 @@
         return [...this.buckets].map(([name, bucket]) => ({
             name,
             demand: computeDemand(bucket, now),
-            passed: this.countPassed(bucket, now),
+            passed: this.countOwnPassed(bucket, now),
         }));
     }
 
@@ -133,7 +162,15 @@
             return existing;
         }
         // What an earlier life of this node passed is not known, so a bucket fills from the start of the process on.
-        const bucket: RateBucket = { available: 0, refilledAt: this.createdAt, demand: 0, demandAt: now, passes: [], others: new Map() };
+        const bucket: RateBucket = {
+            allowed: 0,
+            available: 0,
+            refilledAt: this.createdAt,
+            demand: 0,
+            demandAt: now,
+            passes: [],
+            others: new Map(),
+        };
         this.buckets.set(name, bucket);
         return bucket;
     }
--- a/src/requests/commands/teamLimiter.ts
+++ b/src/requests/commands/teamLimiter.ts
@@ -26,11 +26,13 @@
     /** Takes one request of a team's limit; returns the refusal when none is left. */
     takeRequest(team: TeamDeclaration): Failure | undefined {
         const rate = team.requestsPerSecond;
-        const wait = this.limiter.takeUnits({ name: team.name, rate, burst: rate * burstSeconds }, 1, leastBurst);
-        if (wait === undefined) {
+        const refusal = this.limiter.takeUnits({ name: team.name, rate, burst: rate * burstSeconds }, 1, leastBurst);
+        if (refusal === undefined) {
             return undefined;
         }
-        return Failure.create(Verdict.NotRun, Diagnostics.Team_0_is_over_its_limit_of_1_requests, team.name, rate).setRetryAfter(wait);
+        return Failure.create(Verdict.NotRun, Diagnostics.Team_0_is_over_its_limit_of_1_requests, team.name, rate).setRetryAfter(
+            refusal.wait,
+        );
     }
 
     /** Records the demand that another node sees, in requests a second. */
