--- a/src/duties/usageDuty.ts
+++ b/src/duties/usageDuty.ts
@@ -114,7 +114,8 @@
     /** Computes the report of a window and stores it; undefined when the store did not take it. */
     private async recordReport(window: number): Promise<UsageReport | undefined> {
         const { parts } = this;
-        parts.ledger.recordUsage(parts.table.identity.name, window, parts.counter.listUsage(window));
+        const { name, incarnation } = parts.table.identity;
+        parts.ledger.recordUsage(`${name}/${incarnation}`, window, parts.counter.listUsage(window));
         const report: UsageReport = { window, counts: parts.ledger.computeCounts(window) };
         const reports = [...this.reports, report].slice(-keptReports);
         const written = this.record === undefined
--- a/src/gossip/gatewayContent.ts
+++ b/src/gossip/gatewayContent.ts
@@ -99,8 +99,8 @@
                 parts.log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: endpoints.join(","), source: peer.name });
             }
         }
-        for (const { window, teams } of digest.usage) {
-            parts.usageLedger.recordUsage(`${peer.name}/${peer.incarnation}`, Number(window), teams);
+        for (const { window, teams, source } of digest.usage) {
+            parts.usageLedger.recordUsage(source === "" ? describeLife(peer) : source, Number(window), teams);
         }
         digest.works.forEach(({ service, work }) => parts.work.recordOther(service, peer.name, work));
         parts.lease.recordNews(digest.lease?.holder ?? "", Number(digest.lease?.fencing ?? 0));
@@ -183,11 +183,15 @@
     }
 
     private listUsage() {
-        const { clock, usage } = this.parts;
+        const { clock, usage, usageLedger, table } = this.parts;
         const current = usage.getWindow(clock.getWallTime());
-        const windows: { window: bigint; teams: { team: string; requests: number; }[]; }[] = [];
+        const live = new Set([...table.listHeard(), table.identity].map(describeLife));
+        const windows: { window: bigint; source: string; teams: { team: string; requests: number; }[]; }[] = [];
         for (let window = current - toldWindows + 1; window <= current; window += 1) {
-            windows.push({ window: BigInt(window), teams: usage.listUsage(window) });
+            windows.push({ window: BigInt(window), source: "", teams: usage.listUsage(window) });
+            for (const ended of usageLedger.listEnded(window, source => live.has(source))) {
+                windows.push({ window: BigInt(window), source: ended.source, teams: [...ended.usage] });
+            }
         }
         return windows;
     }
@@ -209,3 +213,8 @@
         }
     }
 }
+
+/** Names one life of a node. */
+function describeLife(node: { readonly name: string; readonly incarnation: number; }): string {
+    return `${node.name}/${node.incarnation}`;
+}
--- a/src/usage/usageLedger.ts
+++ b/src/usage/usageLedger.ts
@@ -14,9 +14,12 @@
         return new UsageLedger();
     }
 
-    /** Records what one life of a node has counted in a window so far. */
+    /** Records what one life of a node has counted in a window so far; counts only grow, so older news changes nothing. */
     recordUsage(source: string, window: number, usage: readonly TeamUsage[]): void {
         const sources = this.windows.get(window) ?? new Map<string, readonly TeamUsage[]>();
+        if (countRequests(usage) < countRequests(sources.get(source) ?? [])) {
+            return;
+        }
         sources.set(source, usage);
         this.windows.set(window, sources);
         for (const known of this.windows.keys()) {
@@ -26,6 +29,17 @@
         }
     }
 
+    /** Returns what lives that have ended counted in a window. */
+    listEnded(window: number, isLive: (source: string) => boolean): { readonly source: string; readonly usage: readonly TeamUsage[]; }[] {
+        const ended: { source: string; usage: readonly TeamUsage[]; }[] = [];
+        for (const [source, usage] of this.windows.get(window) ?? []) {
+            if (!isLive(source) && usage.length > 0) {
+                ended.push({ source, usage });
+            }
+        }
+        return ended;
+    }
+
     /** Returns the sum over all nodes, by team in the order of their names. */
     computeCounts(window: number): UsageCount[] {
         const sums = new Map<string, number>();
@@ -35,3 +49,7 @@
         return [...sums].map(([team, requests]) => ({ team, requests })).sort((left, right) => (left.team < right.team ? -1 : 1));
     }
 }
+
+function countRequests(usage: readonly TeamUsage[]): number {
+    return usage.reduce((sum, { requests }) => sum + requests, 0);
+}
