Refuse generations that a backlog would make late, the less urgent first; count what was refused as load

A backlog was accepted up to the deadline, and while an engine reads prompts each running request waits a whole chunk for each token. Now a backlog beyond the objective refuses; the fleet grows for what was refused.

--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -104,6 +104,7 @@
             }
             const placement = this.choosePlacement();
             if (placement.err) {
+                this.recordUnservedWork();
                 return this.createFailureReport(placement.val);
             }
             if (this.sends > 0 && !parts.allowance.takeRepeat(call.service)) {
@@ -124,11 +125,20 @@
             prompt: call.prompt,
             timeLeft: this.deadline - parts.clock.getMonotonicTime(),
             objective: call.route.objective,
+            rank: call.team?.priority ?? call.route.priority,
             tried: this.tried,
             isIdempotent: this.isIdempotent,
         });
     }
 
+    /** Counts what could not be placed as load: the fleet has to grow for it. */
+    private recordUnservedWork(): void {
+        const { call, parts } = this;
+        if (call.prompt !== undefined && this.sends === 0) {
+            parts.work.recordWork(call.service, call.prompt.inputTokens, call.prompt.maxOutputTokens);
+        }
+    }
+
     private async runAttempt(placement: Placement): Promise<AttemptEnd> {
         const { call, parts, caller } = this;
         this.lastEndpoint = placement.endpoint.entry.id;
--- a/src/placement/callPlacement.ts
+++ b/src/placement/callPlacement.ts
@@ -40,6 +40,11 @@
         return this.callTimes.get(service) ?? this.speeds.initialCallTime;
     }
 
+    /** A call holds its slot for the same time whenever it runs, so it may wait for as long as its caller does. */
+    computeLongestWait(query: PlacementQuery): number {
+        return query.timeLeft;
+    }
+
     computeCost(endpoint: FleetEndpoint, query: PlacementQuery): PlacementCost {
         const callTime = this.getCallTime(query.service);
         const before = this.countRequests(endpoint);
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -50,7 +50,8 @@
         if (best === undefined) {
             return Err(Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service));
         }
-        if (best.expectedTime > query.timeLeft * usableShareOfTimeLeft) {
+        const longest = Math.min(query.timeLeft * usableShareOfTimeLeft, this.getPolicy(query.service).computeLongestWait(query));
+        if (best.expectedTime > longest) {
             const wait = Math.round(best.expectedTime);
             return Err(Failure.create(Verdict.NotRun, Diagnostics.Expected_wait_of_0_milliseconds_passes_the_deadline, wait));
         }
--- a/src/placement/enginePlacement.ts
+++ b/src/placement/enginePlacement.ts
@@ -21,6 +21,9 @@
 const unhealthyPenaltyMilliseconds = 5_000;
 /** Share of the objective up to which an expected time is as good as a shorter one: estimates are off by about half. */
 const safeShareOfObjective = 0.5;
+/** Backlog up to which a generation is accepted, as a share of its objective; the most urgent ones are read before the others. */
+const backlogShare = 0.8;
+const urgentBacklogShare = 1.5;
 /** Cost of a millisecond beyond it. */
 const lateWeight = 3;
 const tokensPerCopyUnit = 1_000;
@@ -38,6 +41,14 @@
         return new EnginePlacement(speeds, failureDomain);
     }
 
+    /**
+     * While an engine has prompts to read it makes each token of its running requests wait for a part of them. A backlog beyond
+     * the objective so makes everything late, also what runs; the less urgent stop adding to it first.
+     */
+    computeLongestWait(query: PlacementQuery): number {
+        return query.objective * (query.rank === 0 ? urgentBacklogShare : backlogShare);
+    }
+
     computeCost(endpoint: FleetEndpoint, query: PlacementQuery, all: readonly FleetEndpoint[]): PlacementCost {
         const { speeds } = this;
         const { prompt } = query;
--- /dev/null
+++ b/src/placement/placement.test.ts
@@ -0,0 +1,118 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SeededRandom } from "../common/random.js";
+import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { createEndpointEntry } from "../testing/gatewayParts.js";
+import { VirtualClock } from "../testing/virtualClock.js";
+import { EndpointChooser } from "./endpointChooser.js";
+import { EnginePlacement } from "./enginePlacement.js";
+import { PlacementQuery } from "./types.js";
+
+const speeds = { promptTokensPerMillisecond: 48, batchPenalty: 1.5, domainPenalty: 30, copyPenalty: 20, homePenalty: 15 };
+
+function createFleet(clock: VirtualClock, count: number, domains = ["a"]): { directory: EndpointDirectory; endpoints: FleetEndpoint[]; } {
+    const directory = EndpointDirectory.create(clock);
+    directory.setMemorySource(() => 550_000);
+    for (let index = 0; index < count; index += 1) {
+        const failureDomain = domains[index % domains.length] ?? "a";
+        directory.applyEntry({ entry: createEndpointEntry({ id: `e-${index}`, failureDomain, slots: 64 }), revision: index + 1 }, "test");
+    }
+    return { directory, endpoints: directory.listAll() };
+}
+
+function createChooser(directory: EndpointDirectory, clock: VirtualClock, seed: number): EndpointChooser {
+    const policy = EnginePlacement.create(speeds, "a");
+    return EndpointChooser.create(directory, clock, SeededRandom.create(seed), () => policy, () => 1_000);
+}
+
+function createQuery(parts: Partial<PlacementQuery>): PlacementQuery {
+    return {
+        service: "desk",
+        prompt: undefined,
+        timeLeft: 15_000,
+        objective: 1_500,
+        rank: 1,
+        tried: new Set(),
+        isIdempotent: true,
+        ...parts,
+    };
+}
+
+function createPrompt(shared: string, sharedTokens: number, own: string, ownTokens: number) {
+    const parts = [{ id: shared, tokens: sharedTokens }, { id: own, tokens: ownTokens }];
+    return { parts, inputTokens: sharedTokens + ownTokens, maxOutputTokens: 300 };
+}
+
+test("many nodes with the same old loads do not all choose the endpoint that looked idle", () => {
+    const clock = VirtualClock.create();
+    const chosen = new Map<string, number>();
+    for (let node = 0; node < 7; node += 1) {
+        const { directory, endpoints } = createFleet(clock, 12);
+        endpoints.forEach((endpoint, index) => (endpoint.sharedLoad = { running: 5, promptTokens: index === 3 ? 0 : 20_000 }));
+        const chooser = createChooser(directory, clock, node + 1);
+        for (let request = 0; request < 4; request += 1) {
+            const placed = chooser.choosePlacement(
+                createQuery({ prompt: createPrompt(`s${node}-${request}`, 5_000, `o${request}`, 2_000) }),
+            );
+            const id = placed.ok ? placed.val.endpoint.entry.id : "none";
+            chosen.set(id, (chosen.get(id) ?? 0) + 1);
+        }
+    }
+    assert.equal(Math.max(...chosen.values()) <= 14, true, JSON.stringify([...chosen]));
+});
+
+test("one hot prompt is read once: it goes where it is cached, and elsewhere it is copied", () => {
+    const clock = VirtualClock.create();
+    const { directory, endpoints } = createFleet(clock, 6);
+    const chooser = createChooser(directory, clock, 1);
+    let read = 0;
+    let copies = 0;
+    for (let request = 0; request < 40; request += 1) {
+        const prompt = createPrompt("hot", 5_000, `own-${request}`, 1_000);
+        const placed = chooser.choosePlacement(createQuery({ prompt }));
+        assert.equal(placed.ok, true);
+        if (placed.ok) {
+            const { endpoint, tokensToRead, cacheSource } = placed.val;
+            read += tokensToRead;
+            copies += cacheSource === undefined ? 0 : 1;
+            prompt.parts.forEach(part => endpoint.cache.recordPart(part));
+            endpoint.promptTokens += tokensToRead;
+            endpoint.running += 1;
+        }
+    }
+    assert.equal(read, 5_000 + 40 * 1_000);
+    assert.equal(copies <= endpoints.length, true);
+    assert.equal(endpoints.filter(endpoint => endpoint.running > 0).length >= 4, true);
+});
+
+test("a backlog refuses the less urgent first, and nobody is accepted to be late", () => {
+    const clock = VirtualClock.create();
+    const { directory, endpoints } = createFleet(clock, 3);
+    const chooser = createChooser(directory, clock, 1);
+    const isAccepted = (backlogMilliseconds: number, rank: number, objective: number) => {
+        endpoints.forEach(endpoint => (endpoint.promptTokens = backlogMilliseconds * speeds.promptTokensPerMillisecond));
+        return chooser.choosePlacement(createQuery({ rank, objective, timeLeft: 3_000 })).ok;
+    };
+    assert.equal(isAccepted(500, 1, 1_500) && isAccepted(500, 0, 1_000), true);
+    assert.equal(isAccepted(1_300, 1, 1_500), false);
+    assert.equal(isAccepted(1_300, 0, 1_000), true);
+    assert.equal(isAccepted(2_000, 0, 1_000), false);
+});
+
+test("an endpoint that leaves, is full or gave no answer gets nothing while another is there", () => {
+    const clock = VirtualClock.create();
+    const { directory, endpoints } = createFleet(clock, 4);
+    const [leaving, full, silent, well] = endpoints as [FleetEndpoint, FleetEndpoint, FleetEndpoint, FleetEndpoint];
+    directory.markDraining(leaving, "test");
+    full.recordRefusal(0);
+    silent.recordLoss(0);
+    well.promptTokens = 20_000;
+    const chooser = createChooser(directory, clock, 1);
+    for (let request = 0; request < 20; request += 1) {
+        const placed = chooser.choosePlacement(createQuery({}));
+        assert.equal(placed.ok && placed.val.endpoint, well);
+    }
+    const without = chooser.choosePlacement(createQuery({ tried: new Set([well]) }));
+    assert.equal(without.ok && without.val.endpoint, silent);
+});
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -8,6 +8,8 @@
     /** How long the caller still waits. */
     readonly timeLeft: number;
     readonly objective: number;
+    /** 0 is the most urgent. */
+    readonly rank: number;
     /** Endpoints that have had this request already. */
     readonly tried: ReadonlySet<FleetEndpoint>;
     /** Whether it may run twice; such requests test endpoints that failed. */
@@ -39,5 +41,7 @@
 /** A way to judge endpoints. */
 export interface PlacementPolicy {
     /** The candidates are all endpoints of the service, those that leave included. */
+    /** Returns the longest expected time, in milliseconds, with which a request is still accepted. */
+    computeLongestWait(query: PlacementQuery): number;
     computeCost(endpoint: FleetEndpoint, query: PlacementQuery, all: readonly FleetEndpoint[]): PlacementCost;
 }
