--- a/src/daemon/gatewayDaemon.ts
+++ b/src/daemon/gatewayDaemon.ts
@@ -4,6 +4,7 @@
 import { describeError } from "../common/failure.js";
 import { LogEvents } from "../common/logEvents.js";
 import { GatewaySettings, readGatewaySettings } from "../config/gatewaySettings.js";
+import { HopTracing, NoTracing } from "../gateway/hopTracing.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { DeploymentBindings, GatewayNode } from "../node/gatewayNode.js";
 import { DaemonExitCode } from "./exitCodes.js";
@@ -26,7 +27,7 @@
         process.stdout.write(`${formatDiagnostic(createDiagnostic(Diagnostics.Settings_are_valid))}\n`);
         return DaemonExitCode.Ok;
     }
-    const node = GatewayNode.create(settings.val, addDeployment);
+    const node = GatewayNode.create(settings.val, addDeployment, await loadTracing(settings.val));
     const log = node.container.get(Keys.Log);
     process.on("unhandledRejection", error => log.log(LogEvents.TaskFailed, { task: "unknown", cause: describeError(error) }));
     try {
@@ -56,6 +57,15 @@
     }
 }
 
+async function loadTracing(settings: GatewaySettings): Promise<HopTracing> {
+    if (settings.collectorUrl === undefined) {
+        return NoTracing.create();
+    }
+    const { Tracing } = await import("../common/tracing.js");
+    const { CollectedTracing } = await import("../gateway/collectedTracing.js");
+    return CollectedTracing.create(Tracing.create({ node: settings.name, sampleRatio: 1, collectorUrl: settings.collectorUrl }));
+}
+
 function waitForStop(): Promise<void> {
     return new Promise(resolve => {
         process.once("SIGTERM", () => resolve());
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -138,6 +138,7 @@
         const { parts, options } = this;
         const { call } = options;
         const timeLeft = options.deadline - this.sentAt;
+        const hop = call.span.startHop(this.endpoint.entry.id);
         const exchange = EndpointExchange.create({
             call,
             endpoint: this.endpoint,
@@ -147,7 +148,7 @@
                 lastEventId: options.lastEventId,
                 urgency: call.prompt === undefined ? undefined : computeUrgency(call, options.placement.expectedTime),
                 cacheSource: this.getCacheSource(),
-                traceHeaders: {},
+                traceHeaders: hop.createHeaders(),
             }),
             agent: parts.connections.getAgent(this.endpoint),
             connectTimeout: Math.min(parts.timing.connectTimeout, timeLeft),
@@ -156,10 +157,9 @@
         }, parts.protocol);
         try {
             const sent = await exchange.sendRequest();
-            if (sent.err) {
-                return this.settleFailure(sent.val, exchange);
-            }
-            return await this.relay(sent.val, exchange);
+            const end = sent.err ? this.settleFailure(sent.val, exchange) : await this.relay(sent.val, exchange);
+            hop.end(end.failure?.text);
+            return end;
         }
         finally {
             exchange.close();
--- a/src/gateway/callReader.ts
+++ b/src/gateway/callReader.ts
@@ -10,6 +10,7 @@
 import { pickService, RouteTable } from "../routes/routeTable.js";
 import { Route, RoutedTeam } from "../routes/types.js";
 import { CallProtocol } from "./callProtocol.js";
+import { HopTracing } from "./hopTracing.js";
 import { IncomingCall } from "./types.js";
 
 const idPattern = /^[!-~]{1,200}$/;
@@ -30,10 +31,11 @@
         private readonly protocol: CallProtocol,
         private readonly clock: Clock,
         private readonly random: RandomSource,
+        private readonly tracing: HopTracing,
     ) {}
 
-    static create(protocol: CallProtocol, clock: Clock, random: RandomSource): CallReader {
-        return new CallReader(protocol, clock, random);
+    static create(protocol: CallProtocol, clock: Clock, random: RandomSource, tracing: HopTracing): CallReader {
+        return new CallReader(protocol, clock, random, tracing);
     }
 
     readCall(request: IncomingMessage, body: CallBody, arrivedAt: number, table: RouteTable): Result<IncomingCall, Failure> {
@@ -72,6 +74,7 @@
             fingerprint: hashCall(team.val?.name ?? "", request.method ?? "", target, body.bytes),
             prompt: this.readPrompt(request),
             lastEventId: readHeader(request, protocol.lastEventId),
+            span: this.tracing.startCall(request, route.name),
             arrivedAt,
             deadline: arrivedAt + timeLeft.val,
         });
--- /dev/null
+++ b/src/gateway/collectedTracing.ts
@@ -0,0 +1,56 @@
+import { IncomingMessage } from "node:http";
+import { Span, TraceHeaders, Tracing } from "../common/tracing.js";
+import { CallSpan, HopSpan, HopTracing } from "./hopTracing.js";
+
+const callSpanName = "call";
+const hopSpanName = "endpoint";
+
+/** Sends spans to a collector. Loaded only where one is set: its libraries cost a third of a start. */
+export class CollectedTracing implements HopTracing {
+    private constructor(private readonly tracing: Tracing) {}
+
+    static create(tracing: Tracing): CollectedTracing {
+        return new CollectedTracing(tracing);
+    }
+
+    startCall(request: IncomingMessage, route: string): CallSpan {
+        const span = this.tracing.startSpanFromHeaders(callSpanName, readContext(request));
+        span.setAttribute("corianderward.route", route);
+        return {
+            startHop: endpoint => this.startHop(span, endpoint),
+            end: failure => this.endSpan(span, failure),
+        };
+    }
+
+    async stop(): Promise<void> {
+        await this.tracing.stop();
+    }
+
+    private startHop(parent: Span, endpoint: string): HopSpan {
+        const span = this.tracing.startChildSpan(hopSpanName, parent);
+        span.setAttribute("corianderward.endpoint", endpoint);
+        return {
+            createHeaders: () => this.tracing.createHeaders(span),
+            end: failure => this.endSpan(span, failure),
+        };
+    }
+
+    private endSpan(span: Span, failure: string | undefined): void {
+        if (failure !== undefined) {
+            this.tracing.recordFailure(span, failure);
+        }
+        span.end();
+    }
+}
+
+function readContext(request: IncomingMessage): TraceHeaders {
+    const headers: TraceHeaders = {};
+    const { traceparent, tracestate } = request.headers;
+    if (typeof traceparent === "string") {
+        headers.traceparent = traceparent;
+    }
+    if (typeof tracestate === "string") {
+        headers.tracestate = tracestate;
+    }
+    return headers;
+}
--- a/src/gateway/forwardedHeaders.ts
+++ b/src/gateway/forwardedHeaders.ts
@@ -38,7 +38,6 @@
     private constructor(private readonly protocol: CallProtocol) {
         this.nodeHeaders = new Set([
             ...protocol.reservedHeaders,
-            ...traceHeaderNames,
             protocol.timeLeft,
             protocol.team,
             protocol.expectedEndpoint,
@@ -53,7 +52,9 @@
 
     createHeaders(call: IncomingCall, hop: HopHeaders): string[] {
         const { protocol } = this;
-        const isKept = (name: string) => !this.nodeHeaders.has(name) && !(call.isKeyed && name === "authorization");
+        const isTraced = hop.traceHeaders.traceparent !== undefined;
+        const isKept = (name: string) =>
+            !this.nodeHeaders.has(name) && !(call.isKeyed && name === "authorization") && !(isTraced && traceHeaderNames.includes(name));
         const headers = selectHeaders(call.rawHeaders, isKept);
         headers.push(protocol.timeLeft, String(Math.max(1, Math.floor(hop.timeLeft))));
         headers.push(protocol.expectedEndpoint, hop.endpointId);
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -1,10 +1,13 @@
+import { InMemorySpanExporter } from "@opentelemetry/sdk-trace-node";
 import assert from "node:assert/strict";
 import { Agent } from "node:http";
 import { after, before, beforeEach, test } from "node:test";
 import { HeaderNames } from "../../platform/wire.js";
+import { Tracing } from "../common/tracing.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { RoutedWorker, WorkerFault } from "../standins/routed/routedWorker.js";
 import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
+import { CollectedTracing } from "./collectedTracing.js";
 
 const platform = RoutedPlatform.create();
 let gateway: RoutedGateway;
@@ -214,6 +217,24 @@
     assert.deepEqual(warnings, []);
 });
 
+test("each call has a span and each hop one below it, and the endpoint gets the hop's context", async () => {
+    const exporter = new InMemorySpanExporter();
+    const tracing = Tracing.create({ node: "traced", sampleRatio: 1, exporter });
+    const traced = await RoutedGateway.start(platform, "traced", [], CollectedTracing.create(tracing));
+    platform.callWorkers.forEach(worker => (worker.runs.length = 0));
+    const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
+    assert.equal((await traced.sendCall("/lookup/1", { headers: { traceparent: parent } })).status, 200);
+    await tracing.flush();
+    const spans = exporter.getFinishedSpans();
+    const hop = spans.find(span => span.name === "endpoint");
+    const call = spans.find(span => span.name === "call");
+    assert.equal(hop?.parentSpanContext?.spanId, call?.spanContext().spanId);
+    assert.equal(call?.spanContext().traceId, "0af7651916cd43dd8448eb211c80319c");
+    const run = platform.callWorkers.flatMap(worker => worker.runs)[0];
+    assert.equal(String(run?.headers["traceparent"]).includes(String(hop?.spanContext().spanId)), true);
+    await traced.stop();
+});
+
 test("kept connections of callers carry many calls", async () => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     for (let index = 0; index < 5; index += 1) {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -223,6 +223,7 @@
     private recordCall(call: IncomingCall, report: CallReport): void {
         const { parts } = this;
         const { failure, outcome } = report;
+        call.span.end(failure?.text);
         const time = parts.clock.getMonotonicTime() - call.arrivedAt;
         const firstByte = (report.firstByteAt ?? call.arrivedAt + time) - call.arrivedAt;
         const cause = failure === undefined ? "" : String(failure.message.code);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,5 +1,6 @@
 import { PromptShape } from "../fleet/types.js";
 import { Route, RoutedTeam } from "../routes/types.js";
+import { CallSpan } from "./hopTracing.js";
 
 /** A request that a caller has sent in full. Times are monotonic milliseconds. */
 export interface IncomingCall {
@@ -20,6 +21,7 @@
     readonly fingerprint: string;
     readonly prompt: PromptShape | undefined;
     readonly lastEventId: string | undefined;
+    readonly span: CallSpan;
     readonly arrivedAt: number;
     /** When the caller or the route stops waiting, whichever is earlier. */
     readonly deadline: number;
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -260,7 +260,7 @@
             log: context.get(Keys.Log),
             metrics: context.get(Keys.Metrics),
             configuration: context.get(Keys.Configuration),
-            reader: CallReader.create(protocol, clock, context.get(Keys.Random)),
+            reader: CallReader.create(protocol, clock, context.get(Keys.Random), context.get(Keys.Tracing)),
             forwarder: context.get(Keys.Forwarder),
             caps: context.get(Keys.Caps),
             retryAfterHeader: protocol.retryAfter,
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -14,6 +14,7 @@
 import { EndpointConnections } from "../gateway/endpointConnections.js";
 import { GatewayMetrics } from "../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../gateway/gatewayServer.js";
+import { HopTracing } from "../gateway/hopTracing.js";
 import { GossipExchange } from "../gossip/gossipExchange.js";
 import { GossipLink } from "../gossip/gossipLink.js";
 import { NodeRegistry } from "../gossip/nodeRegistry.js";
@@ -51,6 +52,7 @@
     Clock: createKey<Clock>("Clock"),
     Random: createKey<RandomSource>("Random"),
     Log: createKey<EventLog>("Log"),
+    Tracing: createKey<HopTracing>("Tracing"),
     Metrics: createKey<GatewayMetrics>("Metrics"),
     // What each kind of deployment binds for itself.
     Store: createKey<ObjectStore>("Store"),
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -5,6 +5,7 @@
 import { formatAddress } from "../config/sectionReader.js";
 import { NetworkAddress } from "../config/types.js";
 import { DirectoryChangeKind } from "../fleet/endpointDirectory.js";
+import { HopTracing, NoTracing } from "../gateway/hopTracing.js";
 import { GatewayPeerService } from "../generated/corianderward/gateway/v1/gateway_pb.js";
 import { PeerServer } from "../peers/peerServer.js";
 import { addGatewayBindings } from "./bindings/gatewayBindings.js";
@@ -46,8 +47,9 @@
         }, undefined);
     }
 
-    static create(settings: GatewaySettings, addDeployment: DeploymentBindings): GatewayNode {
+    static create(settings: GatewaySettings, addDeployment: DeploymentBindings, tracing: HopTracing = NoTracing.create()): GatewayNode {
         const container = new Container({ defaultScope: "Singleton" });
+        container.bind(Keys.Tracing).toConstantValue(tracing);
         addGatewayBindings(container, settings);
         addDeployment(container, settings);
         return new GatewayNode(settings, container);
@@ -124,6 +126,7 @@
         this.stopTasks();
         server.closeAll();
         this.status.stop();
+        await container.get(Keys.Tracing).stop();
         await log.flush();
     }
 
--- a/src/testing/routedGateway.ts
+++ b/src/testing/routedGateway.ts
@@ -4,6 +4,7 @@
 import { SilentEventLog } from "../common/eventLog.js";
 import { GatewaySettings, parseGatewaySettings } from "../config/gatewaySettings.js";
 import { parseIniDocument } from "../config/iniDocument.js";
+import { HopTracing } from "../gateway/hopTracing.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { GatewayAddresses, GatewayNode } from "../node/gatewayNode.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
@@ -61,12 +62,17 @@
     private constructor(readonly node: GatewayNode, private readonly addresses: GatewayAddresses) {}
 
     /** Starts a gateway and waits until it is ready. */
-    static async start(platform: RoutedPlatform, name = "node-1", lines: readonly string[] = []): Promise<RoutedGateway> {
+    static async start(
+        platform: RoutedPlatform,
+        name = "node-1",
+        lines: readonly string[] = [],
+        tracing?: HopTracing,
+    ): Promise<RoutedGateway> {
         const node = GatewayNode.create(createGatewaySettings(name, platform, lines), (container, settings) => {
             addPlatformBindings(container, settings);
             container.unbind(Keys.Log);
             container.bind(Keys.Log).toConstantValue(SilentEventLog.create());
-        });
+        }, tracing);
         const gateway = new RoutedGateway(node, await node.start());
         await waitUntil(() => node.isReady());
         return gateway;
