Count the death of an endpoint that started anew under its id; drop what nothing used

Cause: the directory reported the new life, so requests lost at the old one were never counted against it.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -51,7 +51,6 @@
     DutyDone: createInfo("duty done", beliefLines, "A usage report or an order was accepted."),
     DutyFailed: createWarning("duty failed", beliefLines, "A usage report or an order was refused or got no answer."),
     QuarantineAdded: createWarning("quarantine added", beliefLines, "A request ended several endpoints and is refused from now on."),
-    MoveChanged: createInfo("move changed", beliefLines, "A version move started or ended, with the evidence."),
     TaskFailed: createWarning("task failed", beliefLines, "A background task met an unexpected fault and goes on."),
     LinesLeftOut: createInfo("lines left out", beliefLines, "How many lines of a kind were left out to bound the volume."),
 } as const;
--- a/src/fleet/endpointDirectory.ts
+++ b/src/fleet/endpointDirectory.ts
@@ -15,6 +15,8 @@
 export interface DirectoryChange {
     readonly kind: DirectoryChangeKind;
     readonly endpoint: FleetEndpoint;
+    /** The life that a reborn endpoint had before. */
+    readonly previous?: FleetEndpoint;
     /** Who brought the news. */
     readonly source: string;
 }
@@ -135,7 +137,7 @@
         this.byService.set(entry.service, [...this.listEndpoints(entry.service), endpoint]);
         endpoint.heardAt = this.clock.getMonotonicTime();
         const kind = known === undefined ? DirectoryChangeKind.Added : DirectoryChangeKind.Reborn;
-        this.report({ kind, endpoint, source });
+        this.report({ kind, endpoint, previous: known, source });
     }
 
     private dropEndpoint(endpoint: FleetEndpoint): void {
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -61,7 +61,6 @@
     readonly lastEventId: string | undefined;
     /** The relay of the call's event stream; undefined for other calls. */
     readonly stream: EventStreamRelay | undefined;
-    readonly isIdempotent: boolean;
     /** Whether a failure may be followed by another run. */
     readonly mayRunAgain: boolean;
 }
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -127,7 +127,6 @@
             objective: call.route.objective,
             rank: call.team?.priority ?? call.route.priority,
             tried: this.tried,
-            isIdempotent: this.isIdempotent,
         });
     }
 
@@ -149,7 +148,6 @@
             deadline: this.deadline,
             lastEventId: this.stream.getLastEventId(),
             stream: call.route.kind === RouteKind.Stream ? this.stream : undefined,
-            isIdempotent: this.isIdempotent,
             mayRunAgain: this.isIdempotent && this.runs + 1 < call.route.attempts,
         });
         return this.attempt.run();
--- a/src/gateway/callProtocol.ts
+++ b/src/gateway/callProtocol.ts
@@ -11,8 +11,6 @@
     readonly team: string;
     /** Identity of the one endpoint that may run the request. */
     readonly expectedEndpoint: string;
-    /** Identity that an endpoint states of itself. */
-    readonly endpointIdentity: string;
     /** Marks an answer whose request has not run. */
     readonly notRun: string;
     /** The endpoint's signature of a complete answer. */
--- a/src/gateway/defaultCallProtocol.ts
+++ b/src/gateway/defaultCallProtocol.ts
@@ -6,7 +6,6 @@
     timeLeft: "x-time-left-milliseconds",
     team: "x-team",
     expectedEndpoint: "x-expected-endpoint",
-    endpointIdentity: "x-endpoint",
     notRun: "x-request-not-run",
     signature: "x-answer-signature",
     load: "x-endpoint-load",
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -220,7 +220,7 @@
 test("each call has a span and each hop one below it, and the endpoint gets the hop's context", async () => {
     const exporter = new InMemorySpanExporter();
     const tracing = Tracing.create({ node: "traced", sampleRatio: 1, exporter });
-    const traced = await RoutedGateway.start(platform, "traced", [], CollectedTracing.create(tracing));
+    const traced = await RoutedGateway.start(platform, { name: "traced", tracing: CollectedTracing.create(tracing) });
     platform.callWorkers.forEach(worker => (worker.runs.length = 0));
     const parent = "00-0af7651916cd43dd8448eb211c80319c-b7ad6b7169203331-01";
     assert.equal((await traced.sendCall("/lookup/1", { headers: { traceparent: parent } })).status, 200);
@@ -235,6 +235,25 @@
     await traced.stop();
 });
 
+test("a request that ends each endpoint that runs it is refused after three, and other requests are served", async () => {
+    const directory = gateway.node.container.get(directoryKey);
+    const sendKiller = () => gateway.sendCall("/voucher/killer", { method: "POST", body: "boom" });
+    for (let death = 0; death < 3; death += 1) {
+        setFault(platform.callWorkers, WorkerFault.ResetAfterRun);
+        assert.equal((await sendKiller()).status, 502);
+        const dead = platform.callWorkers.find(worker => worker.runs.length > 0) as RoutedWorker;
+        platform.callWorkers.forEach(worker => (worker.faults.length = 0));
+        dead.runs.length = 0;
+        dead.born += 1;
+        platform.publishWorker(dead);
+        await waitUntil(() => directory.findEndpoint(dead.id)?.entry.incarnation === dead.born);
+    }
+    const refused = await sendKiller();
+    assert.equal(refused.status, 503);
+    assert.equal(countRuns(platform.callWorkers), 0);
+    assert.equal((await gateway.sendCall("/voucher/killer", { method: "POST", body: "harmless" })).status, 200);
+});
+
 test("kept connections of callers carry many calls", async () => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     for (let index = 0; index < 5; index += 1) {
--- a/src/gateway/gatewayMetrics.ts
+++ b/src/gateway/gatewayMetrics.ts
@@ -9,7 +9,6 @@
     readonly firstByte: Histogram<"route">;
     readonly platformCalls: Counter<"call" | "outcome">;
     readonly peerExchanges: Counter<"outcome">;
-    readonly endpoints: Gauge<"service" | "state">;
     readonly configurationVersion: Gauge;
 
     private constructor(readonly registry: Registry) {
@@ -46,12 +45,6 @@
             labelNames: ["outcome"],
             registers,
         });
-        this.endpoints = new Gauge({
-            name: "corianderward_endpoints",
-            help: "Endpoints by service and state.",
-            labelNames: ["service", "state"],
-            registers,
-        });
         this.configurationVersion = new Gauge({
             name: "corianderward_configuration_version",
             help: "Version of the configuration in force.",
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -151,10 +151,10 @@
         container.get(Keys.Directory).addListener(change => {
             const { entry } = change.endpoint;
             if (change.kind === DirectoryChangeKind.Reborn || change.kind === DirectoryChangeKind.Removed) {
-                container.get(Keys.Crashes).recordDeath(change.endpoint);
+                container.get(Keys.Crashes).recordDeath(change.previous ?? change.endpoint);
             }
-            if (change.kind === DirectoryChangeKind.Removed) {
-                connections.removeEndpoint(change.endpoint);
+            if (change.kind === DirectoryChangeKind.Removed || change.previous !== undefined) {
+                connections.removeEndpoint(change.previous ?? change.endpoint);
             }
             if (change.kind === DirectoryChangeKind.Draining) {
                 connections.closeIdle(change.endpoint);
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -34,7 +34,6 @@
         objective: 1_500,
         rank: 1,
         tried: new Set(),
-        isIdempotent: true,
         ...parts,
     };
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -12,8 +12,6 @@
     readonly rank: number;
     /** Endpoints that have had this request already. */
     readonly tried: ReadonlySet<FleetEndpoint>;
-    /** Whether it may run twice; such requests test endpoints that failed. */
-    readonly isIdempotent: boolean;
 }
 
 /** Where a request goes. */
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -55,7 +55,7 @@
     workMilliseconds = 0;
     eventCount = 5;
     eventMilliseconds = 5;
-    readonly born = Date.now();
+    born = Date.now();
     private readonly server: Server;
 
     private constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly isEngine: boolean) {
--- a/src/testing/routedGateway.ts
+++ b/src/testing/routedGateway.ts
@@ -4,6 +4,7 @@
 import { SilentEventLog } from "../common/eventLog.js";
 import { GatewaySettings, parseGatewaySettings } from "../config/gatewaySettings.js";
 import { parseIniDocument } from "../config/iniDocument.js";
+import { formatAddress } from "../config/sectionReader.js";
 import { HopTracing } from "../gateway/hopTracing.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { GatewayAddresses, GatewayNode } from "../node/gatewayNode.js";
@@ -26,26 +27,38 @@
     readonly signal?: AbortSignal;
 }
 
+/** How a gateway under test differs from a usual one. */
+export interface RoutedGatewayOptions {
+    readonly name?: string;
+    /** Where it looks for the store, if not at the platform's. */
+    readonly storeAddress?: string;
+    /** Port for its peers; they cannot reach it at a port that was chosen when it started. */
+    readonly peersPort?: number;
+    readonly seeds?: string;
+    readonly tracing?: HopTracing;
+}
+
 /** Creates settings for a gateway on loopback with free ports. */
-export function createGatewaySettings(name: string, platform: RoutedPlatform, lines: readonly string[] = []): GatewaySettings {
+export function createGatewaySettings(platform: RoutedPlatform, options: RoutedGatewayOptions): GatewaySettings {
     const text = [
         "[node]",
-        `name = ${name}`,
+        `name = ${options.name ?? "node-1"}`,
         "failure-domain = xela",
         "[listen]",
         "callers = 127.0.0.1:0",
         "readiness = 127.0.0.1:0",
-        "peers = 127.0.0.1:0",
+        `peers = 127.0.0.1:${options.peersPort ?? 0}`,
         "[store]",
-        `address = ${platform.storeAddress}`,
+        `address = ${options.storeAddress ?? platform.storeAddress}`,
         "[cloud]",
         `address = ${platform.cloudAddress}`,
+        "[peers]",
+        `seeds = ${options.seeds ?? ""}`,
         "[timing]",
         "gossip-interval-milliseconds = 50",
         "listener-grace-milliseconds = 100",
         "drain-limit-milliseconds = 3000",
         "lease-term-milliseconds = 1500",
-        ...lines,
     ].join("\n");
     const document = parseIniDocument("gateway.ini", text);
     const settings = document.ok ? parseGatewaySettings(document.val) : document;
@@ -62,17 +75,12 @@
     private constructor(readonly node: GatewayNode, private readonly addresses: GatewayAddresses) {}
 
     /** Starts a gateway and waits until it is ready. */
-    static async start(
-        platform: RoutedPlatform,
-        name = "node-1",
-        lines: readonly string[] = [],
-        tracing?: HopTracing,
-    ): Promise<RoutedGateway> {
-        const node = GatewayNode.create(createGatewaySettings(name, platform, lines), (container, settings) => {
+    static async start(platform: RoutedPlatform, options: RoutedGatewayOptions = {}): Promise<RoutedGateway> {
+        const node = GatewayNode.create(createGatewaySettings(platform, options), (container, settings) => {
             addPlatformBindings(container, settings);
             container.unbind(Keys.Log);
             container.bind(Keys.Log).toConstantValue(SilentEventLog.create());
-        }, tracing);
+        }, options.tracing);
         const gateway = new RoutedGateway(node, await node.start());
         await waitUntil(() => node.isReady());
         return gateway;
@@ -82,6 +90,11 @@
         await this.node.stop();
     }
 
+    /** Returns the address at which peers reach it. */
+    getPeerAddress(): string {
+        return formatAddress(this.addresses.peers);
+    }
+
     getPort(): number {
         return this.addresses.callers.port;
     }
