Wait for what the shutdown test needs instead of a fixed time

The test stopped the daemon 300 ms after sending 120 requests and sent a late one within 0.6 s. Now it waits until the daemon has all 120 (60 calls under way at the service, 60 streams running or queued), with a grace of 3 s; what it checks is the same.

--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -62,6 +62,11 @@
         });
     }
 
+    /** Returns how many calls it has and has had. */
+    countReceived(): number {
+        return this.running + this.effects.length;
+    }
+
     static create(name: string): StandInPlainService {
         return new StandInPlainService(StandInServer.create(), name);
     }
--- a/src/testing/failures/daemonShutdown.test.ts
+++ b/src/testing/failures/daemonShutdown.test.ts
@@ -6,9 +6,13 @@
 import { sendCall, sendCompletion } from "../callers.js";
 import { startDaemon } from "../daemons.js";
 import { Deployment } from "../deployment.js";
+import { waitUntil } from "../routedGateway.js";
 
 const requests = 60;
-const readinessGraceMilliseconds = 600;
+/** Long enough for one request to be taken in on a busy machine. */
+const readinessGraceMilliseconds = 3_000;
+/** Time of a call to the plain service, so that calls are under way when the daemon is told to stop, in milliseconds. */
+const callMilliseconds = 1_500;
 /** A busy machine may run the daemon's timer late by this much, in milliseconds. */
 const refusalSlackMilliseconds = 3_000;
 
@@ -25,6 +29,16 @@
     });
 }
 
+/** Waits until the sum of the metrics whose lines match a pattern is at least a number. */
+async function waitForMetric(url: string, pattern: RegExp, least: number): Promise<void> {
+    let sum = 0;
+    while (sum < least) {
+        const lines = (await (await fetch(`${url}/metrics`)).text()).split("\n").filter(line => pattern.test(line));
+        sum = lines.reduce((total, line) => total + Number(line.split(" ").pop()), 0);
+        await new Promise(resolve => setTimeout(resolve, 20));
+    }
+}
+
 test("SIGTERM under load: no request is cut, and no connection is accepted once readiness has been off for the configured time", async () => {
     const deployment = await Deployment.create({
         nodesPerDomain: 0,
@@ -39,6 +53,7 @@
         "host-list-interval-milliseconds = 200",
     ]);
     try {
+        deployment.plainServices.forEach(service => (service.workTimeMilliseconds = callMilliseconds));
         const running = Array.from(
             { length: requests },
             (_value, index) => sendCompletion([daemon.callerUrl], index % 2 === 0 ? "lookup" : "draft", `Carga ${index}`, 80),
@@ -47,9 +62,10 @@
             { length: requests },
             (_value, index) => sendCall(daemon.callerUrl, "records", `hull/${index}`, undefined, {}),
         );
-        await new Promise(resolve => setTimeout(resolve, 300));
+        await waitUntil(() => deployment.plainServices.reduce((sum, service) => sum + service.countReceived(), 0) === requests);
+        await waitForMetric(daemon.operatorUrl, /^corianderward_(running|queued)_requests\{/, requests);
         daemon.process.kill("SIGTERM");
-        await new Promise(resolve => setTimeout(resolve, readinessGraceMilliseconds / 3));
+        await new Promise(resolve => setTimeout(resolve, readinessGraceMilliseconds / 10));
         const ready = await fetch(`${daemon.operatorUrl}/readyz`);
         const late = await sendCompletion([daemon.callerUrl], "lookup", "Dentro del plazo", 5);
         await new Promise(resolve => setTimeout(resolve, readinessGraceMilliseconds + 100));
@@ -68,7 +84,7 @@
             assert.equal(answer.text, generateAnswer(`Carga ${index}`, 80), answer.body.slice(-200));
             assert.equal(answer.reattaches, 0, "the stream was not broken off");
         });
-        (await Promise.all(calls)).forEach(answer => assert.equal(answer.status, 200));
+        (await Promise.all(calls)).forEach(answer => assert.equal(answer.status, 200, answer.body.slice(-300)));
         assert.equal(await daemon.exited, 0);
     }
     finally {
