--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -62,3 +62,11 @@
     await waitUntil(() => cutOff.node.container.get(Keys.Lease).getHolder() === "first");
     assert.equal(cutOff.node.container.get(Keys.Lease).getCredentials(), undefined);
 });
+
+test("a node stops in time though its peers do not answer any more", async () => {
+    const stopping = await RoutedGateway.start(platform, { name: "stopping" });
+    stopping.node.container.get(Keys.Gossip).publishNow = () => new Promise(() => {});
+    let isStopped = false;
+    void stopping.stop().then(() => (isStopped = true));
+    await waitUntil(() => isStopped);
+});
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -17,6 +17,9 @@
 /** Part of the drain limit after which requests that are still open are cut off; the rest is for closing. */
 const drainShare = 0.93;
 
+/** Longest time for telling peers the last counts, in milliseconds: a peer that is cut off must not hold up the end of the process. */
+const lastNewsMilliseconds = 300;
+
 /** Binds what a kind of deployment brings of its own. */
 export type DeploymentBindings = (container: Container, settings: GatewaySettings) => void;
 
@@ -121,7 +124,7 @@
             server.closeIdle();
         }
         // What it counted last would be missing in the usage reports.
-        await container.get(Keys.Gossip).publishNow();
+        await Promise.race([container.get(Keys.Gossip).publishNow(), clock.sleep(lastNewsMilliseconds)]);
         log.log(LogEvents.ProcessStopped, { cutOff: server.countOpenCalls() });
         this.stopTasks();
         server.closeAll();
