--- a/src/callers/commands/serveCall.ts
+++ b/src/callers/commands/serveCall.ts
@@ -4,13 +4,14 @@
 import { hashCall } from "../../common/hashing.js";
 import { createIdentifier } from "../../common/identifiers.js";
 import { Err, Ok, Result } from "../../common/results.js";
+import { readTraceHeaders } from "../../common/tracing.js";
 import { Verdict } from "../../common/verdict.js";
 import { ServiceDeclaration, ServiceKind } from "../../config/types.js";
 import { RequestHistory } from "../../requests/requestRecord.js";
 import { PlainRequest, RequestOutcome } from "../../requests/types.js";
 import { authenticateTeam, findCallableService } from "../authentication.js";
 import { AnswerHeader, sendProblem, setAnswerHeaders } from "../problem.js";
-import { readDeadline, readIdempotencyKey, readTraceHeaders } from "../requestHeaders.js";
+import { readDeadline, readIdempotencyKey } from "../requestHeaders.js";
 import { CallerParts } from "../types.js";
 
 const allowedMethods: ReadonlySet<string> = new Set(["GET", "POST", "PUT", "PATCH", "DELETE"]);
@@ -30,7 +31,7 @@
     }
     const { request: call, service } = accepted.val;
     const history = RequestHistory.create();
-    const span = parts.tracing.startSpanFromHeaders("caller request", readTraceHeaders(request));
+    const span = parts.tracing.startSpanFromHeaders("caller request", readTraceHeaders(request.headers));
     span.setAttributes({ "corianderward.request": requestId, "corianderward.service": service.name, "corianderward.team": call.team });
     const closed = new AbortController();
     if (service.idempotent) {
--- a/src/callers/commands/serveCompletion.ts
+++ b/src/callers/commands/serveCompletion.ts
@@ -4,6 +4,7 @@
 import { hashSha256 } from "../../common/hashing.js";
 import { createIdentifier } from "../../common/identifiers.js";
 import { Err, Ok, Result } from "../../common/results.js";
+import { readTraceHeaders } from "../../common/tracing.js";
 import { Verdict } from "../../common/verdict.js";
 import { ServiceDeclaration, ServiceKind, TeamDeclaration } from "../../config/types.js";
 import { RequestRecord } from "../../requests/requestRecord.js";
@@ -12,7 +13,7 @@
 import { CompletionBody } from "../completionBody.js";
 import { EventFormat } from "../eventStream.js";
 import { sendProblem, setAnswerHeaders } from "../problem.js";
-import { hasAsyncPreference, readDeadline, readTraceHeaders } from "../requestHeaders.js";
+import { hasAsyncPreference, readDeadline } from "../requestHeaders.js";
 import { CallerParts } from "../types.js";
 import { serveRecord } from "./serveRecord.js";
 
@@ -40,7 +41,7 @@
     }
     const { body, service } = accepted.val;
     const modelRequest = createModelRequest(parts, shape, requestId, accepted.val, request);
-    const span = parts.tracing.startSpanFromHeaders("caller request", readTraceHeaders(request));
+    const span = parts.tracing.startSpanFromHeaders("caller request", readTraceHeaders(request.headers));
     span.setAttributes({
         "corianderward.request": requestId,
         "corianderward.service": service.name,
--- a/src/callers/queries/serveRequestById.ts
+++ b/src/callers/queries/serveRequestById.ts
@@ -2,6 +2,7 @@
 import { validate } from "uuid";
 import { Diagnostics } from "../../common/diagnostics.js";
 import { Failure } from "../../common/failure.js";
+import { readTraceHeaders } from "../../common/tracing.js";
 import { Verdict } from "../../common/verdict.js";
 import { Draft, DraftState } from "../../requests/commands/draftStore.js";
 import { RequestRecord } from "../../requests/requestRecord.js";
@@ -10,7 +11,7 @@
 import { serveRecord } from "../commands/serveRecord.js";
 import { createChatFormat, createCompletionFormat } from "../eventStream.js";
 import { sendProblem, setAnswerHeaders } from "../problem.js";
-import { readLastEventId, readTraceHeaders } from "../requestHeaders.js";
+import { readLastEventId } from "../requestHeaders.js";
 import { CallerParts } from "../types.js";
 
 /** Answers for a request by its id: its stream from the last event on, its whole answer, or that it still runs. */
@@ -64,7 +65,7 @@
 }
 
 function createPendingRecord(parts: CallerParts, draft: Draft, request: Request): RequestRecord {
-    const span = parts.tracing.startSpanFromHeaders("stored request", readTraceHeaders(request));
+    const span = parts.tracing.startSpanFromHeaders("stored request", readTraceHeaders(request.headers));
     span.end();
     return RequestRecord.create(draft.request, span);
 }
--- a/src/callers/requestHeaders.ts
+++ b/src/callers/requestHeaders.ts
@@ -2,7 +2,6 @@
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { Err, Ok, Result } from "../common/results.js";
-import { TraceHeaders } from "../common/tracing.js";
 import { millisecondsPerSecond } from "../common/units.js";
 import { Verdict } from "../common/verdict.js";
 
@@ -62,20 +61,6 @@
     return Ok(count);
 }
 
-/** Returns the trace context of the caller. */
-export function readTraceHeaders(request: Request): TraceHeaders {
-    const headers: TraceHeaders = {};
-    const parent = request.headers["traceparent"];
-    const state = request.headers["tracestate"];
-    if (typeof parent === "string") {
-        headers.traceparent = parent;
-    }
-    if (typeof state === "string") {
-        headers.tracestate = state;
-    }
-    return headers;
-}
-
 /** Says whether the caller asked for an asynchronous answer. */
 export function hasAsyncPreference(request: Request): boolean {
     const header = request.headers["prefer"];
--- a/src/common/failure.ts
+++ b/src/common/failure.ts
@@ -45,3 +45,10 @@
     }
     return "";
 }
+
+const neverConnectedCodes = new Set(["ECONNREFUSED", "EHOSTUNREACH", "ENETUNREACH"]);
+
+/** Whether an error proves that no connection was established, so that nothing was sent. */
+export function hasNeverConnected(error: unknown): boolean {
+    return neverConnectedCodes.has(readErrorCode(error));
+}
--- a/src/common/tracing.ts
+++ b/src/common/tracing.ts
@@ -21,6 +21,8 @@
     TraceIdRatioBasedSampler,
 } from "@opentelemetry/sdk-trace-node";
 
+import { IncomingHttpHeaders } from "node:http";
+
 export type { Span } from "@opentelemetry/api";
 
 /** Headers that carry the trace context of a hop. */
@@ -29,6 +31,19 @@
     tracestate?: string;
 }
 
+/** Returns the trace context that a request carries. */
+export function readTraceHeaders(received: IncomingHttpHeaders): TraceHeaders {
+    const headers: TraceHeaders = {};
+    const { traceparent, tracestate } = received;
+    if (typeof traceparent === "string") {
+        headers.traceparent = traceparent;
+    }
+    if (typeof tracestate === "string") {
+        headers.tracestate = tracestate;
+    }
+    return headers;
+}
+
 /** How spans are sampled and where they are sent. */
 export interface TracingOptions {
     readonly node: string;
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -1,4 +1,5 @@
 import { Result } from "../common/results.js";
+import { TeamUsage } from "../usage/usageCounter.js";
 
 /** Under whose lease a call to the cloud API is made. */
 export interface DutyCredentials {
@@ -24,16 +25,10 @@
     readonly text: string;
 }
 
-/** Requests of one team in one window. */
-export interface UsageCount {
-    readonly team: string;
-    readonly requests: number;
-}
-
 /** The usage of one window, counted over all nodes. */
 export interface UsageReport {
     readonly window: number;
-    readonly counts: readonly UsageCount[];
+    readonly counts: readonly TeamUsage[];
 }
 
 /** An order for a number of endpoints of one kind. */
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -1,13 +1,10 @@
-import { Clock } from "../common/clock.js";
 import { Diagnostics } from "../common/diagnostics.js";
 import { EventLog } from "../common/eventLog.js";
 import { Failure } from "../common/failure.js";
 import { LogEvents } from "../common/logEvents.js";
 import { Result } from "../common/results.js";
 import { raiseVerdict, Verdict } from "../common/verdict.js";
-import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { CallPlacement } from "../placement/callPlacement.js";
 import { EndpointChooser } from "../placement/endpointChooser.js";
 import { Placement } from "../placement/types.js";
 import { RetryAllowance } from "../quotas/retryAllowance.js";
@@ -26,12 +23,9 @@
 
 /** What the forwarder works with. */
 export interface CallForwarderParts extends CallAttemptParts {
-    readonly clock: Clock;
     readonly log: EventLog;
-    readonly directory: EndpointDirectory;
     readonly chooser: EndpointChooser;
     readonly allowance: RetryAllowance;
-    readonly callPlacement: CallPlacement;
     readonly usage: UsageCounter;
     readonly ledger: QuarantineLedger;
 }
--- a/src/gateway/callerAnswer.ts
+++ b/src/gateway/callerAnswer.ts
@@ -5,13 +5,11 @@
 
 /** Writes to one caller, and knows whether the caller is still there. */
 export class CallerAnswer {
-    private isGone = false;
     private readonly leaving = new AbortController();
 
     private constructor(private readonly response: ServerResponse, private readonly getIsStopping: () => boolean) {
         response.once("close", () => {
             if (!response.writableFinished) {
-                this.isGone = true;
                 this.leaving.abort();
             }
         });
@@ -29,7 +27,7 @@
     }
 
     isCallerGone(): boolean {
-        return this.isGone || this.leaving.signal.aborted;
+        return this.leaving.signal.aborted;
     }
 
     hasBegun(): boolean {
--- a/src/gateway/collectedTracing.ts
+++ b/src/gateway/collectedTracing.ts
@@ -1,5 +1,5 @@
 import { IncomingMessage } from "node:http";
-import { Span, TraceHeaders, Tracing } from "../common/tracing.js";
+import { readTraceHeaders, Span, Tracing } from "../common/tracing.js";
 import { CallSpan, HopSpan, HopTracing } from "./hopTracing.js";
 
 const callSpanName = "call";
@@ -14,7 +14,7 @@
     }
 
     startCall(request: IncomingMessage, route: string): CallSpan {
-        const span = this.tracing.startSpanFromHeaders(callSpanName, readContext(request));
+        const span = this.tracing.startSpanFromHeaders(callSpanName, readTraceHeaders(request.headers));
         span.setAttribute("corianderward.route", route);
         return {
             startHop: endpoint => this.startHop(span, endpoint),
@@ -42,15 +42,3 @@
         span.end();
     }
 }
-
-function readContext(request: IncomingMessage): TraceHeaders {
-    const headers: TraceHeaders = {};
-    const { traceparent, tracestate } = request.headers;
-    if (typeof traceparent === "string") {
-        headers.traceparent = traceparent;
-    }
-    if (typeof tracestate === "string") {
-        headers.tracestate = tracestate;
-    }
-    return headers;
-}
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -147,11 +147,11 @@
     /** Reads the whole body; undefined when the caller left, a failure when it is too large. */
     private async readBody(request: IncomingMessage): Promise<CallBody | Failure | undefined> {
         const limit = this.limits.bodyBytes;
-        const tooLarge = Failure.create(Verdict.NotRun, Diagnostics.Body_is_larger_than_0_bytes, limit);
+        const createTooLarge = () => Failure.create(Verdict.NotRun, Diagnostics.Body_is_larger_than_0_bytes, limit);
         const stated = request.headers["content-length"];
         const isPresent = stated !== undefined || request.headers["transfer-encoding"] !== undefined;
         if (Number(stated ?? 0) > limit) {
-            return tooLarge;
+            return createTooLarge();
         }
         if (!isPresent) {
             request.resume();
@@ -163,7 +163,7 @@
             for await (const chunk of request as AsyncIterable<Buffer>) {
                 size += chunk.length;
                 if (size > limit) {
-                    return tooLarge;
+                    return createTooLarge();
                 }
                 chunks.push(chunk);
             }
--- a/src/peers/peerSessions.ts
+++ b/src/peers/peerSessions.ts
@@ -4,7 +4,7 @@
 import { EventEmitter } from "node:events";
 import { SecureContextOptions } from "node:tls";
 import { Diagnostics } from "../common/diagnostics.js";
-import { describeError, Failure, readErrorCode } from "../common/failure.js";
+import { describeError, Failure, hasNeverConnected } from "../common/failure.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
 import { formatAddress } from "../config/sectionReader.js";
@@ -130,8 +130,6 @@
 }
 
 function createPeerFailure(address: NetworkAddress, error: ConnectError): Failure {
-    const causeCode = readErrorCode(error.cause);
-    const neverConnected = causeCode === "ECONNREFUSED" || causeCode === "EHOSTUNREACH" || causeCode === "ENETUNREACH";
-    const verdict = neverConnected ? Verdict.NotRun : Verdict.MayHaveRun;
+    const verdict = hasNeverConnected(error.cause) ? Verdict.NotRun : Verdict.MayHaveRun;
     return Failure.create(verdict, Diagnostics.Node_at_0_did_not_answer_1, formatAddress(address), describeError(error));
 }
--- a/src/provider/httpObjectStore.ts
+++ b/src/provider/httpObjectStore.ts
@@ -4,6 +4,7 @@
 import { z } from "zod";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure, readErrorCode } from "../common/failure.js";
+import { parseJson } from "../common/json.js";
 import { Metrics } from "../common/metrics.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
@@ -220,12 +221,3 @@
         this.markReachable(false);
     }
 }
-
-function parseJson(text: string): unknown {
-    try {
-        return JSON.parse(text);
-    }
-    catch {
-        return undefined;
-    }
-}
--- a/src/usage/usageLedger.ts
+++ b/src/usage/usageLedger.ts
@@ -1,4 +1,3 @@
-import { UsageCount } from "../duties/types.js";
 import { TeamUsage } from "./usageCounter.js";
 
 /** Windows that are kept: a report is due two windows after its end. */
@@ -41,7 +40,7 @@
     }
 
     /** Returns the sum over all nodes, by team in the order of their names. */
-    computeCounts(window: number): UsageCount[] {
+    computeCounts(window: number): TeamUsage[] {
         const sums = new Map<string, number>();
         for (const usage of this.windows.get(window)?.values() ?? []) {
             usage.forEach(({ team, requests }) => sums.set(team, (sums.get(team) ?? 0) + requests));
