Load the tracing libraries only where a collector is set, also in the bundle

The bundle is split, so that the import is made when it is needed. The deployed program's tests pass (4 of 4).

--- a/src/cli/commands/emulate.ts
+++ b/src/cli/commands/emulate.ts
@@ -34,7 +34,7 @@
         const settings = join(flags.directory, "gateway.ini");
         writeFileSync(settings, createSettings(platform));
         this.log(`The platform's store is at ${platform.storeAddress}, its cloud API at ${platform.cloudAddress}.`);
-        this.log(`Start a gateway:  node target/gateway.mjs --settings ${settings}`);
+        this.log(`Start a gateway:  node target/gateway/gateway.mjs --settings ${settings}`);
         this.log(
             `Call it:          curl -sN http://127.0.0.1:${callersPort}/notice/1 -H 'Host: ${routedNames.host}' `
                 + `-H 'Authorization: Bearer ${routedNames.key}' -H 'Attempt-Id: try-1' -d '{}'`,
--- a/src/testing/failures/gatewayDaemon.test.ts
+++ b/src/testing/failures/gatewayDaemon.test.ts
@@ -158,7 +158,7 @@
 test("faulty settings end the program with code 2 and every fault, each with its line", async () => {
     const file = join(directory, "faulty.ini");
     writeFileSync(file, "[node]\nname = a\n[listen]\ncallers = nowhere\nreadiness = 127.0.0.1:0\npeers = 127.0.0.1:0\n[storage]\nx = 1\n");
-    const child = spawn(process.execPath, [join(root, "target/gateway.mjs"), "--settings", file]);
+    const child = spawn(process.execPath, [join(root, "target/gateway/gateway.mjs"), "--settings", file]);
     let text = "";
     child.stderr.on("data", (chunk: Buffer) => (text += chunk.toString()));
     const [code] = await once(child, "exit") as [number];
