Move services to other versions on the operator's order

Cause: an operator's order for a version move was read by nobody, so new endpoints got their full share at once and the move was never done or taken back. A node now follows the orders. On trial a new version gets a small share on few endpoints (their load is then usual), late in the order's time long streams move, then everything, and the lease's holder writes done or rolled back before the deadline. Every node counts what attempts show and gives a bad version up at once; the judge is the one of the product's own moves. Ruled out: moving early (a version that turns bad late would have met everything); counting lost connections (endpoints die on any version).

--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -17,10 +17,13 @@
     "fleet",
     "caps",
     "usage",
+    "versions",
     "timing",
     "tracing",
 ];
 const requiredSections = ["node", "listen", "store"];
+/** Part of the accepted exposure that a trial uses; the rest is for requests that move before the old version stops. */
+const trialPartOfExposure = 0.4;
 const visiblePattern = /^[!-~]{1,200}$/;
 const visibleAllowed = "1 to 200 visible characters";
 
@@ -74,6 +77,8 @@
     /** Units that all nodes together may pass beyond a team's usage cap, and the window, in milliseconds, in which it is judged. */
     readonly caps: { readonly slack: number; readonly window: number; };
     readonly usage: { readonly windowLength: number; readonly dueTime: number; };
+    /** Version moves: the share of requests for a version on trial, and the exposure of a bad version that operators accept. */
+    readonly versions: { readonly trialShare: number; readonly exposure: { readonly share: number; readonly slack: number; }; };
     readonly timing: GatewayTiming;
     readonly collectorUrl: string | undefined;
 }
@@ -127,6 +132,7 @@
             fleet: readFleet(openSection("fleet")),
             caps: readCaps(openSection("caps")),
             usage: readUsage(openSection("usage")),
+            versions: readVersions(openSection("versions")),
             timing: readTiming(openSection("timing")),
             collectorUrl: openSection("tracing").readOptionalUrl("collector-url"),
         };
@@ -225,6 +231,13 @@
     };
 }
 
+function readVersions(reader: SectionReader): GatewaySettings["versions"] {
+    const share = reader.readNumber("exposure-share", 0, 1, 0.1);
+    const slack = reader.readNumber("exposure-slack", 0, 1_000_000, 50);
+    const trialShare = reader.readNumber("trial-share", 0, 1, share * trialPartOfExposure);
+    return { trialShare, exposure: { share, slack } };
+}
+
 function readTiming(reader: SectionReader): GatewayTiming {
     const readMilliseconds = (name: string, fallback: number, minimum = 1) =>
         reader.readInteger(`${name}-milliseconds`, minimum, 10 * millisecondsPerMinute, fallback);
--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -7,6 +7,7 @@
 import { WorkMeter } from "../placement/workMeter.js";
 import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { RoutedService, ScalingBounds } from "../routes/types.js";
+import { VersionTraffic } from "../versions/versionTraffic.js";
 import { DutyLease } from "./dutyLease.js";
 import { DomainFleet, FleetPlan } from "./fleetPlan.js";
 import { DutyApi, DutyCredentials, DutyOutcome, EndpointOrder } from "./types.js";
@@ -39,6 +40,7 @@
     readonly configuration: ConfigurationHolder;
     readonly directory: EndpointDirectory;
     readonly work: WorkMeter;
+    readonly versions: VersionTraffic;
     readonly settings: FleetSettings;
 }
 
@@ -159,7 +161,8 @@
     }
 
     private listServing(service: string): FleetEndpoint[] {
-        return this.parts.directory.listEndpoints(service).filter(endpoint => endpoint.isUsable());
+        const { directory, versions } = this.parts;
+        return versions.listCarrying(service, directory.listEndpoints(service)).filter(endpoint => endpoint.isUsable());
     }
 
     private async orderCount(
@@ -181,7 +184,12 @@
         if (state.ordered === undefined && serving === count) {
             return;
         }
-        if (now < state.retryAt || (count < (state.ordered ?? serving) && !this.isLongEnoughSmaller(state, now, isReclaimable))) {
+        const isSmaller = count < (state.ordered ?? serving);
+        if (isSmaller && this.parts.versions.isMoving(service.name)) {
+            // An order might take endpoints of either version.
+            return;
+        }
+        if (now < state.retryAt || (isSmaller && !this.isLongEnoughSmaller(state, now, isReclaimable))) {
             return;
         }
         await this.sendOrder({ service: service.name, failureDomain, isReclaimable, count }, state, serving);
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -10,6 +10,7 @@
 import { PlacementNews } from "../placement/placementNews.js";
 import { Placement } from "../placement/types.js";
 import { WorkMeter } from "../placement/workMeter.js";
+import { VersionMoves } from "../versions/versionMoves.js";
 import { EventStreamRelay, RelayEnd, WholeAnswerRelay } from "./answerRelay.js";
 import { CallerAnswer } from "./callerAnswer.js";
 import { CallProtocol } from "./callProtocol.js";
@@ -49,6 +50,7 @@
     readonly crashes: CrashWatch;
     readonly news: PlacementNews;
     readonly work: WorkMeter;
+    readonly versions: VersionMoves;
     readonly timing: AttemptTiming;
 }
 
@@ -130,7 +132,9 @@
         this.endpoint.promptTokens -= this.waitingTokens;
         this.waitingTokens = 0;
         const expected = Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
-        this.endpoint.recordSuccess((this.firstEventAt - this.sentAt) / expected);
+        const timeRatio = (this.firstEventAt - this.sentAt) / expected;
+        this.endpoint.recordSuccess(timeRatio);
+        this.recordVersionAttempt(true, timeRatio);
     }
 
     private async exchange(): Promise<AttemptEnd> {
@@ -180,6 +184,7 @@
         const status = answer.statusCode ?? 0;
         if (status >= statusServerError && status !== statusGatewayTimeout) {
             this.endpoint.recordError();
+            this.recordVersionAttempt(false, undefined);
             if (options.mayRunAgain && !options.caller.hasBegun()) {
                 answer.on("error", () => exchange.close());
                 answer.resume();
@@ -204,6 +209,7 @@
         const time = this.parts.clock.getMonotonicTime() - this.sentAt;
         const expected = Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
         this.endpoint.recordSuccess(time / expected);
+        this.recordVersionAttempt(true, time / expected);
         if (this.endpoint.countRequests() <= this.endpoint.entry.slots) {
             this.parts.callPlacement.recordCallTime(this.options.call.service, time);
         }
@@ -220,6 +226,10 @@
     private settleFailure(failure: Failure, exchange: EndpointExchange): AttemptEnd {
         const { parts, options } = this;
         const now = parts.clock.getMonotonicTime();
+        if (this.isLate && this.firstEventAt === undefined) {
+            const expected = Math.max(leastExpectedMilliseconds, options.placement.expectedTime);
+            this.recordVersionAttempt(true, (now - this.sentAt) / expected);
+        }
         const { code } = failure.message;
         if (code === Diagnostics.Another_endpoint_has_the_address.code) {
             parts.directory.markGone(this.endpoint, "own request");
@@ -254,6 +264,20 @@
         }
     }
 
+    /** Counts for or against the endpoint's version. Lost connections do not count: endpoints are lost on any version. */
+    private recordVersionAttempt(hasSucceeded: boolean, timeRatio: number | undefined): void {
+        const { entry } = this.endpoint;
+        const { call } = this.options;
+        this.parts.versions.recordAttempt({
+            service: call.service,
+            route: call.route.name,
+            version: entry.version,
+            load: this.endpoint.countRequests() / entry.slots,
+            hasSucceeded,
+            timeRatio,
+        });
+    }
+
     private createEnd(failure: Failure | undefined, hasArrived = true): AttemptEnd {
         return { failure, hasArrived, isLate: this.isLate, sentAt: this.sentAt, firstEventAt: this.firstEventAt };
     }
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -121,6 +121,7 @@
             objective: call.route.objective,
             rank: call.team?.priority ?? call.route.priority,
             tried: this.tried,
+            isBoundStream: call.route.kind === RouteKind.Stream && !this.isIdempotent,
         });
     }
 
--- a/src/gossip/gatewayContent.ts
+++ b/src/gossip/gatewayContent.ts
@@ -2,6 +2,7 @@
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
+import { createEmptyCounts } from "../control/moves/moveEvidence.js";
 import { DutyLease } from "../duties/dutyLease.js";
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../fleet/endpointFollower.js";
@@ -17,6 +18,8 @@
 import { routeConfigurationSchema } from "../routes/types.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { UsageLedger } from "../usage/usageLedger.js";
+import { VersionSide } from "../versions/types.js";
+import { VersionMoves } from "../versions/versionMoves.js";
 import { GossipContent } from "./gossipExchange.js";
 import { PeerTable } from "./peerTable.js";
 import { GatewayDigest, GatewayDigestInit, GatewayPeer, SharedState, SharedStateInit } from "./types.js";
@@ -44,6 +47,7 @@
     readonly work: WorkMeter;
     readonly lease: DutyLease;
     readonly ledger: QuarantineLedger;
+    readonly versions: VersionMoves;
     readonly getIsLeaving: () => boolean;
 }
 
@@ -82,6 +86,7 @@
                 untilMilliseconds: BigInt(Math.round(record.until)),
             })),
             works: parts.work.listOwn().map(({ service, work }) => ({ service, work })),
+            evidence: this.listEvidence(),
         };
     }
 
@@ -103,6 +108,7 @@
             parts.usageLedger.recordUsage(source === "" ? describeLife(peer) : source, Number(window), teams);
         }
         digest.works.forEach(({ service, work }) => parts.work.recordOther(service, peer.name, work));
+        this.applyEvidence(peer, digest);
         parts.lease.recordNews(digest.lease?.holder ?? "", Number(digest.lease?.fencing ?? 0));
         this.updateSharedLoads();
     }
@@ -172,6 +178,28 @@
         }));
     }
 
+    private listEvidence() {
+        return this.parts.versions.listOwnEvidence().map(({ service, target, side, route, counts }) => ({
+            service,
+            target,
+            isTarget: side === VersionSide.New,
+            route,
+            attempts: counts.trials,
+            failures: counts.failures,
+            timed: counts.timed,
+            slow: counts.slowFirstTokens,
+        }));
+    }
+
+    private applyEvidence(peer: GatewayPeer, digest: GatewayDigest): void {
+        for (const told of digest.evidence) {
+            const { service, target, route, attempts, failures, timed, slow } = told;
+            const side = told.isTarget ? VersionSide.New : VersionSide.Old;
+            const counts = { ...createEmptyCounts(), trials: attempts, failures, timed, slowFirstTokens: slow };
+            this.parts.versions.mergeEvidence({ service, target, side, route, counts }, peer);
+        }
+    }
+
     private listLoads() {
         return this.parts.directory.listAll()
             .filter(endpoint => endpoint.running > 0)
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -8,6 +8,7 @@
 import { Duty, DutyRunner } from "../../duties/dutyRunner.js";
 import { FleetDuty } from "../../duties/fleetDuty.js";
 import { UsageDuty } from "../../duties/usageDuty.js";
+import { VersionMoveDuty } from "../../duties/versionMoveDuty.js";
 import { EndpointDirectory } from "../../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../../fleet/endpointFollower.js";
 import { CallForwarder } from "../../gateway/callForwarder.js";
@@ -38,6 +39,9 @@
 import { ConfigurationHolder } from "../../routes/configurationHolder.js";
 import { UsageCounter } from "../../usage/usageCounter.js";
 import { UsageLedger } from "../../usage/usageLedger.js";
+import { MoveSchedule } from "../../versions/moveSchedule.js";
+import { VersionMoves } from "../../versions/versionMoves.js";
+import { VersionTraffic } from "../../versions/versionTraffic.js";
 import { GatewayKeys as Keys } from "../gatewayKeys.js";
 
 /** Seeds fit in 31 bits. */
@@ -96,6 +100,17 @@
     container.bind(Keys.Registry).toDynamicValue(context =>
         NodeRegistry.create(context.get(Keys.Store), context.get(Keys.Peers), context.get(Keys.Clock), context.get(Keys.Log))
     );
+    container.bind(Keys.Versions).toDynamicValue(context =>
+        VersionMoves.create(
+            context.get(Keys.VersionMoveDecoder),
+            context.get(Keys.Peers).identity,
+            context.get(Keys.Clock),
+            context.get(Keys.Log),
+        )
+    );
+    container.bind(Keys.VersionTraffic).toDynamicValue(context =>
+        VersionTraffic.create(context.get(Keys.Versions), context.get(Keys.Random), settings.versions.trialShare)
+    );
     container.bind(Keys.Watches).toDynamicValue(context => {
         const store = context.get(Keys.Store);
         const clock = context.get(Keys.Clock);
@@ -108,6 +123,7 @@
             configuration: ObjectFollower.create(store, configurationPrefix, context.get(Keys.ConfigurationFollower), clock, log),
             endpoints,
             nodes: ObjectFollower.create(store, nodePrefix, context.get(Keys.Registry), clock, log),
+            versions: ObjectFollower.create(store, context.get(Keys.VersionMoveDecoder).prefix, context.get(Keys.Versions), clock, log),
         };
     });
 }
@@ -131,6 +147,7 @@
             context.get(Keys.Random),
             service => (configuration.getTable()?.findService(service)?.engine === undefined ? calls : engines),
             service => Math.floor((configuration.getTable()?.findService(service)?.connectionLimit ?? 1) / peers.countServing()),
+            context.get(Keys.VersionTraffic),
         );
     });
 }
@@ -163,6 +180,7 @@
             work: context.get(Keys.Work),
             lease: context.get(Keys.Lease),
             ledger: context.get(Keys.Ledger),
+            versions: context.get(Keys.Versions),
             getIsLeaving: () => gate.isLeaving,
         });
         return GossipExchange.create(
@@ -194,7 +212,18 @@
         const lease = context.get(Keys.Lease);
         const clock = context.get(Keys.Clock);
         const log = context.get(Keys.Log);
-        const duties: Duty[] = [];
+        const duties: Duty[] = [
+            VersionMoveDuty.create({
+                clock,
+                log,
+                lease,
+                moves: context.get(Keys.Versions),
+                accounts: context.get(Keys.MoveAccounts),
+                configuration: context.get(Keys.Configuration),
+                directory: context.get(Keys.Directory),
+                schedule: MoveSchedule.create(settings.versions.exposure),
+            }),
+        ];
         if (api !== undefined) {
             duties.push(
                 UsageDuty.create({
@@ -216,6 +245,7 @@
                     configuration: context.get(Keys.Configuration),
                     directory: context.get(Keys.Directory),
                     work: context.get(Keys.Work),
+                    versions: context.get(Keys.VersionTraffic),
                     settings: settings.fleet,
                 }),
             );
@@ -249,6 +279,7 @@
             crashes: context.get(Keys.Crashes),
             news: context.get(Keys.News),
             work: context.get(Keys.Work),
+            versions: context.get(Keys.Versions),
             timing: settings.timing,
         });
     });
--- a/src/node/bindings/plainDeployment.ts
+++ b/src/node/bindings/plainDeployment.ts
@@ -5,9 +5,10 @@
 import { EndpointEntry, endpointEntrySchema } from "../../fleet/types.js";
 import { defaultCallProtocol } from "../../gateway/defaultCallProtocol.js";
 import { ObjectStore } from "../../provider/objectStore.js";
-import { StoredObject } from "../../provider/types.js";
+import { StoredObject, WriteFailure } from "../../provider/types.js";
 import { ConfigurationDecoder } from "../../routes/configurationFollower.js";
 import { RouteConfiguration, routeConfigurationSchema } from "../../routes/types.js";
+import { DecodedMove, MoveAccount, MoveAccountStore, MoveStage, VersionMoveDecoder } from "../../versions/types.js";
 import { GatewayKeys as Keys } from "../gatewayKeys.js";
 
 /** Reads configurations in the product's own form. */
@@ -48,6 +49,45 @@
     }
 }
 
+const plainMoveSchema = z.object({
+    service: z.string().min(1),
+    target: z.string().min(1),
+    /** Milliseconds. */
+    duration: z.number().positive(),
+    account: z.object({
+        target: z.string(),
+        stage: z.enum(MoveStage),
+        /** Unix milliseconds. */
+        deadline: z.number(),
+        reason: z.string(),
+    }).optional(),
+});
+
+/** Reads orders of version moves in the product's own form, where the account stands in the order. */
+export class PlainVersionMoves implements VersionMoveDecoder, MoveAccountStore {
+    readonly prefix = "version-moves/";
+
+    private constructor(private readonly store: ObjectStore) {}
+
+    static create(store: ObjectStore): PlainVersionMoves {
+        return new PlainVersionMoves(store);
+    }
+
+    decodeMove(object: StoredObject): Result<DecodedMove, string> {
+        const parsed = plainMoveSchema.safeParse(object.value);
+        if (!parsed.success) {
+            return Err(listIssues(parsed.error).join("; "));
+        }
+        const { account, ...order } = parsed.data;
+        return Ok({ order, account });
+    }
+
+    writeAccount(object: StoredObject, account: MoveAccount): Promise<Result<number, WriteFailure>> {
+        const value = { ...plainMoveSchema.parse(object.value), account };
+        return this.store.replaceObject(object.name, value, object.revision);
+    }
+}
+
 function listIssues(error: z.ZodError): string[] {
     return error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`);
 }
@@ -55,6 +95,9 @@
 /** Binds the product's own forms and headers on a store. */
 export function addPlainBindings(container: Container, store: ObjectStore): void {
     container.bind(Keys.Store).toConstantValue(store);
+    const moves = PlainVersionMoves.create(store);
+    container.bind(Keys.VersionMoveDecoder).toConstantValue(moves);
+    container.bind(Keys.MoveAccounts).toConstantValue(moves);
     container.bind(Keys.DutyApi).toConstantValue(undefined);
     container.bind(Keys.Protocol).toConstantValue(defaultCallProtocol);
     container.bind(Keys.ConfigurationDecoder).toDynamicValue(() => PlainConfigurationDecoder.create());
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -34,6 +34,9 @@
 import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { UsageLedger } from "../usage/usageLedger.js";
+import { MoveAccountStore, VersionMoveDecoder } from "../versions/types.js";
+import { VersionMoves } from "../versions/versionMoves.js";
+import { VersionTraffic } from "../versions/versionTraffic.js";
 
 function createKey<T>(name: string): ServiceIdentifier<T> {
     return Symbol.for(`corianderward.gateway.${name}`);
@@ -44,6 +47,7 @@
     readonly configuration: ObjectFollower;
     readonly endpoints: ObjectFollower;
     readonly nodes: ObjectFollower;
+    readonly versions: ObjectFollower;
 }
 
 /** The names under which the parts of a gateway are bound. */
@@ -60,7 +64,11 @@
     Protocol: createKey<CallProtocol>("Protocol"),
     ConfigurationDecoder: createKey<ConfigurationDecoder>("ConfigurationDecoder"),
     EndpointDecoder: createKey<EndpointDecoder>("EndpointDecoder"),
+    VersionMoveDecoder: createKey<VersionMoveDecoder>("VersionMoveDecoder"),
+    MoveAccounts: createKey<MoveAccountStore>("MoveAccounts"),
     // What is the same everywhere.
+    Versions: createKey<VersionMoves>("Versions"),
+    VersionTraffic: createKey<VersionTraffic>("VersionTraffic"),
     Configuration: createKey<ConfigurationHolder>("Configuration"),
     ConfigurationFollower: createKey<ConfigurationFollower>("ConfigurationFollower"),
     Directory: createKey<EndpointDirectory>("Directory"),
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -83,6 +83,7 @@
         void watches.configuration.run();
         void watches.endpoints.run();
         void watches.nodes.run();
+        void watches.versions.run();
         void container.get(Keys.Registry).registerNode();
         container.get(Keys.Gossip).setSeeds(settings.seeds);
         void container.get(Keys.Gossip).runRounds();
@@ -139,6 +140,7 @@
         watches.configuration.stop();
         watches.endpoints.stop();
         watches.nodes.stop();
+        watches.versions.stop();
         container.get(Keys.Registry).stop();
         container.get(Keys.Gossip).stop();
         void this.peerServer.stop();
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -23,6 +23,15 @@
 /** Reads how many connections one node may open to an endpoint of a service. */
 export type ConnectionLimitSource = (service: string) => number;
 
+/** Says which endpoints may serve a request. */
+export interface EndpointTraffic {
+    /** Returns groups of endpoints in the order in which they are to be tried. */
+    listGroups(query: PlacementQuery, endpoints: readonly FleetEndpoint[]): (readonly FleetEndpoint[])[];
+}
+
+/** Any endpoint may serve any request. */
+const allEndpoints: EndpointTraffic = { listGroups: (_query, endpoints) => [endpoints] };
+
 /** Chooses the endpoint for each request among those that may have it. */
 export class EndpointChooser {
     private constructor(
@@ -31,6 +40,7 @@
         private readonly random: RandomSource,
         private readonly getPolicy: (service: string) => PlacementPolicy,
         private readonly getConnectionLimit: ConnectionLimitSource,
+        private readonly traffic: EndpointTraffic,
     ) {}
 
     static create(
@@ -39,16 +49,31 @@
         random: RandomSource,
         getPolicy: (service: string) => PlacementPolicy,
         getConnectionLimit: ConnectionLimitSource,
+        traffic: EndpointTraffic = allEndpoints,
     ): EndpointChooser {
-        return new EndpointChooser(directory, clock, random, getPolicy, getConnectionLimit);
+        return new EndpointChooser(directory, clock, random, getPolicy, getConnectionLimit, traffic);
     }
 
     /** Chooses an endpoint, or fails when none is there or none is expected to serve the request in time. */
     choosePlacement(query: PlacementQuery): Result<Placement, Failure> {
-        const options = this.listOptions(query);
-        const best = this.selectBest(this.pickSample(options));
+        let result: Result<Placement, Failure> = Err(
+            Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service),
+        );
+        for (const group of this.traffic.listGroups(query, this.directory.listEndpoints(query.service))) {
+            const placement = this.choosePlacementAmong(group, query);
+            if (placement?.ok === true) {
+                return placement;
+            }
+            result = placement ?? result;
+        }
+        return result;
+    }
+
+    /** Chooses among endpoints of which each may have the request; undefined when none is available. */
+    private choosePlacementAmong(group: readonly FleetEndpoint[], query: PlacementQuery): Result<Placement, Failure> | undefined {
+        const best = this.selectBest(this.pickSample(this.listOptions(group, query)));
         if (best === undefined) {
-            return Err(Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service));
+            return undefined;
         }
         const longest = Math.min(query.timeLeft * usableShareOfTimeLeft, this.getPolicy(query.service).computeLongestWait(query));
         if (best.expectedTime > longest) {
@@ -58,10 +83,10 @@
         return Ok(best);
     }
 
-    private listOptions(query: PlacementQuery): PlacementOption[] {
+    private listOptions(group: readonly FleetEndpoint[], query: PlacementQuery): PlacementOption[] {
         const all = this.directory.listEndpoints(query.service);
         const policy = this.getPolicy(query.service);
-        return this.listCandidates(query).map(endpoint => ({ endpoint, ...policy.computeCost(endpoint, query, all) }));
+        return this.listCandidates(group, query).map(endpoint => ({ endpoint, ...policy.computeCost(endpoint, query, all) }));
     }
 
     /**
@@ -96,10 +121,10 @@
         return best;
     }
 
-    private listCandidates(query: PlacementQuery): FleetEndpoint[] {
+    private listCandidates(group: readonly FleetEndpoint[], query: PlacementQuery): FleetEndpoint[] {
         const now = this.clock.getMonotonicTime();
         const limit = Math.max(1, this.getConnectionLimit(query.service) - spareConnections);
-        const usable = this.directory.listEndpoints(query.service).filter(endpoint => endpoint.isUsable());
+        const usable = group.filter(endpoint => endpoint.isUsable());
         const untried = usable.filter(endpoint => !query.tried.has(endpoint) && !endpoint.isFull(now) && endpoint.running < limit);
         const ready = untried.filter(endpoint => !endpoint.isExcluded(now));
         // Any endpoint is better than none.
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -34,6 +34,7 @@
         objective: 1_500,
         rank: 1,
         tried: new Set(),
+        isBoundStream: false,
         ...parts,
     };
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -12,6 +12,8 @@
     readonly rank: number;
     /** Endpoints that have had this request already. */
     readonly tried: ReadonlySet<FleetEndpoint>;
+    /** Whether it is a stream that cannot go on at another endpoint. */
+    readonly isBoundStream: boolean;
 }
 
 /** Where a request goes. */
--- a/src/provider/types.ts
+++ b/src/provider/types.ts
@@ -6,6 +6,8 @@
     readonly name: string;
     readonly revision: number;
     readonly value: unknown;
+    /** What the product wrote beside the value; only a store that keeps both has it. */
+    readonly status?: unknown;
 }
 
 /** Objects under a prefix, and the store's revision when they were read. */
--- a/src/standins/routed/routedStore.ts
+++ b/src/standins/routed/routedStore.ts
@@ -1,6 +1,6 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { AddressInfo } from "node:net";
-import { Paths, StoreQuery } from "../../../platform/wire.js";
+import { Paths, statusPath, StoreQuery } from "../../../platform/wire.js";
 
 const statusOk = 200;
 const statusBadRequest = 400;
@@ -25,6 +25,13 @@
     readonly tombstone: boolean;
 }
 
+/** What a write is about. */
+interface WritePath {
+    readonly kind: string;
+    readonly name: string | undefined;
+    readonly isStatus: boolean;
+}
+
 /** How the store treats calls. */
 export enum StoreMood {
     Well = "well",
@@ -67,11 +74,11 @@
     }
 
     /** Writes an object as an operator or an endpoint does; returns its revision. */
-    putObject(kind: string, name: string, spec: unknown): number {
+    putObject(kind: string, name: string, spec: unknown, status?: unknown): number {
         const known = this.objects.get(`${kind}/${name}`);
         this.revision += 1;
         const meta = { name, rev: this.revision, created: known?.meta.created ?? this.revision };
-        const object: WireObject = { meta, spec, status: known?.status };
+        const object: WireObject = { meta, spec, status: status ?? known?.status };
         this.objects.set(`${kind}/${name}`, object);
         this.record({ kind, revision: this.revision, object, tombstone: false });
         return this.revision;
@@ -141,7 +148,8 @@
             await this.serveRead(kind, name, url, watch ?? undefined, response);
             return;
         }
-        this.serveWrite(request, kind, name, body, response);
+        const [, , part] = url.pathname.slice(Paths.objects.length + 1).split("/");
+        this.serveWrite(request, { kind, name, isStatus: part === statusPath }, body, response);
     }
 
     private async serveRead(
@@ -194,8 +202,9 @@
         });
     }
 
-    private serveWrite(request: IncomingMessage, kind: string, name: string | undefined, body: unknown, response: ServerResponse): void {
-        const { meta, spec } = (body ?? {}) as { meta?: { name?: string; rev?: number; }; spec?: unknown; };
+    private serveWrite(request: IncomingMessage, path: WritePath, body: unknown, response: ServerResponse): void {
+        const { kind, name, isStatus } = path;
+        const { meta, spec, status } = (body ?? {}) as { meta?: { name?: string; rev?: number; }; spec?: unknown; status?: unknown; };
         const target = name ?? meta?.name;
         if (target === undefined) {
             sendJson(response, statusBadRequest, { error: "no name" });
@@ -216,6 +225,9 @@
         if (request.method === "DELETE") {
             this.removeObject(kind, target);
         }
+        else if (isStatus) {
+            this.putObject(kind, target, known?.spec, status);
+        }
         else {
             this.putObject(kind, target, spec);
         }
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -56,6 +56,7 @@
     eventCount = 5;
     eventMilliseconds = 5;
     born = Date.now();
+    version = "v1";
     private readonly server: Server;
 
     private constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly isEngine: boolean) {
@@ -90,7 +91,7 @@
             service: this.service,
             addr: this.getAddress(),
             zone: this.zone,
-            version: "v1",
+            version: this.version,
             slots: 6,
             state: this.isDraining ? "draining" : "ready",
             "cold-left-ms": 0,
--- /dev/null
+++ b/src/versions/versionMoves.ts
@@ -0,0 +1,235 @@
+import { Clock } from "../common/clock.js";
+import { EventLog } from "../common/eventLog.js";
+import { LogEvents } from "../common/logEvents.js";
+import { LatencyBaseline, LatencyKind } from "../control/moves/latencyBaseline.js";
+import { addCounts, createEmptyCounts, EvidenceCounts, EvidenceEntry, MoveEvidence } from "../control/moves/moveEvidence.js";
+import { VersionJudge } from "../control/moves/versionJudge.js";
+import { ObjectHandler } from "../provider/objectFollower.js";
+import { ObjectList, StoredObject } from "../provider/types.js";
+import { isSettledStage, MoveAccount, MoveStage, VersionAttempt, VersionMoveDecoder, VersionMoveOrder, VersionSide } from "./types.js";
+
+/** Times are compared as percents of what was expected: whole numbers, as the baseline takes them. */
+const percent = 100;
+
+/** What a node knows of one move. */
+export interface VersionMove {
+    readonly order: VersionMoveOrder;
+    /** As the store last showed it. */
+    object: StoredObject;
+    account: MoveAccount | undefined;
+    /** Monotonic milliseconds of when this node first saw it. */
+    readonly seenAt: number;
+    /** Unix milliseconds. */
+    deadline: number;
+    /** Why this node holds the new version to be bad. */
+    finding: string | undefined;
+    readonly evidence: MoveEvidence;
+    readonly judge: VersionJudge;
+}
+
+/** Counts of one route and version side, as they travel between nodes. */
+export interface ToldEvidence {
+    readonly service: string;
+    readonly target: string;
+    readonly side: VersionSide;
+    readonly route: string;
+    readonly counts: EvidenceCounts;
+}
+
+/** The life of a node that counted. */
+export interface EvidenceNode {
+    readonly name: string;
+    readonly incarnation: number;
+}
+
+/** The moves that operators ordered, and what attempts show of both versions. */
+export class VersionMoves implements ObjectHandler {
+    private readonly moves = new Map<string, VersionMove>();
+    private readonly baselines = new Map<string, LatencyBaseline>();
+
+    private constructor(
+        private readonly decoder: VersionMoveDecoder,
+        private readonly node: EvidenceNode,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+    ) {}
+
+    static create(decoder: VersionMoveDecoder, node: EvidenceNode, clock: Clock, log: EventLog): VersionMoves {
+        return new VersionMoves(decoder, node, clock, log);
+    }
+
+    handleListing(list: ObjectList): void {
+        const listed = new Set(list.objects.map(object => object.name));
+        for (const move of [...this.moves.values()].filter(known => !listed.has(known.object.name))) {
+            this.moves.delete(move.order.service);
+        }
+        list.objects.forEach(object => this.handleChange(object));
+    }
+
+    handleChange(object: StoredObject): void {
+        const decoded = this.decoder.decodeMove(object);
+        if (decoded.err) {
+            this.log.log(LogEvents.VersionMoveFaulty, { order: object.name, revision: object.revision, fault: decoded.val });
+            return;
+        }
+        const { order, account } = decoded.val;
+        const known = this.moves.get(order.service);
+        if (known?.order.target === order.target) {
+            if (object.revision > known.object.revision) {
+                this.recordAccount(known, object, account);
+            }
+            return;
+        }
+        this.addMove(order, object, account);
+    }
+
+    handleRemoval(name: string): void {
+        for (const move of this.moves.values()) {
+            if (move.object.name === name) {
+                this.moves.delete(move.order.service);
+            }
+        }
+    }
+
+    /** Records an account that was written, or read from the store. */
+    recordAccount(move: VersionMove, object: StoredObject, account: MoveAccount | undefined): void {
+        const before = this.getStage(move);
+        move.object = object;
+        if (account !== undefined) {
+            move.account = account;
+            move.deadline = account.deadline;
+        }
+        if (this.getStage(move) !== before) {
+            this.logStage(move);
+        }
+    }
+
+    findMove(service: string): VersionMove | undefined {
+        return this.moves.get(service);
+    }
+
+    /** Returns the moves that have neither been done nor rolled back. */
+    listRunning(): VersionMove[] {
+        return [...this.moves.values()].filter(move => !isSettledStage(this.getAccountStage(move)));
+    }
+
+    /** Returns the stage that this node acts by: it stops at once when it finds the new version to be bad. */
+    getStage(move: VersionMove): MoveStage {
+        const stage = this.getAccountStage(move);
+        return move.finding !== undefined && stage !== MoveStage.Done ? MoveStage.RolledBack : stage;
+    }
+
+    /** Counts what an attempt showed. */
+    recordAttempt(attempt: VersionAttempt): void {
+        const move = this.moves.get(attempt.service);
+        const side = move?.order.target === attempt.version ? VersionSide.New : VersionSide.Old;
+        const baseline = this.openBaseline(`${attempt.service}\n${attempt.route}`);
+        const time = attempt.timeRatio === undefined ? undefined : attempt.timeRatio * percent;
+        if (move !== undefined && !isSettledStage(this.getStage(move))) {
+            const isSlow = time === undefined ? undefined : baseline.isSlow(LatencyKind.FirstToken, attempt.load, time);
+            this.addEvidence(move, side, attempt, isSlow);
+        }
+        if (side === VersionSide.Old && time !== undefined) {
+            baseline.recordTime(LatencyKind.FirstToken, attempt.load, time);
+        }
+    }
+
+    /** Returns what this node counted itself. */
+    listOwnEvidence(): ToldEvidence[] {
+        return this.listRunning().flatMap(({ order, evidence }) =>
+            evidence.listEntries().filter(entry => entry.node === this.node.name).map(({ version, route, counts }) => ({
+                service: order.service,
+                target: order.target,
+                side: version === VersionSide.New ? VersionSide.New : VersionSide.Old,
+                route,
+                counts,
+            }))
+        );
+    }
+
+    /** Takes what another node counted. */
+    mergeEvidence(told: ToldEvidence, node: EvidenceNode): void {
+        const move = this.moves.get(told.service);
+        if (move === undefined || move.order.target !== told.target || node.name === this.node.name) {
+            return;
+        }
+        const entry: EvidenceEntry = {
+            version: told.side,
+            route: told.route,
+            node: node.name,
+            incarnation: node.incarnation,
+            counts: { ...told.counts },
+        };
+        const added = move.evidence.mergeEntry(entry);
+        if (told.side === VersionSide.New && added.trials > 0) {
+            this.judgeCounts(move, told.route, added);
+        }
+    }
+
+    private addMove(order: VersionMoveOrder, object: StoredObject, account: MoveAccount | undefined): void {
+        const evidence = MoveEvidence.create();
+        const move: VersionMove = {
+            order,
+            object,
+            // What is said of an earlier order says nothing of this one.
+            account: account?.target === order.target ? account : undefined,
+            seenAt: this.clock.getMonotonicTime(),
+            deadline: account?.target === order.target ? account.deadline : this.clock.getWallTime() + order.duration,
+            finding: undefined,
+            evidence,
+            judge: VersionJudge.create(evidence, VersionSide.Old),
+        };
+        this.moves.set(order.service, move);
+        this.logStage(move);
+    }
+
+    private getAccountStage(move: VersionMove): MoveStage {
+        return move.account?.stage ?? MoveStage.Trial;
+    }
+
+    private addEvidence(move: VersionMove, side: VersionSide, attempt: VersionAttempt, isSlow: boolean | undefined): void {
+        const added: EvidenceCounts = {
+            ...createEmptyCounts(),
+            trials: 1,
+            failures: attempt.hasSucceeded ? 0 : 1,
+            timed: isSlow === undefined ? 0 : 1,
+            slowFirstTokens: isSlow === true ? 1 : 0,
+        };
+        const { name, incarnation } = this.node;
+        addCounts(move.evidence.openCounts({ version: side, route: attempt.route, node: name, incarnation }), added);
+        if (side === VersionSide.New) {
+            this.judgeCounts(move, attempt.route, added);
+        }
+    }
+
+    private judgeCounts(move: VersionMove, route: string, added: EvidenceCounts): void {
+        move.judge.addCounts(route, added);
+        const finding = move.judge.getFinding();
+        if (finding === undefined || move.finding !== undefined) {
+            return;
+        }
+        move.finding = finding.route === "" ? finding.reason : `${finding.reason} on route ${finding.route}`;
+        this.logStage(move);
+    }
+
+    private logStage(move: VersionMove): void {
+        const counts = move.evidence.computeCounts(VersionSide.New);
+        this.log.log(LogEvents.VersionMoveChanged, {
+            service: move.order.service,
+            target: move.order.target,
+            stage: this.getStage(move),
+            reason: move.finding ?? move.account?.reason ?? "",
+            revision: move.object.revision,
+            attempts: counts.trials,
+            failures: counts.failures,
+            slow: counts.slowFirstTokens,
+            left: Math.round(move.deadline - this.clock.getWallTime()),
+        });
+    }
+
+    private openBaseline(key: string): LatencyBaseline {
+        const known = this.baselines.get(key) ?? LatencyBaseline.create();
+        this.baselines.set(key, known);
+        return known;
+    }
+}
--- /dev/null
+++ b/src/versions/versionTraffic.ts
@@ -0,0 +1,73 @@
+import { RandomSource } from "../common/random.js";
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { EndpointTraffic } from "../placement/endpointChooser.js";
+import { PlacementQuery } from "../placement/types.js";
+import { MoveStage } from "./types.js";
+import { VersionMove, VersionMoves } from "./versionMoves.js";
+
+/** Decides which versions' endpoints may serve a request while its service is moved to another version. */
+export class VersionTraffic implements EndpointTraffic {
+    private constructor(
+        private readonly moves: VersionMoves,
+        private readonly random: RandomSource,
+        private readonly trialShare: number,
+    ) {}
+
+    /** The share of a service's requests that a new version gets on trial is from 0 to 1. */
+    static create(moves: VersionMoves, random: RandomSource, trialShare: number): VersionTraffic {
+        return new VersionTraffic(moves, random, trialShare);
+    }
+
+    /** Returns groups of endpoints in the order in which they are to be tried; others may not have the request. */
+    listGroups(query: PlacementQuery, endpoints: readonly FleetEndpoint[]): (readonly FleetEndpoint[])[] {
+        const move = this.moves.findMove(query.service);
+        if (move === undefined) {
+            return [endpoints];
+        }
+        const [newer, older] = listSides(move, endpoints);
+        switch (this.moves.getStage(move)) {
+            case MoveStage.Trial:
+                return this.listTrialGroups(query, newer, older);
+            case MoveStage.LongStreams:
+                return query.isBoundStream ? [newer, older] : this.listTrialGroups(query, newer, older);
+            case MoveStage.All:
+            case MoveStage.Done:
+                return [newer, older];
+            case MoveStage.RolledBack:
+                return [older];
+        }
+    }
+
+    /** Returns the endpoints that carry a service: not those on trial, nor those that a move has made needless. */
+    listCarrying(service: string, endpoints: readonly FleetEndpoint[]): readonly FleetEndpoint[] {
+        const move = this.moves.findMove(service);
+        if (move === undefined) {
+            return endpoints;
+        }
+        const [newer, older] = listSides(move, endpoints);
+        return this.moves.getStage(move) === MoveStage.Done ? newer : older;
+    }
+
+    /** Whether a service is between two versions. */
+    isMoving(service: string): boolean {
+        return this.moves.listRunning().some(move => move.order.service === service);
+    }
+
+    /** A repeat has met one fault already and is not exposed to a version that may be another. */
+    private listTrialGroups(query: PlacementQuery, newer: FleetEndpoint[], older: FleetEndpoint[]): FleetEndpoint[][] {
+        const isTrial = query.tried.size === 0 && newer.length > 0 && this.random.pickFraction() < this.trialShare;
+        return isTrial ? [this.pickTrialEndpoints(newer), older] : [older];
+    }
+
+    /** Picks as few new endpoints as make the load of each one usual: some faults show under load only. */
+    private pickTrialEndpoints(newer: readonly FleetEndpoint[]): FleetEndpoint[] {
+        const sorted = [...newer].sort((left, right) => (left.entry.id < right.entry.id ? -1 : 1));
+        return sorted.slice(0, Math.ceil(newer.length * this.trialShare));
+    }
+}
+
+function listSides(move: VersionMove, endpoints: readonly FleetEndpoint[]): [FleetEndpoint[], FleetEndpoint[]] {
+    const newer = endpoints.filter(endpoint => endpoint.entry.version === move.order.target);
+    const older = endpoints.filter(endpoint => endpoint.entry.version !== move.order.target);
+    return [newer, older];
+}
