Count a shadow attempt against a version only when the endpoint answered with a failure

Cause: ShadowRunner told the judge of every failed attempt; a refused or lost connection so spoke against a good version, unlike the attempts of callers. Test: shadowRunner.test.ts (failed before the change, passes after).

--- a/src/requests/commands/shadowRunner.ts
+++ b/src/requests/commands/shadowRunner.ts
@@ -1,4 +1,5 @@
 import { Clock } from "../../common/clock.js";
+import { Diagnostics } from "../../common/diagnostics.js";
 import { createIdentifier } from "../../common/identifiers.js";
 import { Metrics } from "../../common/metrics.js";
 import { ServiceDeclaration } from "../../config/types.js";
@@ -119,7 +120,8 @@
         };
         const result = await this.client.runGeneration(entry.description.address, attempt, sink, new AbortController().signal);
         this.metrics.attempts.inc({ service: service.name, outcome: "shadow" });
-        if (result.err && tokens === 0 && this.clock.getMonotonicTime() === startedAt) {
+        // A refused or lost connection shows nothing of the version: endpoints are lost on any.
+        if (result.err && result.val.message.code !== Diagnostics.Endpoint_failed_with_status_0.code) {
             return;
         }
         this.observer.recordObservation({
