Count a stream as usage from its first event on

Cause: a run was counted when its call ended. Test: forwarding.test.ts, a stream that still runs (fails before).

--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -75,7 +75,6 @@
     /** Whether the request may have reached the endpoint. */
     readonly hasArrived: boolean;
     readonly sentAt: number;
-    readonly firstEventAt: number | undefined;
 }
 
 /** Sends a call to one endpoint and relays the answer. */
@@ -279,7 +278,7 @@
     }
 
     private createEnd(failure: Failure | undefined, hasArrived = true): AttemptEnd {
-        return { failure, hasArrived, isLate: this.isLate, sentAt: this.sentAt, firstEventAt: this.firstEventAt };
+        return { failure, hasArrived, isLate: this.isLate, sentAt: this.sentAt };
     }
 
     private markHeard(): void {
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -152,7 +152,7 @@
     private settleAttempt(placement: Placement, end: AttemptEnd): CallReport | undefined {
         const { call, caller, parts } = this;
         if (end.failure === undefined) {
-            this.recordRun(end);
+            this.recordCallRun(end);
             return this.createReport(CallOutcome.Answered, undefined);
         }
         this.tried.add(placement.endpoint);
@@ -160,7 +160,7 @@
         this.verdict = raiseVerdict(this.verdict, end.failure.verdict);
         if (end.failure.verdict !== Verdict.NotRun) {
             this.runs += 1;
-            this.recordRun(end);
+            this.recordCallRun(end);
         }
         if (caller.isCallerGone()) {
             return this.createReport(CallOutcome.CallerLeft, undefined);
@@ -182,15 +182,23 @@
     }
 
     private handleFirstEvent(): void {
-        this.firstByteAt ??= this.parts.clock.getMonotonicTime();
+        const now = this.parts.clock.getMonotonicTime();
+        this.firstByteAt ??= now;
         this.attempt?.recordFirstEvent();
+        // At once: a long stream ends after the report of the window in which it began.
+        this.recordRun(now);
     }
 
-    /** Counts the run for its team. A stream runs from its first event on; a call, from when it was sent. */
-    private recordRun(end: AttemptEnd): void {
+    /** Counts the run of a call, which began when it was sent; a stream's is counted with its first event. */
+    private recordCallRun(end: AttemptEnd): void {
+        if (this.call.route.kind !== RouteKind.Stream) {
+            this.recordRun(end.sentAt);
+        }
+    }
+
+    private recordRun(startedAt: number): void {
         const { call, parts } = this;
-        const startedAt = call.route.kind === RouteKind.Stream ? end.firstEventAt : end.sentAt;
-        if (call.team !== undefined && startedAt !== undefined) {
+        if (call.team !== undefined) {
             parts.usage.recordRun(call.team.name, startedAt);
         }
     }
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -4,6 +4,7 @@
 import { after, before, beforeEach, test } from "node:test";
 import { HeaderNames } from "../../platform/wire.js";
 import { Tracing } from "../common/tracing.js";
+import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { RoutedWorker, WorkerFault } from "../standins/routed/routedWorker.js";
 import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
@@ -37,7 +38,7 @@
     }
 });
 
-const directoryKey = (await import("../node/gatewayKeys.js")).GatewayKeys.Directory;
+const directoryKey = Keys.Directory;
 
 function setFault(workers: readonly RoutedWorker[], fault: WorkerFault): void {
     workers.forEach(worker => worker.faults.push(fault));
@@ -254,6 +255,22 @@
     assert.equal((await gateway.sendCall("/voucher/killer", { method: "POST", body: "harmless" })).status, 200);
 });
 
+test("a stream counts as usage from its first event on, though it still runs", async () => {
+    const usage = gateway.node.container.get(Keys.Usage);
+    const countRequests = () => {
+        const current = usage.getWindow(Date.now());
+        return [current - 1, current].flatMap(window => usage.listUsage(window)).reduce((sum, { requests }) => sum + requests, 0);
+    };
+    const before = countRequests();
+    platform.engines.forEach(engine => (engine.eventMilliseconds = 1_000));
+    const leaving = new AbortController();
+    const call = gateway.sendCall("/notice/1", { method: "POST", body: "long", signal: leaving.signal });
+    await waitUntil(() => countRequests() === before + 1);
+    platform.engines.forEach(engine => (engine.eventMilliseconds = 5));
+    leaving.abort();
+    await call;
+});
+
 test("kept connections of callers carry many calls", async () => {
     const agent = new Agent({ keepAlive: true, maxSockets: 1 });
     for (let index = 0; index < 5; index += 1) {
