Read routes, services, teams and limits of a gateway from a route file

The gateway's own form was JSON in the store, which no person writes. routes check tells every fault with its line, routes publish writes the next version by a condition on the one before.

--- a/src/cli/commandLine.test.ts
+++ b/src/cli/commandLine.test.ts
@@ -175,3 +175,16 @@
     await compareBaseline("logs-missing", "corianderward.js", ["logs", "summary", join(directory, "none.log")], 2);
     await compareBaseline("logs-kinds", "corianderward.js", ["logs", "kinds"], 0);
 });
+
+test("routes: the example is sound, faults are told together, and an unreachable store is said so", async () => {
+    await compareBaseline("routes-check", "corianderward.js", ["routes", "check", "examples/recall-desk/routes.ini"], 0);
+    const faulty = writeFile("faulty-routes.ini", "[route.a]\nhost = a\nkind = saef\n[servic.b]\n");
+    await compareBaseline("routes-faults", "corianderward.js", ["routes", "check", faulty], 2);
+    await compareBaseline("routes-missing", "corianderward.js", ["routes", "publish", "no-such-file.ini"], 2);
+    await compareBaseline(
+        "routes-unreachable",
+        "corianderward.js",
+        ["routes", "publish", "examples/recall-desk/routes.ini", "--platform", "http://127.0.0.1:9"],
+        3,
+    );
+});
--- a/src/cli/commands/index.ts
+++ b/src/cli/commands/index.ts
@@ -8,6 +8,7 @@
 import { PublishCommand } from "./publish.js";
 import { ReplayCommand } from "./replay.js";
 import { RequestExplainCommand } from "./requestExplain.js";
+import { RoutesCheckCommand, RoutesPublishCommand } from "./routes.js";
 import { StatusCommand } from "./status.js";
 import { TraceGenerateCommand } from "./traceGenerate.js";
 
@@ -30,5 +31,7 @@
     "logs:explain": LogsExplainCommand,
     "logs:summary": LogsSummaryCommand,
     "logs:kinds": LogsKindsCommand,
+    "routes:check": RoutesCheckCommand,
+    "routes:publish": RoutesPublishCommand,
     "trace:generate": TraceGenerateCommand,
 };
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -160,6 +160,13 @@
         "Team '{0}' was published by another operator meanwhile. Look at the difference with --dry-run and publish again.",
     ),
     Checked_0_services_of_1_teams: createNote(6005, "Checked {0} services of {1} teams: no errors."),
+    Checked_0_routes_to_1_services: createNote(6030, "Checked {0} routes to {1} services: no errors."),
+    Published_routes_as_version_0: createNote(6031, "Published the routes as version {0}."),
+    Routes_are_unchanged_at_version_0: createNote(6032, "The routes are unchanged at version {0}."),
+    Routes_were_published_by_another_operator_read_and_retry: createError(
+        6033,
+        "The routes were published by another operator meanwhile. Read what is in force and publish again.",
+    ),
     In_force_on_0_of_1_nodes: createNote(6006, "In force on {0} of {1} nodes."),
     Node_0_could_not_be_asked_1: createWarning(6007, "Node '{0}' could not be asked: {1}."),
     Trace_line_cannot_be_read_0: createError(6008, "The trace line cannot be read: {0}."),
--- a/src/config/objectNames.ts
+++ b/src/config/objectNames.ts
@@ -6,5 +6,7 @@
 export const movePrefix = `${sharedPrefix}moves/`;
 /** Prefix of the objects that name requests not to be run again. */
 export const quarantinePrefix = `${sharedPrefix}quarantine/`;
+/** Object that holds the routes of a deployment of gateways. */
+export const routesObjectName = "routes/main";
 /** Prefix of leases. */
 export const leasePrefix = "leases/";
--- /dev/null
+++ b/src/config/routeFiles.ts
@@ -0,0 +1,182 @@
+import { createFileDiagnostic, Diagnostic, Diagnostics } from "../common/diagnostics.js";
+import { Err, Ok, Result } from "../common/results.js";
+import { millisecondsPerHour } from "../common/units.js";
+import {
+    CallerLimits,
+    EngineTraits,
+    Route,
+    RouteConfiguration,
+    RoutedService,
+    RoutedTeam,
+    RouteKind,
+    ScalingBounds,
+    UsageUnit,
+} from "../routes/types.js";
+import { IniDocument, IniSection, readIniDocument } from "./iniDocument.js";
+import { findNearestName, SectionReader } from "./sectionReader.js";
+
+/** What a route file declares; the version is given when it is published. */
+export type RouteDeclaration = Omit<RouteConfiguration, "version">;
+
+enum SectionKind {
+    Route = "route",
+    Service = "service",
+    Team = "team",
+    Limits = "limits",
+}
+
+const sectionForms = ["route.NAME", "service.NAME", "team.NAME", "limits"];
+const hostPattern = /^[a-z0-9.-]{1,253}$/;
+const prefixPattern = /^\/(.*\/)?$/;
+const pathPattern = /^\/.*$/;
+const keyPattern = /^[!-~]{8,200}$/;
+const sharePattern = /^[^\s:]+(:\d+(\.\d+)?)?$/;
+const pricePattern = /^[^\s:]+:\d+(\.\d+)?$/;
+const largestCount = 1_000_000;
+const largestAmount = 1e12;
+
+/** Reads a route file: which services there are, which routes lead to them, who may call, and how much. */
+export function readRouteFile(file: string): Result<RouteDeclaration, Diagnostic[]> {
+    const document = readIniDocument(file);
+    return document.err ? document : parseRouteDocument(document.val);
+}
+
+/** Checks a parsed route file; every fault is reported together. */
+export function parseRouteDocument(document: IniDocument): Result<RouteDeclaration, Diagnostic[]> {
+    const faults: Diagnostic[] = [];
+    checkSections(document, faults);
+    const services = openSections(SectionKind.Service).map(({ name, reader }) => readService(name, reader));
+    const routes = openSections(SectionKind.Route).map(({ name, reader }) => readRoute(name, reader, services));
+    const teams = openSections(SectionKind.Team).map(({ name, reader }) => readTeam(name, reader));
+    const limits = readLimits(openLimits());
+    return faults.length > 0 ? Err(faults) : Ok({ routes, services, teams, limits });
+
+    function openSections(kind: SectionKind): { name: string; reader: SectionReader; }[] {
+        return document.sections.filter(section => readKind(section) === kind).map(section => ({
+            name: section.name.slice(kind.length + 1),
+            reader: SectionReader.create(document, section, faults),
+        }));
+    }
+
+    function openLimits(): SectionReader {
+        const section = document.sections.find(candidate => candidate.name === SectionKind.Limits);
+        return SectionReader.create(document, section ?? { name: SectionKind.Limits, line: 1, entries: new Map() }, faults);
+    }
+}
+
+function readKind(section: IniSection): SectionKind | undefined {
+    return Object.values(SectionKind).find(kind =>
+        kind === SectionKind.Limits ? section.name === kind : section.name.startsWith(`${kind}.`) && section.name.length > kind.length + 1
+    );
+}
+
+function checkSections(document: IniDocument, faults: Diagnostic[]): void {
+    for (const section of document.sections.filter(candidate => readKind(candidate) === undefined)) {
+        const nearest = findNearestName(section.name, sectionForms);
+        faults.push(
+            createFileDiagnostic(document.file, section.line, Diagnostics.Unknown_section_0_did_you_mean_1, section.name, nearest),
+        );
+    }
+}
+
+function readService(name: string, reader: SectionReader): RoutedService {
+    const service: RoutedService = {
+        name,
+        healthPath: reader.readText("health-path", "a path that begins with a slash", pathPattern, "/"),
+        connectionLimit: reader.readInteger("connection-limit", 1, largestCount),
+        engine: readEngine(reader),
+        scaling: readScaling(reader),
+    };
+    reader.checkUnknownKeys();
+    return service;
+}
+
+/** Returns what an engine is like, or undefined for a plain service. */
+function readEngine(reader: SectionReader): EngineTraits | undefined {
+    if (reader.readOptionalText("memory-tokens") === undefined) {
+        return undefined;
+    }
+    return { slots: reader.readInteger("slots", 1, largestCount), memoryTokens: reader.readInteger("memory-tokens", 1, largestAmount) };
+}
+
+/** Returns the bounds of the fleet, or undefined where endpoints are not ordered. */
+function readScaling(reader: SectionReader): ScalingBounds | undefined {
+    const prices = reader.readList("price", "FAILURE-DOMAIN:PRICE, such as xela:1.2", pricePattern);
+    if (prices.length === 0) {
+        return undefined;
+    }
+    const hasReclaimable = reader.readOptionalText("reclaimable-price") !== undefined;
+    return {
+        minimum: reader.readInteger("minimum", 0, largestCount, 0),
+        maximum: reader.readInteger("maximum", 0, largestCount),
+        bootSeconds: reader.readNumber("boot-seconds", 0, 3_600),
+        reclaimablePrice: hasReclaimable ? reader.readNumber("reclaimable-price", 0, largestCount) : undefined,
+        domainPrices: prices.map(text => {
+            const { name, amount } = parseAmount(text);
+            return { failureDomain: name, price: amount };
+        }),
+    };
+}
+
+function readRoute(name: string, reader: SectionReader, services: readonly RoutedService[]): Route {
+    const shares = reader.readList("service", "SERVICE, or SERVICE:WEIGHT for a part of the traffic", sharePattern).map(text => {
+        const share = parseAmount(text);
+        return { service: share.name, weight: share.amount };
+    });
+    if (shares.length === 0) {
+        reader.addFault("service", Diagnostics.Key_0_in_section_1_is_missing_allowed_2, "service[]", reader.section.name, "SERVICE");
+    }
+    for (const share of shares.filter(candidate => !services.some(service => service.name === candidate.service))) {
+        reader.addFault("service", Diagnostics.Section_0_names_service_1_which_is_not_declared, reader.section.name, share.service);
+    }
+    const route: Route = {
+        name,
+        host: reader.readText("host", "a host name in lower case", hostPattern),
+        pathPrefix: reader.readText("path-prefix", "a path that begins and ends with a slash", prefixPattern),
+        kind: reader.readEnum("kind", RouteKind),
+        timeLimit: reader.readInteger("time-limit-milliseconds", 1, millisecondsPerHour),
+        objective: reader.readInteger("objective-milliseconds", 1, millisecondsPerHour),
+        priority: reader.readInteger("priority", 0, 100, 0),
+        shares,
+        attempts: reader.readInteger("attempts", 1, 100, 1),
+        isPublic: reader.readFlag("public", false),
+        isResumable: reader.readFlag("resumable", false),
+    };
+    if (route.isResumable && route.kind !== RouteKind.Stream) {
+        reader.addFault("resumable", Diagnostics.Key_0_contradicts_key_1_2, "resumable", "kind", "only a stream can be resumed");
+    }
+    reader.checkUnknownKeys();
+    return route;
+}
+
+function readTeam(name: string, reader: SectionReader): RoutedTeam {
+    const hasPriority = reader.readOptionalText("priority") !== undefined;
+    const team: RoutedTeam = {
+        name,
+        keys: reader.readList("key", "8 to 200 visible characters", keyPattern),
+        priority: hasPriority ? reader.readInteger("priority", 0, 100) : undefined,
+        unit: reader.readEnum("unit", UsageUnit, UsageUnit.Requests),
+        plainTokens: reader.readNumber("plain-tokens", 0, largestAmount, 0),
+        rate: reader.readNumber("rate-per-second", 0, largestAmount, 0),
+        burst: reader.readNumber("burst", 0, largestAmount, 0),
+    };
+    reader.checkUnknownKeys();
+    return team;
+}
+
+function readLimits(reader: SectionReader): CallerLimits {
+    const limits: CallerLimits = {
+        headerBytes: reader.readInteger("header-bytes", 256, largestCount, 16_384),
+        bodyBytes: reader.readInteger("body-bytes", 1, largestAmount, 1_048_576),
+        headerTimeout: reader.readInteger("header-timeout-milliseconds", 1, millisecondsPerHour, 5_000),
+        idleTimeout: reader.readInteger("idle-timeout-milliseconds", 1, millisecondsPerHour, 15_000),
+    };
+    reader.checkUnknownKeys();
+    return limits;
+}
+
+/** Splits NAME:AMOUNT; without an amount it is 1. */
+function parseAmount(text: string): { readonly name: string; readonly amount: number; } {
+    const separator = text.indexOf(":");
+    return separator < 0 ? { name: text, amount: 1 } : { name: text.slice(0, separator), amount: Number(text.slice(separator + 1)) };
+}
--- a/src/node/bindings/plainDeployment.ts
+++ b/src/node/bindings/plainDeployment.ts
@@ -1,6 +1,7 @@
 import { Container } from "inversify";
 import { z } from "zod";
 import { Err, Ok, Result } from "../../common/results.js";
+import { routesObjectName } from "../../config/objectNames.js";
 import { EndpointDecoder } from "../../fleet/endpointFollower.js";
 import { EndpointEntry, endpointEntrySchema } from "../../fleet/types.js";
 import { defaultCallProtocol } from "../../gateway/defaultCallProtocol.js";
@@ -13,7 +14,7 @@
 
 /** Reads configurations in the product's own form. */
 export class PlainConfigurationDecoder implements ConfigurationDecoder {
-    readonly objectName = "routes/main";
+    readonly objectName = routesObjectName;
 
     private constructor() {}
 
