Order no endpoints before those that register at a deployment's start are known

Cause: the duty kept what served at its first round. Now nothing is ordered until no endpoint was added for three heartbeats, and the baseline grows until the load is measured. Also: peers' answers are no longer compressed.

--- /dev/null
+++ b/src/duties/fleetDuty.test.ts
@@ -0,0 +1,97 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SilentEventLog } from "../common/eventLog.js";
+import { SeededRandom } from "../common/random.js";
+import { Ok, Result } from "../common/results.js";
+import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { PeerTable } from "../gossip/peerTable.js";
+import { PlainVersionMoves } from "../node/bindings/plainDeployment.js";
+import { WorkMeter } from "../placement/workMeter.js";
+import { ConfigurationHolder } from "../routes/configurationHolder.js";
+import { createEndpointEntry, createRoute, createRouteConfiguration } from "../testing/gatewayParts.js";
+import { MemoryObjects, MemoryObjectStore } from "../testing/memoryObjectStore.js";
+import { VirtualClock } from "../testing/virtualClock.js";
+import { VersionMoves } from "../versions/versionMoves.js";
+import { VersionTraffic } from "../versions/versionTraffic.js";
+import { DutyLease } from "./dutyLease.js";
+import { FleetDuty } from "./fleetDuty.js";
+import { DutyApi, DutyFailure, EndpointOrder } from "./types.js";
+
+const domains = ["a", "b", "c"];
+const roundMilliseconds = 250;
+
+class RecordingApi implements DutyApi {
+    readonly orders: EndpointOrder[] = [];
+
+    async sendUsage(): Promise<Result<void, DutyFailure>> {
+        return Ok(undefined);
+    }
+
+    async orderEndpoints(order: EndpointOrder): Promise<Result<void, DutyFailure>> {
+        this.orders.push(order);
+        return Ok(undefined);
+    }
+}
+
+function createDuty() {
+    const clock = VirtualClock.create();
+    const store = MemoryObjectStore.create(MemoryObjects.create(), clock, clock, SeededRandom.create(1));
+    const log = SilentEventLog.create();
+    const table = PeerTable.create({ name: "n", failureDomain: "a", address: "n:1", incarnation: 1 }, clock, 2_000);
+    const lease = DutyLease.create(store, clock, { name: "n", incarnation: 1 }, 3_000, table, log);
+    const configuration = ConfigurationHolder.create();
+    configuration.applyConfiguration({
+        ...createRouteConfiguration(1, [createRoute({})]),
+        services: [{
+            name: "desk",
+            healthPath: "/",
+            connectionLimit: 100,
+            engine: { slots: 64, memoryTokens: 500_000 },
+            scaling: {
+                minimum: 0,
+                maximum: 20,
+                bootSeconds: 4,
+                reclaimablePrice: 0.15,
+                domainPrices: domains.map(failureDomain => ({ failureDomain, price: 1 })),
+            },
+        }],
+    });
+    const directory = EndpointDirectory.create(clock);
+    const work = WorkMeter.create(clock, { promptTokensPerMillisecond: 48, outputToken: 0.4 });
+    const moves = VersionMoves.create(PlainVersionMoves.create(store), table.identity, clock, log);
+    const api = new RecordingApi();
+    const duty = FleetDuty.create({
+        api,
+        clock,
+        log,
+        lease,
+        configuration,
+        directory,
+        work,
+        versions: VersionTraffic.create(moves, SeededRandom.create(2), 0.04),
+        settings: { targetUtilization: 1, leastNeeded: 2, shrinkDelay: 2_500, reclaimableShrinkDelay: 10_000 },
+    });
+    void lease.runRounds();
+    return { clock, directory, work, api, duty };
+}
+
+test("endpoints that register one after the other when a deployment starts are not taken away before its load is known", async () => {
+    const { clock, directory, api, duty } = createDuty();
+    await clock.runUntil(1_000);
+    const total = 12;
+    for (let registered = 0; clock.getMonotonicTime() < 12_000;) {
+        if (registered < total) {
+            const failureDomain = domains[registered % domains.length] as string;
+            const entry = createEndpointEntry({ id: `e-${registered}`, failureDomain, slots: 64 });
+            directory.applyEntry({ entry, revision: registered + 1 }, "test");
+            registered += 1;
+        }
+        await duty.runRound({ holder: "n", fencing: 1 });
+        await clock.runUntil(clock.getMonotonicTime() + roundMilliseconds);
+    }
+    const latest = new Map(api.orders.map(order => [`${order.failureDomain}/${order.isReclaimable}`, order.count]));
+    const wanted = [...latest.values()].reduce((sum, count) => sum + count, 0);
+    const kept = domains.reduce((sum, domain) => sum + (latest.get(`${domain}/false`) ?? total / domains.length), 0);
+    assert.equal(kept, total, `on demand ${kept} of ${total}: ${JSON.stringify([...latest])}`);
+    assert.equal(wanted <= 2 * total, true, String(wanted));
+});
--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -47,9 +47,14 @@
 /** Time of load after which its measure counts, in milliseconds: twice the time constant of the measure. */
 const measureMilliseconds = 8_000;
 
-/** What served when this node took the duty over. */
+/** Time without a new endpoint after which those that were there before this node count as known, in milliseconds: three heartbeats. */
+const settleMilliseconds = 3_600;
+
+/** What served before the load was measured. */
 interface FleetBaseline {
-    readonly endpoints: number;
+    endpoints: number;
+    /** When an endpoint was last added to it. */
+    grownAt: number;
     /** Since when there has been load. */
     loadSince: number | undefined;
 }
@@ -88,7 +93,7 @@
             return;
         }
         for (const service of this.parts.configuration.getTable()?.configuration.services ?? []) {
-            if (service.scaling !== undefined && service.engine !== undefined) {
+            if (service.scaling !== undefined && service.engine !== undefined && this.isFleetKnown(service)) {
                 await this.runService(service, service.scaling);
             }
         }
@@ -119,23 +124,38 @@
         const { settings, work } = this.parts;
         const busyEngines = work.computeTotal(service.name) / millisecondsPerSecond;
         const measured = Math.ceil(busyEngines / settings.targetUtilization);
-        return Math.max(settings.leastNeeded, measured, this.computeBaseline(service, busyEngines > 0));
+        return Math.max(settings.leastNeeded, measured, this.computeBaseline(service));
     }
 
-    /** Returns the endpoints that are kept until the load has been measured for a while: a new holder knows nothing of it. */
-    private computeBaseline(service: RoutedService, hasLoad: boolean): number {
+    /**
+     * Records what serves, and says whether it is all known. Endpoints register one after the other when a deployment starts;
+     * an order by those that are known would take the others away.
+     */
+    private isFleetKnown(service: RoutedService): boolean {
         const now = this.parts.clock.getMonotonicTime();
         const serving = this.listServing(service.name).length;
-        const baseline = this.baselines.get(service.name) ?? { endpoints: serving, loadSince: undefined };
-        // Before any entry was read there is nothing to keep yet.
-        if (serving > 0) {
-            this.baselines.set(service.name, baseline);
-        }
-        if (hasLoad) {
+        const baseline = this.baselines.get(service.name) ?? { endpoints: 0, grownAt: now, loadSince: undefined };
+        this.baselines.set(service.name, baseline);
+        if (this.parts.work.computeTotal(service.name) > 0) {
             baseline.loadSince ??= now;
         }
-        const isMeasured = baseline.loadSince !== undefined && now - baseline.loadSince > measureMilliseconds;
-        return isMeasured ? 0 : baseline.endpoints;
+        if (serving > baseline.endpoints && baseline.loadSince === undefined) {
+            baseline.grownAt = now;
+        }
+        if (!this.isMeasured(baseline)) {
+            baseline.endpoints = Math.max(baseline.endpoints, serving);
+        }
+        return now - baseline.grownAt >= settleMilliseconds;
+    }
+
+    /** Returns the endpoints that are kept until the load has been measured for a while: a new holder knows nothing of it. */
+    private computeBaseline(service: RoutedService): number {
+        const baseline = this.baselines.get(service.name);
+        return baseline === undefined || this.isMeasured(baseline) ? 0 : baseline.endpoints;
+    }
+
+    private isMeasured(baseline: FleetBaseline): boolean {
+        return baseline.loadSince !== undefined && this.parts.clock.getMonotonicTime() - baseline.loadSince > measureMilliseconds;
     }
 
     private createDomain(service: RoutedService, scaling: ScalingBounds, failureDomain: string, price: number): DomainFleet {
--- a/src/peers/peerSessions.ts
+++ b/src/peers/peerSessions.ts
@@ -102,7 +102,8 @@
             pingTimeoutMs: pingTimeoutMilliseconds,
             idleConnectionTimeoutMs: idleConnectionMilliseconds,
         }, options);
-        const transport: Transport = createConnectTransport({ httpVersion: "2", baseUrl, sessionManager: sessions });
+        // Within a region bytes cost less than the processor time to compress them.
+        const transport: Transport = createConnectTransport({ httpVersion: "2", baseUrl, sessionManager: sessions, acceptCompression: [] });
         const peer: OpenPeer<S> = { client: createClient(this.service, transport), sessions };
         this.peers.set(key, peer);
         return peer;
--- a/src/standins/routed/routedStore.ts
+++ b/src/standins/routed/routedStore.ts
@@ -194,6 +194,7 @@
             const wake = () => {
                 clearTimeout(timer);
                 this.waiting.delete(wake);
+                response.off("close", wake);
                 resolve();
             };
             const timer = setTimeout(wake, milliseconds);
