Let nodes of a large fleet hear of endpoints from their relay instead of the store

A node that hears a relay looks at the store every four seconds for what the relay may have missed; relays send entries that are newer than the receiver's, with the ids of all. Nodes' entries are looked at once a second.

--- a/src/duties/dutyRunner.ts
+++ b/src/duties/dutyRunner.ts
@@ -8,6 +8,9 @@
 /** Pause between two rounds of the duties in milliseconds: short against the notice of a reclaim. */
 const roundMilliseconds = 250;
 
+/** Pause between two looks whether this node holds the lease, in milliseconds: short against the term of a lease. */
+const idleMilliseconds = 500;
+
 /** A duty of the node that holds the lease. */
 export interface Duty {
     runRound(credentials: DutyCredentials): Promise<void>;
@@ -39,9 +42,11 @@
     private async runDuty(duty: Duty): Promise<void> {
         while (!this.stopping.signal.aborted) {
             const credentials = this.lease.getCredentials();
-            if (credentials !== undefined) {
-                await this.runRound(duty, credentials);
+            if (credentials === undefined) {
+                await this.clock.sleep(idleMilliseconds, this.stopping.signal);
+                continue;
             }
+            await this.runRound(duty, credentials);
             await this.clock.sleep(roundMilliseconds, this.stopping.signal);
         }
     }
--- a/src/gossip/gatewayContent.ts
+++ b/src/gossip/gatewayContent.ts
@@ -73,6 +73,7 @@
             member: { ...identity, incarnation: BigInt(identity.incarnation) },
             isLeaving: parts.getIsLeaving(),
             isStoreReachable: this.isStoreCurrent(),
+            isFollowing: parts.plan.isFollowingRelay(),
             configurationVersion: BigInt(parts.configuration.getVersion()),
             directoryRevision: BigInt(parts.endpointFollower.getRevision()),
             // A relay's summary names them.
@@ -124,14 +125,18 @@
         const lacksConfiguration = Number(digest.configurationVersion) < parts.configuration.getVersion();
         const isBehind = Number(digest.directoryRevision) < parts.endpointFollower.getRevision();
         // To a node that watches the store, news that is quite new is still on its way.
-        const lacksEndpoints = isBehind && (!digest.isStoreReachable || parts.endpointFollower.hasOldNews());
+        const waitsForNews = digest.isFollowing || !digest.isStoreReachable;
+        const lacksEndpoints = isBehind && (waitsForNews || parts.endpointFollower.hasOldNews());
         if (!lacksConfiguration && !lacksEndpoints) {
             return undefined;
         }
         const configuration = parts.configuration.getTable()?.configuration;
+        const entries = parts.directory.listEntries();
+        const newer = entries.filter(entry => entry.revision > Number(digest.directoryRevision));
         return {
             configurationJson: lacksConfiguration ? JSON.stringify(configuration) : "",
-            endpointsJson: lacksEndpoints ? JSON.stringify(parts.directory.listEntries()) : "",
+            endpointsJson: lacksEndpoints ? JSON.stringify(newer) : "",
+            endpointIds: lacksEndpoints ? entries.map(({ entry }) => entry.id) : [],
             directoryRevision: BigInt(parts.endpointFollower.getRevision()),
         };
     }
@@ -147,16 +152,17 @@
         if (state.endpointsJson !== "") {
             const parsed = revisedEntriesSchema.safeParse(JSON.parse(state.endpointsJson));
             if (parsed.success) {
-                this.applyEntries(parsed.data, Number(state.directoryRevision), source);
+                this.applyEntries(parsed.data, state, source);
             }
         }
     }
 
-    /** Takes a peer's whole list of entries: what is missing there was removed by its revision. */
-    private applyEntries(entries: readonly RevisedEntry[], revision: number, source: string): void {
+    /** Takes a peer's newer entries; what its list of endpoints lacks was removed by its revision. */
+    private applyEntries(entries: readonly RevisedEntry[], state: SharedState, source: string): void {
         const { parts } = this;
+        const revision = Number(state.directoryRevision);
         entries.forEach(entry => parts.directory.applyEntry(entry, source));
-        const listed = new Set(entries.map(revised => revised.entry.id));
+        const listed = new Set(state.endpointIds);
         for (const known of parts.directory.listEntries()) {
             if (!listed.has(known.entry.id) && known.revision < revision) {
                 parts.directory.removeEntry(known.entry.id, revision, source);
--- a/src/gossip/relayPlan.ts
+++ b/src/gossip/relayPlan.ts
@@ -43,6 +43,11 @@
         return this.hasRelays() && this.listRelays(peer.failureDomain).includes(peer.name);
     }
 
+    /** Whether a relay tells this node of changes in the store, within two exchanges. */
+    isFollowingRelay(): boolean {
+        return this.hasRelays() && !this.isRelaying() && this.table.listHeard().some(peer => peer.isDirect && this.isRelay(peer));
+    }
+
     /** Returns the peers that this node calls: its relay, or as a relay the other relays and the holder of the duties. */
     listCallees(holder: string): GatewayPeer[] {
         const { identity } = this.table;
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -34,7 +34,7 @@
 import { EnginePlacement } from "../../placement/enginePlacement.js";
 import { PlacementNews } from "../../placement/placementNews.js";
 import { WorkMeter } from "../../placement/workMeter.js";
-import { ObjectFollower } from "../../provider/objectFollower.js";
+import { groupMilliseconds, ObjectFollower } from "../../provider/objectFollower.js";
 import { RetryAllowance } from "../../quotas/retryAllowance.js";
 import { SharedRateLimiter } from "../../quotas/sharedRateLimiter.js";
 import { QuarantineLedger } from "../../requests/quarantineLedger.js";
@@ -47,6 +47,10 @@
 import { VersionTraffic } from "../../versions/versionTraffic.js";
 import { GatewayKeys as Keys } from "../gatewayKeys.js";
 
+/** Pause between two looks of a node that hears of endpoints from a relay, in milliseconds: a look finds what the relay has missed. */
+const followingPauseMilliseconds = 4_000;
+/** Pause between two looks at the nodes' entries, in milliseconds: nodes tell one another of new ones too. */
+const nodesPauseMilliseconds = 1_000;
 /** Seeds fit in 31 bits. */
 const seedRange = 2 ** 31;
 
@@ -122,10 +126,14 @@
         const endpointFollower = context.get(Keys.EndpointFollower);
         const endpoints = ObjectFollower.create(store, context.get(Keys.EndpointDecoder).prefix, endpointFollower, clock, log);
         endpointFollower.setOutageSource(() => endpoints.getRegainedAt());
+        const plan = context.get(Keys.RelayPlan);
+        endpoints.setGroupPause(() => plan.isFollowingRelay() ? followingPauseMilliseconds : groupMilliseconds);
+        const nodes = ObjectFollower.create(store, nodePrefix, context.get(Keys.Registry), clock, log);
+        nodes.setGroupPause(() => nodesPauseMilliseconds);
         return {
             configuration: ObjectFollower.create(store, configurationPrefix, context.get(Keys.ConfigurationFollower), clock, log),
             endpoints,
-            nodes: ObjectFollower.create(store, nodePrefix, context.get(Keys.Registry), clock, log),
+            nodes,
             versions: ObjectFollower.create(store, context.get(Keys.VersionMoveDecoder).prefix, context.get(Keys.Versions), clock, log),
         };
     });
--- a/src/provider/objectFollower.ts
+++ b/src/provider/objectFollower.ts
@@ -9,7 +9,7 @@
 const longestPauseMilliseconds = 1_000;
 
 /** Pause after changes before the next call, in milliseconds: changes come in groups, and one call brings a whole group. */
-const groupMilliseconds = 200;
+export const groupMilliseconds = 200;
 
 /** Takes what a follower reads. */
 export interface ObjectHandler {
@@ -27,6 +27,7 @@
     private lostAt: number | undefined;
     private currentAt = -Infinity;
     private handleLateNews: () => void = () => {};
+    private getGroupPause: () => number = () => groupMilliseconds;
 
     private constructor(
         private readonly store: ObjectStore,
@@ -45,6 +46,11 @@
         this.handleLateNews = handleLateNews;
     }
 
+    /** Says where the pause after changes is looked up, in milliseconds; it is longer where the changes come another way too. */
+    setGroupPause(getGroupPause: () => number): void {
+        this.getGroupPause = getGroupPause;
+    }
+
     /** Runs until stop is called. */
     async run(): Promise<void> {
         while (!this.stopping.signal.aborted) {
@@ -104,7 +110,7 @@
             if (event.kind === WatchEventKind.Heartbeat) {
                 if (hasChange) {
                     hasChange = false;
-                    await this.clock.sleep(groupMilliseconds, this.stopping.signal);
+                    await this.clock.sleep(this.getGroupPause(), this.stopping.signal);
                 }
                 continue;
             }
