--- a/src/duties/fleetDuty.test.ts
+++ b/src/duties/fleetDuty.test.ts
@@ -95,3 +95,30 @@
     assert.equal(kept, total, `on demand ${kept} of ${total}: ${JSON.stringify([...latest])}`);
     assert.equal(wanted <= 2 * total, true, String(wanted));
 });
+
+test("what was ordered in place of the first endpoints is not kept beside them", async () => {
+    const { clock, directory, work, api, duty } = createDuty();
+    await clock.runUntil(1_000);
+    const total = 12;
+    const register = (prefix: string, isReclaimable: boolean) => {
+        for (let index = 0; index < total; index += 1) {
+            const failureDomain = domains[index % domains.length] as string;
+            const entry = createEndpointEntry({ id: `${prefix}-${index}`, failureDomain, slots: 64, isReclaimable });
+            directory.applyEntry({ entry, revision: directory.listAll().length + 1 }, "test");
+        }
+    };
+    const runRounds = async (until: number) => {
+        while (clock.getMonotonicTime() < until) {
+            work.recordWork("desk", 2_000, 50);
+            await duty.runRound({ holder: "n", fencing: 1 });
+            await clock.runUntil(clock.getMonotonicTime() + roundMilliseconds);
+        }
+    };
+    register("first", false);
+    await runRounds(6_000);
+    register("ordered", true);
+    await runRounds(9_000);
+    const latest = new Map(api.orders.map(order => [`${order.failureDomain}/${order.isReclaimable}`, order.count]));
+    const reclaimable = domains.reduce((sum, domain) => sum + (latest.get(`${domain}/true`) ?? 0), 0);
+    assert.equal(reclaimable, total, JSON.stringify([...latest]));
+});
--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -47,14 +47,16 @@
 /** Time of load after which its measure counts, in milliseconds: twice the time constant of the measure. */
 const measureMilliseconds = 8_000;
 
-/** Time without a new endpoint after which those that were there before this node count as known, in milliseconds: three heartbeats. */
-const settleMilliseconds = 3_600;
+/** Time without a new endpoint after which those that were there before this node count as known, in milliseconds: two heartbeats. */
+const settleMilliseconds = 2_500;
 
 /** What served before the load was measured. */
 interface FleetBaseline {
     endpoints: number;
     /** When an endpoint was last added to it. */
     grownAt: number;
+    /** Whether all that registered before this node took the duty over is in it. */
+    isKnown: boolean;
     /** Since when there has been load. */
     loadSince: number | undefined;
 }
@@ -134,18 +136,18 @@
     private isFleetKnown(service: RoutedService): boolean {
         const now = this.parts.clock.getMonotonicTime();
         const serving = this.listServing(service.name).length;
-        const baseline = this.baselines.get(service.name) ?? { endpoints: 0, grownAt: now, loadSince: undefined };
+        const baseline = this.baselines.get(service.name) ?? { endpoints: 0, grownAt: now, isKnown: false, loadSince: undefined };
         this.baselines.set(service.name, baseline);
         if (this.parts.work.computeTotal(service.name) > 0) {
             baseline.loadSince ??= now;
         }
-        if (serving > baseline.endpoints && baseline.loadSince === undefined) {
+        // What comes later was ordered by this duty, partly in place of what was there.
+        baseline.isKnown ||= now - baseline.grownAt >= settleMilliseconds;
+        if (!baseline.isKnown && serving > baseline.endpoints) {
+            baseline.endpoints = serving;
             baseline.grownAt = now;
         }
-        if (!this.isMeasured(baseline)) {
-            baseline.endpoints = Math.max(baseline.endpoints, serving);
-        }
-        return now - baseline.grownAt >= settleMilliseconds;
+        return baseline.isKnown;
     }
 
     /** Returns the endpoints that are kept until the load has been measured for a while: a new holder knows nothing of it. */
