--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -114,11 +114,13 @@
 
     private choosePlacement(): Result<Placement, Failure> {
         const { call, parts } = this;
+        const timeLeft = this.deadline - parts.clock.getMonotonicTime();
         return parts.chooser.choosePlacement({
             service: call.service,
             prompt: call.prompt,
-            timeLeft: this.deadline - parts.clock.getMonotonicTime(),
-            objective: call.route.objective,
+            timeLeft,
+            // A stream that has begun is better late than broken off.
+            objective: this.caller.hasBegun() ? timeLeft : call.route.objective,
             rank: call.team?.priority ?? call.route.priority,
             tried: this.tried,
             isBoundStream: call.route.kind === RouteKind.Stream && !this.isIdempotent,
