Look for cached parts once a placement instead of once a candidate

Cause: each of 98 candidates searched 98 endpoints, about 3 ms a placement on a core. The two best holders serve every candidate. The same choices are made (placement.test.ts).

--- a/src/placement/callPlacement.ts
+++ b/src/placement/callPlacement.ts
@@ -45,7 +45,11 @@
         return query.timeLeft;
     }
 
-    computeCost(endpoint: FleetEndpoint, query: PlacementQuery): PlacementCost {
+    computeCosts(candidates: readonly FleetEndpoint[], query: PlacementQuery): PlacementCost[] {
+        return candidates.map(endpoint => this.computeCost(endpoint, query));
+    }
+
+    private computeCost(endpoint: FleetEndpoint, query: PlacementQuery): PlacementCost {
         const callTime = this.getCallTime(query.service);
         const before = this.countRequests(endpoint);
         const waiting = Math.max(0, before + 1 - endpoint.entry.slots);
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -86,7 +86,9 @@
     private listOptions(group: readonly FleetEndpoint[], query: PlacementQuery): PlacementOption[] {
         const all = this.directory.listEndpoints(query.service);
         const policy = this.getPolicy(query.service);
-        return this.listCandidates(group, query).map(endpoint => ({ endpoint, ...policy.computeCost(endpoint, query, all) }));
+        const candidates = this.listCandidates(group, query);
+        const costs = policy.computeCosts(candidates, query, all);
+        return candidates.map((endpoint, index) => ({ endpoint, ...costs[index] as PlacementCost }));
     }
 
     /**
--- a/src/placement/enginePlacement.ts
+++ b/src/placement/enginePlacement.ts
@@ -49,11 +49,16 @@
         return query.objective * (query.rank === 0 ? urgentBacklogShare : backlogShare);
     }
 
-    computeCost(endpoint: FleetEndpoint, query: PlacementQuery, all: readonly FleetEndpoint[]): PlacementCost {
+    computeCosts(candidates: readonly FleetEndpoint[], query: PlacementQuery, all: readonly FleetEndpoint[]): PlacementCost[] {
+        const sources = query.prompt === undefined ? [] : listCacheSources(query.prompt, all);
+        return candidates.map(endpoint => this.computeCost(endpoint, query, sources));
+    }
+
+    private computeCost(endpoint: FleetEndpoint, query: PlacementQuery, sources: readonly CacheSource[]): PlacementCost {
         const { speeds } = this;
         const { prompt } = query;
         const cached = prompt === undefined ? 0 : endpoint.cache.countCachedTokens(prompt.parts);
-        const source = prompt === undefined ? undefined : findCacheSource(endpoint, cached, prompt, all);
+        const source = sources.find(other => other.endpoint !== endpoint && other.cachedTokens - cached >= leastCopiedTokens);
         const copied = source === undefined ? 0 : source.cachedTokens - cached;
         const tokensToRead = Math.max(0, (prompt?.inputTokens ?? 0) - cached - copied);
         const readTime = (endpoint.countPromptTokens() + tokensToRead) / speeds.promptTokensPerMillisecond;
@@ -110,22 +115,25 @@
     return parts.length >= 2 ? parts[parts.length - 2] : parts[0];
 }
 
-/** Returns the endpoint that holds most of a prompt beyond what another one holds, if that is worth copying. */
-function findCacheSource(
-    endpoint: FleetEndpoint,
-    cached: number,
-    prompt: PromptShape,
-    all: readonly FleetEndpoint[],
-): { readonly endpoint: FleetEndpoint; readonly cachedTokens: number; } | undefined {
-    let best: { readonly endpoint: FleetEndpoint; readonly cachedTokens: number; } | undefined;
-    for (const other of all) {
-        if (other === endpoint || other.isGone) {
-            continue;
+/** An endpoint that holds leading parts of a prompt. */
+interface CacheSource {
+    readonly endpoint: FleetEndpoint;
+    readonly cachedTokens: number;
+}
+
+/** Returns the two endpoints that hold most of a prompt, the better one first: whichever a request goes to, another one is among them. */
+function listCacheSources(prompt: PromptShape, all: readonly FleetEndpoint[]): CacheSource[] {
+    let best: CacheSource | undefined;
+    let second: CacheSource | undefined;
+    for (const endpoint of all.filter(candidate => !candidate.isGone)) {
+        const source = { endpoint, cachedTokens: endpoint.cache.countCachedTokens(prompt.parts) };
+        if (source.cachedTokens > (best?.cachedTokens ?? 0)) {
+            second = best;
+            best = source;
         }
-        const cachedTokens = other.cache.countCachedTokens(prompt.parts);
-        if (cachedTokens - cached >= leastCopiedTokens && cachedTokens > (best?.cachedTokens ?? 0)) {
-            best = { endpoint: other, cachedTokens };
+        else if (source.cachedTokens > (second?.cachedTokens ?? 0)) {
+            second = source;
         }
     }
-    return best;
+    return [best, second].filter(source => source !== undefined);
 }
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -40,8 +40,8 @@
 
 /** A way to judge endpoints. */
 export interface PlacementPolicy {
-    /** The candidates are all endpoints of the service, those that leave included. */
     /** Returns the longest expected time, in milliseconds, with which a request is still accepted. */
     computeLongestWait(query: PlacementQuery): number;
-    computeCost(endpoint: FleetEndpoint, query: PlacementQuery, all: readonly FleetEndpoint[]): PlacementCost;
+    /** Returns the cost of each candidate. All endpoints of the service, those that leave included, may have parts to copy. */
+    computeCosts(candidates: readonly FleetEndpoint[], query: PlacementQuery, all: readonly FleetEndpoint[]): PlacementCost[];
 }
