Soak real gateways under seeded faults from outside

Gateways run as the deploy file starts them, before stand-ins, behind loopback proxies that delay, reset, cut one way and silence; signals kill, freeze, stop and reload them; the store refuses, is silent, loses answers and history; endpoints crash, drain and fail.

--- /dev/null
+++ b/src/soak/faultProxy.ts
@@ -0,0 +1,120 @@
+import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
+
+/** What a proxy does to the bytes that pass it. */
+export enum LinkMood {
+    Well = "well",
+    /** Each piece arrives later. */
+    Delayed = "delayed",
+    /** Open connections are reset, and new ones too. */
+    Resetting = "resetting",
+    /** What the caller sends is lost. */
+    RequestsLost = "requests-lost",
+    /** What is answered is lost. */
+    AnswersLost = "answers-lost",
+    /** The connections that were open go silent for good; new ones work. */
+    OpenOnesSilent = "open-ones-silent",
+}
+
+/** Delay of a delayed link, in milliseconds: a slow link between regions. */
+const delayMilliseconds = 120;
+
+interface ProxiedConnection {
+    readonly near: Socket;
+    readonly far: Socket;
+    isSilent: boolean;
+    /** Whether bytes were lost, so that nothing more may follow them. */
+    hasLostBytes: boolean;
+}
+
+/** A proxy on loopback between two parties, which spoils their link. */
+export class FaultProxy {
+    private mood = LinkMood.Well;
+    private readonly server: Server;
+    private readonly connections = new Set<ProxiedConnection>();
+
+    private constructor(private target: string) {
+        this.server = createServer(near => this.openConnection(near));
+    }
+
+    static async start(target: string): Promise<FaultProxy> {
+        const proxy = new FaultProxy(target);
+        await new Promise<void>(resolve => proxy.server.listen(0, "127.0.0.1", resolve));
+        return proxy;
+    }
+
+    getAddress(): string {
+        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+    }
+
+    getPort(): number {
+        return (this.server.address() as AddressInfo).port;
+    }
+
+    setTarget(target: string): void {
+        this.target = target;
+    }
+
+    setMood(mood: LinkMood): void {
+        this.mood = mood;
+        for (const connection of [...this.connections]) {
+            if (mood === LinkMood.Resetting || (mood === LinkMood.Well && connection.hasLostBytes)) {
+                this.abort(connection);
+            }
+            if (mood === LinkMood.OpenOnesSilent) {
+                connection.isSilent = true;
+            }
+        }
+    }
+
+    async stop(): Promise<void> {
+        const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
+        [...this.connections].forEach(connection => this.abort(connection));
+        await closed;
+    }
+
+    private openConnection(near: Socket): void {
+        if (this.mood === LinkMood.Resetting) {
+            near.resetAndDestroy();
+            return;
+        }
+        const [host = "", port = ""] = this.target.split(":");
+        const far = connect({ host, port: Number(port) });
+        const connection: ProxiedConnection = { near, far, isSilent: false, hasLostBytes: false };
+        this.connections.add(connection);
+        this.forward(connection, near, far, LinkMood.RequestsLost);
+        this.forward(connection, far, near, LinkMood.AnswersLost);
+    }
+
+    /** Passes bytes from one side to the other, but in the mood in which this direction loses them. */
+    private forward(connection: ProxiedConnection, from: Socket, to: Socket, losing: LinkMood): void {
+        from.on("data", (chunk: Buffer) => {
+            if (connection.isSilent || this.mood === losing || connection.hasLostBytes) {
+                connection.hasLostBytes ||= !connection.isSilent;
+                return;
+            }
+            this.runLater(() => to.write(chunk));
+        });
+        from.on("end", () => this.runLater(() => connection.isSilent || to.end()));
+        from.on("error", () => this.abort(connection));
+        from.on("close", () => {
+            if (!connection.isSilent) {
+                this.connections.delete(connection);
+                this.runLater(() => to.destroy());
+            }
+        });
+    }
+
+    private runLater(action: () => void): void {
+        if (this.mood !== LinkMood.Delayed) {
+            action();
+            return;
+        }
+        setTimeout(action, delayMilliseconds);
+    }
+
+    private abort(connection: ProxiedConnection): void {
+        this.connections.delete(connection);
+        connection.near.resetAndDestroy();
+        connection.far.resetAndDestroy();
+    }
+}
--- /dev/null
+++ b/src/soak/soak.ts
@@ -0,0 +1,73 @@
+import { writeFileSync } from "node:fs";
+import { SeededRandom } from "../common/random.js";
+import { millisecondsPerSecond } from "../common/units.js";
+import { SoakCallers } from "./soakCallers.js";
+import { checkPromises } from "./soakChecks.js";
+import { createSoakPlan, PlannedFault } from "./soakPlan.js";
+import { SoakWorld } from "./soakWorld.js";
+
+/** Time in which the system must serve again after the last fault, in milliseconds: the users' bound of 12 seconds. */
+const recoveryMilliseconds = 12_000;
+/** Time for which it is then watched, in milliseconds. */
+const watchMilliseconds = 3_000;
+/** Time for late runs of refused calls to show, in milliseconds. */
+const settleMilliseconds = 1_500;
+
+/** What is soaked. */
+export interface SoakOptions {
+    readonly seed: number;
+    /** How long faults come, in seconds. */
+    readonly seconds: number;
+    readonly nodes: number;
+    readonly callers: number;
+    /** Where settings and logs go. */
+    readonly directory: string;
+    /** Told of each fault as it strikes. */
+    readonly reportFault: (fault: PlannedFault) => void;
+}
+
+/** How a soak ended. */
+export interface SoakReport {
+    readonly calls: number;
+    readonly served: number;
+    readonly faults: number;
+    readonly broken: readonly string[];
+}
+
+/** Runs real gateways under planned faults and checks what callers, endpoints and the cloud saw. */
+export async function runSoak(options: SoakOptions): Promise<SoakReport> {
+    const plan = createSoakPlan(options.seed, options.seconds * millisecondsPerSecond);
+    const world = await SoakWorld.start(options.nodes, options.directory);
+    const callers = SoakCallers.create(world.nodes, SeededRandom.create(options.seed + 1), `soak-${options.seed}`);
+    const startedAt = performance.now();
+    try {
+        const calling = callers.run(options.callers);
+        await Promise.all(plan.map(async fault => {
+            await sleep(fault.at);
+            options.reportFault(fault);
+            await world.runFault(fault);
+        }));
+        await sleep(recoveryMilliseconds);
+        const recoveredAt = performance.now() - startedAt;
+        await sleep(watchMilliseconds);
+        callers.stop();
+        await calling;
+        await sleep(settleMilliseconds);
+        const eventCount = world.platform.engines[0]?.eventCount ?? 0;
+        const { results } = callers;
+        const broken = [
+            ...checkPromises({ results, runs: world.listRuns(), duties: world.platform.cloud.calls, eventCount, recoveredAt }),
+            ...world.listUnexpectedEnds(),
+        ];
+        const served = results.filter(result => result.status === 200 && result.isWhole).length;
+        return { calls: results.length, served, faults: plan.length, broken };
+    }
+    finally {
+        world.nodes.forEach(node => writeFileSync(world.getLogFile(node), node.process.readLog()));
+        await world.stop();
+    }
+}
+
+function sleep(milliseconds: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -59,7 +59,7 @@
     version = "v1";
     private readonly server: Server;
 
-    private constructor(readonly id: string, readonly service: string, readonly zone: string, private readonly isEngine: boolean) {
+    private constructor(readonly id: string, readonly service: string, readonly zone: string, readonly isEngine: boolean) {
         this.server = createServer({ keepAliveTimeout: 5_000 }, (request, response) => void this.serve(request, response));
         this.server.on("connection", (socket: Socket) => {
             this.connections += 1;
