--- a/src/testing/daemons.ts
+++ b/src/testing/daemons.ts
@@ -27,6 +27,30 @@
     return typeof address === "object" ? address?.port ?? 0 : 0;
 }
 
+/** Ports below those that systems give to outgoing connections: one of these stays free while its process is restarted. */
+const firstLastingPort = 10_000;
+const lastingPorts = 20_000;
+const takenPorts = new Set<number>();
+
+/** Returns a free port that no outgoing connection takes, and that this process has not returned before. */
+export async function pickLastingPort(): Promise<number> {
+    for (;;) {
+        const port = firstLastingPort + Math.floor(Math.random() * lastingPorts);
+        if (!takenPorts.has(port) && await isPortFree(port)) {
+            takenPorts.add(port);
+            return port;
+        }
+    }
+}
+
+function isPortFree(port: number): Promise<boolean> {
+    const server = createServer();
+    return new Promise(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
+    });
+}
+
 /** Starts a daemon whose settings end with the lines given, and waits until it is ready. */
 export async function startDaemon(name: string, platformUrl: string, lines: readonly string[]): Promise<DaemonProcess> {
     const directory = mkdtempSync(join(tmpdir(), "corianderward-"));
--- a/src/testing/gatewayProcess.ts
+++ b/src/testing/gatewayProcess.ts
@@ -2,7 +2,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
-import { pickFreePort } from "./daemons.js";
+import { pickLastingPort } from "./daemons.js";
 
 const root = fileURLToPath(new URL("../../..", import.meta.url));
 /** Longest time for a gateway to get ready, in milliseconds; a machine under load takes seconds. */
@@ -56,7 +56,7 @@
 
     /** Writes the settings of a gateway that is not started yet. */
     static async create(place: GatewayPlace): Promise<GatewayProcess> {
-        const ports = [await pickFreePort(), await pickFreePort(), await pickFreePort(), await pickFreePort()] as const;
+        const ports = [await pickLastingPort(), await pickLastingPort(), await pickLastingPort(), await pickLastingPort()] as const;
         const [callers, readiness, peers, metrics] = ports;
         const settingsFile = join(place.directory, `${place.name}.ini`);
         const settings = formatGatewaySettings({
