--- a/src/soak/faultProxy.ts
+++ b/src/soak/faultProxy.ts
@@ -94,7 +94,14 @@
             }
             this.runLater(() => to.write(chunk));
         });
-        from.on("end", () => this.runLater(() => connection.isSilent || to.end()));
+        from.on("end", () => {
+            // A reset that comes together with data is read as an end, but then there is no peer any more.
+            if (from.remoteAddress === undefined) {
+                this.abort(connection);
+                return;
+            }
+            this.runLater(() => connection.isSilent || to.end());
+        });
         from.on("error", () => this.abort(connection));
         from.on("close", () => {
             if (!connection.isSilent) {
