Clear a request of the deaths of endpoints once it is served

A success clears the request of those deaths, peers are told, and three deaths at once wait half a second for such a success. A request that always ends its endpoint is refused as before (three deaths, then at most what comes in that half second). Ruled out: grouping deaths by time (a killer that is sent again at once would get more endpoints). Tests: forwarding.test.ts, a popular request (failed before at its fourth death); the killer's test waits the half second.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -53,6 +53,11 @@
     QuarantineAdded: createWarning("quarantine added", beliefLines, "A request ended several endpoints and is refused from now on."),
     VersionMoveChanged: createInfo("version move changed", beliefLines, "A version move was ordered or reached another stage, and why."),
     VersionMoveFaulty: createWarning("version move faulty", beliefLines, "An order for a version move cannot be read."),
+    SuspicionRemoved: createInfo(
+        "suspicion removed",
+        beliefLines,
+        "A request that ran where endpoints died was served, so they had another cause.",
+    ),
     TaskFailed: createWarning("task failed", beliefLines, "A background task met an unexpected fault and goes on."),
     LinesLeftOut: createInfo("lines left out", beliefLines, "How many lines of a kind were left out to bound the volume."),
 } as const;
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -134,6 +134,7 @@
         const timeRatio = (this.firstEventAt - this.sentAt) / expected;
         this.endpoint.recordSuccess(timeRatio);
         this.recordVersionAttempt(true, timeRatio);
+        this.parts.crashes.recordSuccess(this.options.call);
     }
 
     private async exchange(): Promise<AttemptEnd> {
@@ -209,6 +210,7 @@
         const expected = Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
         this.endpoint.recordSuccess(time / expected);
         this.recordVersionAttempt(true, time / expected);
+        this.parts.crashes.recordSuccess(this.options.call);
         if (this.endpoint.countRequests() <= this.endpoint.entry.slots) {
             this.parts.callPlacement.recordCallTime(this.options.call.service, time);
         }
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -249,12 +249,31 @@
         platform.publishWorker(dead);
         await waitUntil(() => directory.findEndpoint(dead.id)?.entry.incarnation === dead.born);
     }
+    // For half a second it might still be cleared by being served somewhere.
+    await new Promise(resolve => setTimeout(resolve, 600));
     const refused = await sendKiller();
     assert.equal(refused.status, 503);
     assert.equal(countRuns(platform.callWorkers), 0);
     assert.equal((await gateway.sendCall("/voucher/killer", { method: "POST", body: "harmless" })).status, 200);
 });
 
+test("a request that many send is not refused because endpoints died with it, once it was served elsewhere", async () => {
+    const directory = gateway.node.container.get(directoryKey);
+    const sendPopular = () => gateway.sendCall("/voucher/popular", { method: "POST", body: "same" });
+    for (let death = 0; death < 4; death += 1) {
+        setFault(platform.callWorkers, WorkerFault.ResetAfterRun);
+        assert.equal((await sendPopular()).status, 502);
+        const dead = platform.callWorkers.find(worker => worker.runs.length > 0) as RoutedWorker;
+        platform.callWorkers.forEach(worker => (worker.faults.length = 0));
+        dead.runs.length = 0;
+        dead.born += 1;
+        platform.publishWorker(dead);
+        await waitUntil(() => directory.findEndpoint(dead.id)?.entry.incarnation === dead.born);
+        assert.equal((await sendPopular()).status, 200);
+        platform.callWorkers.forEach(worker => (worker.runs.length = 0));
+    }
+});
+
 test("a stream counts as usage from its first event on, though it still runs", async () => {
     const usage = gateway.node.container.get(Keys.Usage);
     const countRequests = () => {
--- a/src/gossip/gatewayContent.ts
+++ b/src/gossip/gatewayContent.ts
@@ -7,6 +7,7 @@
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../fleet/endpointFollower.js";
 import { endpointEntrySchema } from "../fleet/types.js";
+import { deathsUntilRefusal } from "../gateway/crashWatch.js";
 import { PlacementNews } from "../placement/placementNews.js";
 import { WorkMeter } from "../placement/workMeter.js";
 import { ObjectFollower } from "../provider/objectFollower.js";
@@ -87,11 +88,7 @@
                 fencing: BigInt(parts.lease.getFencing()),
                 isHeldBySender: parts.lease.getCredentials() !== undefined,
             },
-            suspects: parts.ledger.listRecords().map(record => ({
-                fingerprint: record.fingerprint,
-                endpoints: [...record.endpoints],
-                untilMilliseconds: BigInt(Math.round(record.until)),
-            })),
+            suspects: this.listSuspects(),
             works: parts.work.listOwn().map(({ service, work }) => ({ service, work })),
             evidence: this.listEvidence(peer),
             summary: peer === undefined ? undefined : parts.sums.createSummary(peer),
@@ -102,13 +99,7 @@
         const { parts } = this;
         parts.sums.applyDigest(peer, digest);
         this.applyPlacements(peer, digest);
-        for (const suspect of digest.suspects) {
-            const { fingerprint, endpoints } = suspect;
-            const isNew = parts.ledger.mergeRecord({ fingerprint, endpoints, until: Number(suspect.untilMilliseconds) });
-            if (isNew && parts.ledger.isQuarantined(fingerprint)) {
-                parts.log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: endpoints.join(","), source: peer.name });
-            }
-        }
+        digest.suspects.forEach(suspect => this.applySuspect(suspect, peer.name));
         for (const { window, teams, source } of digest.usage) {
             parts.usageLedger.recordUsage(source === "" ? describeLife(peer) : source, Number(window), teams);
         }
@@ -190,6 +181,34 @@
         }));
     }
 
+    private listSuspects() {
+        const { ledger } = this.parts;
+        const suspected = ledger.listRecords().map(record => ({
+            fingerprint: record.fingerprint,
+            endpoints: [...record.endpoints],
+            untilMilliseconds: BigInt(Math.round(record.until)),
+        }));
+        const cleared = ledger.listCleared().map(({ fingerprint, endpoints }) => ({
+            fingerprint,
+            endpoints: [...endpoints],
+            isCleared: true,
+        }));
+        return [...suspected, ...cleared];
+    }
+
+    private applySuspect(suspect: GatewayDigest["suspects"][number], source: string): void {
+        const { ledger, log } = this.parts;
+        const { fingerprint, endpoints } = suspect;
+        if (suspect.isCleared) {
+            ledger.removeDeaths(fingerprint, endpoints);
+            return;
+        }
+        const isNew = ledger.mergeRecord({ fingerprint, endpoints, until: Number(suspect.untilMilliseconds) });
+        if (isNew && ledger.countDeaths(fingerprint) === deathsUntilRefusal) {
+            log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: endpoints.join(","), source });
+        }
+    }
+
     private listPlacements(peer: GatewayPeer | undefined) {
         const { news, plan } = this.parts;
         if (peer === undefined) {
--- a/src/requests/quarantineLedger.ts
+++ b/src/requests/quarantineLedger.ts
@@ -65,6 +65,28 @@
         entry.endpoints.clear();
     }
 
+    /** Clears a request of the deaths of endpoints: it was served, so they had another cause. */
+    removeDeaths(fingerprint: string, endpoints: readonly string[]): void {
+        const entry = this.entries.get(fingerprint) ?? this.addEntry(fingerprint);
+        entry.until = Math.max(entry.until, this.clock.getWallTime() + this.term);
+        endpoints.forEach(endpoint => {
+            entry.endpoints.delete(endpoint);
+            entry.cleared.add(endpoint);
+        });
+    }
+
+    /** Returns the deaths that requests were cleared of, for nodes that still count them. */
+    listCleared(): Omit<FingerprintRecord, "until">[] {
+        return [...this.entries]
+            .filter(([, entry]) => entry.cleared.size > 0 && entry.until > this.clock.getWallTime())
+            .map(([fingerprint, entry]) => ({ fingerprint, endpoints: [...entry.cleared] }));
+    }
+
+    /** Returns the endpoints that a request is believed to have ended. */
+    listDeaths(fingerprint: string): string[] {
+        return [...this.findLive(fingerprint)?.endpoints ?? []];
+    }
+
     /** Takes back the deaths of an endpoint that, as it turned out, was reclaimed. */
     removeEndpoint(endpoint: string): void {
         for (const entry of this.entries.values()) {
