--- a/src/duties/usageDuty.test.ts
+++ b/src/duties/usageDuty.test.ts
@@ -13,7 +13,8 @@
 import { DutyApi, DutyCredentials, DutyFailure, DutyOutcome, UsageReport } from "./types.js";
 import { UsageDuty } from "./usageDuty.js";
 
-const windowLength = 5_000;
+/** Windows of which few and of which many are due at once, in milliseconds. */
+const windowLengths = [5_000, 1_000];
 
 interface SentReport {
     readonly report: UsageReport;
@@ -45,8 +46,14 @@
     }
 }
 
-test("whoever holds the lease, and however answers are lost, all reports of a window say the same", async () => {
-    for (let seed = 1; seed <= 30; seed += 1) {
+for (const windowLength of windowLengths) {
+    test(`whoever holds the lease, and however answers are lost, all reports of a window of ${windowLength} ms say the same`, async () => {
+        await Promise.all(Array.from({ length: 30 }, (_value, index) => checkReports(index + 1, windowLength)));
+    });
+}
+
+async function checkReports(seed: number, windowLength: number): Promise<void> {
+    {
         const clock = VirtualClock.create();
         const objects = MemoryObjects.create(() => clock.getMonotonicTime());
         const api = RecordingApi.create(seed, 0.3);
@@ -99,4 +106,4 @@
             holders.set(credentials.fencing, credentials.holder);
         }
     }
-});
+}
--- a/src/duties/usageDuty.ts
+++ b/src/duties/usageDuty.ts
@@ -12,8 +12,8 @@
 
 /** Object that holds the reports of the last windows. */
 const recordName = "usage/reports";
-/** Reports that the record keeps: more windows than can be due at once. */
-const keptReports = 6;
+/** Reports that the record keeps beyond those that can be due at once: those of windows that are about to be. */
+const spareReports = 3;
 /** Time after a window's end for the peers' last counts to arrive, in milliseconds: two exchanges and some. */
 const settleMilliseconds = 1_500;
 /** Time after which the duty no longer waits for the counts of a peer that is silent, as a share of what a report has. */
@@ -107,6 +107,14 @@
         return table.listPeers().every(peer => peer.heardAt > endedAt || peer.heardAt === -Infinity);
     }
 
+    /** Returns the newest reports: as many as a successor may have to repeat. */
+    private listKept(reports: readonly UsageReport[]): UsageReport[] {
+        const { counter, dueTime } = this.parts;
+        const windowLength = counter.getWindowEnd(1) - counter.getWindowEnd(0);
+        const kept = Math.ceil(dueTime / windowLength) + spareReports;
+        return [...reports].sort((left, right) => left.window - right.window).slice(-kept);
+    }
+
     private findReport(window: number): UsageReport | undefined {
         return this.reports.find(report => report.window === window);
     }
@@ -117,7 +125,7 @@
         const { name, incarnation } = parts.table.identity;
         parts.ledger.recordUsage(`${name}/${incarnation}`, window, parts.counter.listUsage(window));
         const report: UsageReport = { window, counts: parts.ledger.computeCounts(window) };
-        const reports = [...this.reports, report].slice(-keptReports);
+        const reports = this.listKept([...this.reports, report]);
         const written = this.record === undefined
             ? await parts.store.createObject(recordName, { reports })
             : await parts.store.replaceObject(recordName, { reports }, this.record.revision);
--- a/src/testing/failures/gatewayDaemon.test.ts
+++ b/src/testing/failures/gatewayDaemon.test.ts
@@ -113,6 +113,14 @@
     await gateway.waitForEnd();
 });
 
+test("the program takes the signal to read its settings again before it loads anything else", () => {
+    const entry = readFileSync(join(root, "target/gateway/gateway.mjs"), "utf8");
+    const loading = entry.indexOf("import(");
+    const handling = entry.indexOf("process.on(\"SIGHUP\"");
+    assert.equal(handling >= 0 && handling < loading, true, entry);
+    assert.doesNotMatch(entry, /^import[^(]*from"\./m);
+});
+
 test("faulty settings end the program with code 2 and every fault, each with its line", async () => {
     const file = join(directory, "faulty.ini");
     writeFileSync(file, "[node]\nname = a\n[listen]\ncallers = nowhere\nreadiness = 127.0.0.1:0\npeers = 127.0.0.1:0\n[storage]\nx = 1\n");
