--- a/src/duties/usageDuty.test.ts
+++ b/src/duties/usageDuty.test.ts
@@ -107,3 +107,42 @@
         }
     }
 }
+
+test("a successor that has counted nothing repeats every report that is still due", async () => {
+    const clock = VirtualClock.create();
+    const objects = MemoryObjects.create(() => clock.getMonotonicTime());
+    const api = RecordingApi.create(1, 0);
+    const createNode = (name: string) => {
+        const store = MemoryObjectStore.create(objects, clock, clock, SeededRandom.create(name.length));
+        const table = PeerTable.create({ name, failureDomain: "x", address: "127.0.0.1:1", incarnation: 1 }, clock, 2_000);
+        const lease = DutyLease.create(store, clock, { name, incarnation: 1 }, 3_000, table, SilentEventLog.create());
+        const counter = UsageCounter.create(clock, 1_000);
+        const log = SilentEventLog.create();
+        const duty = UsageDuty.create({ store, api, clock, log, lease, table, counter, ledger: UsageLedger.create(), dueTime: 10_000 });
+        const runner = DutyRunner.create(lease, [duty], clock, log);
+        const start = () => {
+            void lease.runRounds();
+            void runner.run();
+        };
+        return { lease, counter, runner, start };
+    };
+    const [first, second] = [createNode("first"), createNode("second")];
+    first.start();
+    for (let step = 0; step < 40; step += 1) {
+        await clock.runUntil(step * 500);
+        first.counter.recordRun("shops", clock.getMonotonicTime());
+    }
+    first.runner.stop();
+    void first.lease.release();
+    await clock.runUntil(20_500);
+    second.start();
+    await clock.runUntil(23_000);
+    second.runner.stop();
+    const byWindow = new Map<number, string>();
+    for (const { report } of api.accepted) {
+        const text = JSON.stringify(report.counts);
+        assert.equal(byWindow.get(report.window) ?? text, text, `window ${report.window}`);
+        byWindow.set(report.window, text);
+    }
+    assert.equal(api.accepted.length > byWindow.size, true);
+});
