--- a/src/duties/usageDuty.test.ts
+++ b/src/duties/usageDuty.test.ts
@@ -118,7 +118,7 @@
         const lease = DutyLease.create(store, clock, { name, incarnation: 1 }, 3_000, table, SilentEventLog.create());
         const counter = UsageCounter.create(clock, 1_000);
         const log = SilentEventLog.create();
-        const duty = UsageDuty.create({ store, api, clock, log, lease, table, counter, ledger: UsageLedger.create(), dueTime: 10_000 });
+        const duty = UsageDuty.create({ store, api, clock, log, lease, table, counter, ledger: UsageLedger.create(), dueTime: 20_000 });
         const runner = DutyRunner.create(lease, [duty], clock, log);
         const start = () => {
             void lease.runRounds();
@@ -128,14 +128,14 @@
     };
     const [first, second] = [createNode("first"), createNode("second")];
     first.start();
-    for (let step = 0; step < 40; step += 1) {
+    await clock.runUntil(1_000);
+    second.start();
+    for (let step = 2; step < 40; step += 1) {
         await clock.runUntil(step * 500);
         first.counter.recordRun("shops", clock.getMonotonicTime());
     }
     first.runner.stop();
     void first.lease.release();
-    await clock.runUntil(20_500);
-    second.start();
     await clock.runUntil(23_000);
     second.runner.stop();
     const byWindow = new Map<number, string>();
--- a/src/soak/main.ts
+++ b/src/soak/main.ts
@@ -2,6 +2,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { millisecondsPerMinute, millisecondsPerSecond } from "../common/units.js";
+import { regressionSeeds } from "./regressionSeeds.js";
 import { runSoak } from "./soak.js";
 
 /** `npm run soak`: real gateways under seeded faults. */
@@ -14,6 +15,7 @@
         minutes: Flags.string({ description: "how long faults come, for each seed", default: "0.5" }),
         nodes: Flags.integer({ description: "gateways", default: 4, min: 1, max: 40 }),
         callers: Flags.integer({ description: "callers", default: 8, min: 1, max: 200 }),
+        regressions: Flags.boolean({ description: "run the seeds that once broke a promise instead" }),
         quiet: Flags.boolean({ description: "do not name each fault" }),
     };
 
@@ -23,6 +25,9 @@
         if (!Number.isFinite(seconds) || seconds <= 0) {
             this.error(`--minutes ${flags.minutes} is not a time.`, { exit: 2 });
         }
+        if (flags.regressions) {
+            return this.runRegressions(flags);
+        }
         const first = flags.seed ?? Date.now() % 1_000_000;
         let brokenSeeds = 0;
         for (let seed = first; seed < first + flags.seeds; seed += 1) {
@@ -31,6 +36,16 @@
         process.exit(brokenSeeds === 0 ? 0 : 1);
     }
 
+    private async runRegressions(flags: { nodes: number; callers: number; quiet: boolean; }): Promise<void> {
+        let brokenSeeds = 0;
+        for (const { seed, minutes, cause } of regressionSeeds) {
+            this.log(`seed ${seed}, once: ${cause}`);
+            const seconds = minutes * millisecondsPerMinute / millisecondsPerSecond;
+            brokenSeeds += await this.runSeed(seed, seconds, flags) ? 0 : 1;
+        }
+        process.exit(brokenSeeds === 0 ? 0 : 1);
+    }
+
     private async runSeed(seed: number, seconds: number, flags: { nodes: number; callers: number; quiet: boolean; }): Promise<boolean> {
         const directory = join(tmpdir(), `corianderward-soak-${seed}-${process.pid}`);
         const report = await runSoak({
