Let a holder that was suspended before the answer to its write hold nothing

The end by the wall clock was counted from the answer; after a suspension that lies later by its length. It is counted from before the write now. Test: dutyLease.test.ts (fails before).

--- a/src/control/commands/leaseKeeper.ts
+++ b/src/control/commands/leaseKeeper.ts
@@ -19,6 +19,12 @@
 });
 type StoredLease = z.infer<typeof leaseSchema>;
 
+/** When a round began, by both clocks. */
+interface StartTime {
+    readonly monotonic: number;
+    readonly wall: number;
+}
+
 /** Who wants a lease. */
 export interface LeaseCandidate {
     readonly name: string;
@@ -130,7 +136,7 @@
 
     /** Looks at the lease once, and takes or renews it when that is due. */
     async runRound(): Promise<void> {
-        const startedAt = this.clock.getMonotonicTime();
+        const startedAt: StartTime = { monotonic: this.clock.getMonotonicTime(), wall: this.clock.getWallTime() };
         const found = await this.store.getObject(this.name);
         if (found.err) {
             return;
@@ -164,7 +170,12 @@
         }
     }
 
-    private async writeLease(current: StoredObject | undefined, transitions: number, renewals: number, startedAt: number): Promise<void> {
+    private async writeLease(
+        current: StoredObject | undefined,
+        transitions: number,
+        renewals: number,
+        startedAt: StartTime,
+    ): Promise<void> {
         const value: StoredLease = { holder: this.candidate.name, incarnation: this.candidate.incarnation, transitions, renewals };
         const written = current === undefined
             ? await this.store.createObject(this.name, value)
@@ -179,7 +190,7 @@
     }
 
     /** Reads back after a lost answer: the write took effect if the object shows exactly what was written. */
-    private async settleLostAnswer(value: StoredLease, startedAt: number): Promise<void> {
+    private async settleLostAnswer(value: StoredLease, startedAt: StartTime): Promise<void> {
         const found = await this.store.getObject(this.name);
         if (found.err || found.val === undefined) {
             return;
@@ -192,13 +203,14 @@
         }
     }
 
-    private applyGrant(lease: StoredLease, startedAt: number): void {
+    private applyGrant(lease: StoredLease, startedAt: StartTime): void {
         const now = this.clock.getMonotonicTime();
         const isNew = lease.transitions !== this.transitions || this.validUntil <= now;
         this.transitions = lease.transitions;
         // Counted from before the write was sent: the others count from when they see it.
-        this.validUntil = startedAt + this.term * (1 - driftShare);
-        this.validUntilWallTime = this.clock.getWallTime() + this.validUntil - now;
+        this.validUntil = startedAt.monotonic + this.term * (1 - driftShare);
+        // Also when the host was suspended between the write and its answer.
+        this.validUntilWallTime = startedAt.wall + this.term * (1 - driftShare);
         if (isNew) {
             this.acquiredAt = now;
             this.observer.recordTaken(this.name, this.transitions);
--- a/src/duties/dutyLease.test.ts
+++ b/src/duties/dutyLease.test.ts
@@ -1,8 +1,10 @@
 import { create } from "@bufbuild/protobuf";
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { Clock } from "../common/clock.js";
 import { SilentEventLog } from "../common/eventLog.js";
 import { SeededRandom } from "../common/random.js";
+import { LeaseKeeper } from "../control/commands/leaseKeeper.js";
 import { GatewayDigestSchema } from "../generated/corianderward/gateway/v1/gateway_pb.js";
 import { PeerTable } from "../gossip/peerTable.js";
 import { MemoryObjects, MemoryObjectStore } from "../testing/memoryObjectStore.js";
@@ -28,3 +30,21 @@
     hearHolder(2, false);
     assert.equal(lease.isHolderHeard(), false);
 });
+
+test("a holder whose host was suspended before the answer to its write holds nothing when it wakes", async () => {
+    const world = VirtualClock.create();
+    const term = 3_000;
+    let suspended = 0;
+    const clock: Clock = {
+        getWallTime: () => world.getWallTime() + suspended,
+        getMonotonicTime: () => world.getMonotonicTime(),
+        sleep: (milliseconds, signal) => world.sleep(milliseconds, signal),
+    };
+    const store = MemoryObjectStore.create(MemoryObjects.create(), world, world, SeededRandom.create(1));
+    const keeper = LeaseKeeper.create(store, clock, { name: "a", incarnation: 1 }, "leases/duties", term, { recordTaken: () => {} });
+    const taken = keeper.runRound();
+    suspended = term;
+    await world.runUntil(500);
+    await taken;
+    assert.equal(keeper.getGrant(), undefined);
+});
