--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -1,24 +1,12 @@
 import { IncomingMessage } from "node:http";
-import { Clock } from "../common/clock.js";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { Verdict } from "../common/verdict.js";
 import { formatAddress } from "../config/sectionReader.js";
-import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { CallPlacement } from "../placement/callPlacement.js";
-import { PlacementNews } from "../placement/placementNews.js";
-import { Placement } from "../placement/types.js";
-import { WorkMeter } from "../placement/workMeter.js";
-import { VersionMoves } from "../versions/versionMoves.js";
-import { EventStreamRelay, RelayEnd, WholeAnswerRelay } from "./answerRelay.js";
-import { CallerAnswer } from "./callerAnswer.js";
-import { CallProtocol } from "./callProtocol.js";
-import { CrashWatch } from "./crashWatch.js";
-import { EndpointConnections } from "./endpointConnections.js";
+import { RelayEnd, WholeAnswerRelay } from "./answerRelay.js";
 import { EndpointExchange } from "./endpointExchange.js";
-import { HeaderForwarder } from "./forwardedHeaders.js";
-import { IncomingCall } from "./types.js";
+import { AttemptEnd, AttemptOptions, CallAttemptParts, IncomingCall } from "./types.js";
 
 const statusServerError = 500;
 const statusGatewayTimeout = 504;
@@ -31,52 +19,6 @@
 const mostUrgent = 2;
 const leastUrgent = 9;
 
-/** Waits of an attempt, in milliseconds. */
-export interface AttemptTiming {
-    /** Longest wait for a connection. */
-    readonly connectTimeout: number;
-    /** Silence of an endpoint on all connections after which work that may be repeated goes on elsewhere. */
-    readonly endpointSilence: number;
-}
-
-/** What attempts work with. */
-export interface CallAttemptParts {
-    readonly clock: Clock;
-    readonly protocol: CallProtocol;
-    readonly headers: HeaderForwarder;
-    readonly connections: EndpointConnections;
-    readonly directory: EndpointDirectory;
-    readonly callPlacement: CallPlacement;
-    readonly crashes: CrashWatch;
-    readonly news: PlacementNews;
-    readonly work: WorkMeter;
-    readonly versions: VersionMoves;
-    readonly timing: AttemptTiming;
-}
-
-/** One attempt of a call. Times are monotonic milliseconds. */
-export interface AttemptOptions {
-    readonly call: IncomingCall;
-    readonly caller: CallerAnswer;
-    readonly placement: Placement;
-    readonly deadline: number;
-    readonly lastEventId: string | undefined;
-    /** The relay of the call's event stream; undefined for other calls. */
-    readonly stream: EventStreamRelay | undefined;
-    /** Whether a failure may be followed by another run. */
-    readonly mayRunAgain: boolean;
-}
-
-/** How an attempt ended; without a failure the whole answer has reached the caller. */
-export interface AttemptEnd {
-    readonly failure: Failure | undefined;
-    /** Whether the deadline ended it. */
-    readonly isLate: boolean;
-    /** Whether the request may have reached the endpoint. */
-    readonly hasArrived: boolean;
-    readonly sentAt: number;
-}
-
 /** Sends a call to one endpoint and relays the answer. */
 export class CallAttempt {
     private readonly stopping = new AbortController();
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -12,9 +12,9 @@
 import { RouteKind } from "../routes/types.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { EventStreamRelay } from "./answerRelay.js";
-import { AttemptEnd, CallAttempt, CallAttemptParts } from "./callAttempt.js";
+import { CallAttempt } from "./callAttempt.js";
 import { CallerAnswer } from "./callerAnswer.js";
-import { CallOutcome, IncomingCall } from "./types.js";
+import { AttemptEnd, CallAttemptParts, CallOutcome, IncomingCall } from "./types.js";
 
 /** Time before the deadline at which a call is given up, in milliseconds: the answer still has to reach the caller. */
 const answerMarginMilliseconds = 25;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,5 +1,19 @@
+import { Clock } from "../common/clock.js";
+import { Failure } from "../common/failure.js";
+import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { PromptShape } from "../fleet/types.js";
+import { CallPlacement } from "../placement/callPlacement.js";
+import { PlacementNews } from "../placement/placementNews.js";
+import { Placement } from "../placement/types.js";
+import { WorkMeter } from "../placement/workMeter.js";
 import { Route, RoutedTeam } from "../routes/types.js";
+import { VersionMoves } from "../versions/versionMoves.js";
+import { EventStreamRelay } from "./answerRelay.js";
+import { CallerAnswer } from "./callerAnswer.js";
+import { CallProtocol } from "./callProtocol.js";
+import { CrashWatch } from "./crashWatch.js";
+import { EndpointConnections } from "./endpointConnections.js";
+import { HeaderForwarder } from "./forwardedHeaders.js";
 import { CallSpan } from "./hopTracing.js";
 
 /** A request that a caller has sent in full. Times are monotonic milliseconds. */
@@ -41,3 +55,49 @@
     Broken = "broken",
     CallerLeft = "caller-left",
 }
+
+/** Waits of an attempt, in milliseconds. */
+export interface AttemptTiming {
+    /** Longest wait for a connection. */
+    readonly connectTimeout: number;
+    /** Silence of an endpoint on all connections after which work that may be repeated goes on elsewhere. */
+    readonly endpointSilence: number;
+}
+
+/** What attempts work with. */
+export interface CallAttemptParts {
+    readonly clock: Clock;
+    readonly protocol: CallProtocol;
+    readonly headers: HeaderForwarder;
+    readonly connections: EndpointConnections;
+    readonly directory: EndpointDirectory;
+    readonly callPlacement: CallPlacement;
+    readonly crashes: CrashWatch;
+    readonly news: PlacementNews;
+    readonly work: WorkMeter;
+    readonly versions: VersionMoves;
+    readonly timing: AttemptTiming;
+}
+
+/** One attempt of a call. Times are monotonic milliseconds. */
+export interface AttemptOptions {
+    readonly call: IncomingCall;
+    readonly caller: CallerAnswer;
+    readonly placement: Placement;
+    readonly deadline: number;
+    readonly lastEventId: string | undefined;
+    /** The relay of the call's event stream; undefined for other calls. */
+    readonly stream: EventStreamRelay | undefined;
+    /** Whether a failure may be followed by another run. */
+    readonly mayRunAgain: boolean;
+}
+
+/** How an attempt ended; without a failure the whole answer has reached the caller. */
+export interface AttemptEnd {
+    readonly failure: Failure | undefined;
+    /** Whether the deadline ended it. */
+    readonly isLate: boolean;
+    /** Whether the request may have reached the endpoint. */
+    readonly hasArrived: boolean;
+    readonly sentAt: number;
+}
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -4,11 +4,6 @@
 import { SeededRandom } from "../../common/random.js";
 import { GatewaySettings } from "../../config/gatewaySettings.js";
 import { formatAddress } from "../../config/sectionReader.js";
-import { DutyLease } from "../../duties/dutyLease.js";
-import { Duty, DutyRunner } from "../../duties/dutyRunner.js";
-import { FleetDuty } from "../../duties/fleetDuty.js";
-import { UsageDuty } from "../../duties/usageDuty.js";
-import { VersionMoveDuty } from "../../duties/versionMoveDuty.js";
 import { EndpointDirectory } from "../../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../../fleet/endpointFollower.js";
 import { CallForwarder } from "../../gateway/callForwarder.js";
@@ -18,17 +13,9 @@
 import { HeaderForwarder } from "../../gateway/forwardedHeaders.js";
 import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../../gateway/gatewayServer.js";
-import { GatewayPeerService } from "../../generated/corianderward/gateway/v1/gateway_pb.js";
-import { FleetSums } from "../../gossip/fleetSums.js";
-import { GatewayContent } from "../../gossip/gatewayContent.js";
-import { GossipExchange } from "../../gossip/gossipExchange.js";
-import { ConnectGossipLink } from "../../gossip/gossipLink.js";
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
 import { PeerTable } from "../../gossip/peerTable.js";
-import { RelayPlan } from "../../gossip/relayPlan.js";
-import { SharedLoads } from "../../gossip/sharedLoads.js";
 import { WatchPacing } from "../../gossip/watchPacing.js";
-import { PeerSessions } from "../../peers/peerSessions.js";
 import { CallPlacement } from "../../placement/callPlacement.js";
 import { EndpointChooser } from "../../placement/endpointChooser.js";
 import { EnginePlacement } from "../../placement/enginePlacement.js";
@@ -40,12 +27,11 @@
 import { QuarantineLedger } from "../../requests/quarantineLedger.js";
 import { ConfigurationFollower } from "../../routes/configurationFollower.js";
 import { ConfigurationHolder } from "../../routes/configurationHolder.js";
-import { UsageCounter } from "../../usage/usageCounter.js";
-import { UsageLedger } from "../../usage/usageLedger.js";
-import { MoveSchedule } from "../../versions/moveSchedule.js";
 import { VersionMoves } from "../../versions/versionMoves.js";
 import { VersionTraffic } from "../../versions/versionTraffic.js";
 import { GatewayKeys as Keys } from "../gatewayKeys.js";
+import { addDutyBindings } from "./gatewayDutyBindings.js";
+import { addPeerBindings } from "./gatewayPeerBindings.js";
 
 /** Pause between two looks of a node that hears of endpoints from a relay, in milliseconds: a look finds what the relay has missed. */
 const followingPauseMilliseconds = 4_000;
@@ -59,8 +45,8 @@
     addFoundations(container, settings);
     addBeliefs(container, settings);
     addPlacement(container, settings);
-    addPeers(container, settings);
-    addDuties(container, settings);
+    addPeerBindings(container, settings);
+    addDutyBindings(container, settings);
     addDataPath(container, settings);
 }
 
@@ -163,124 +149,6 @@
     });
 }
 
-function addPeers(container: Container, settings: GatewaySettings): void {
-    container.bind(Keys.GossipLink).toDynamicValue(context => {
-        const metrics = context.get(Keys.Metrics);
-        return ConnectGossipLink.create(PeerSessions.create(GatewayPeerService, undefined, {
-            recordSilence: () => metrics.peerExchanges.inc({ outcome: "silence" }),
-            recordSessionError: () => metrics.peerExchanges.inc({ outcome: "session-error" }),
-        }));
-    });
-    container.bind(Keys.RelayPlan).toDynamicValue(context => RelayPlan.create(context.get(Keys.Peers)));
-    container.bind(Keys.Loads).toDynamicValue(context => SharedLoads.create(context.get(Keys.Directory), context.get(Keys.Clock)));
-    container.bind(Keys.Sums).toDynamicValue(context =>
-        FleetSums.create({
-            clock: context.get(Keys.Clock),
-            table: context.get(Keys.Peers),
-            plan: context.get(Keys.RelayPlan),
-            caps: context.get(Keys.Caps),
-            work: context.get(Keys.Work),
-            loads: context.get(Keys.Loads),
-        })
-    );
-    container.bind(Keys.Gossip).toDynamicValue(context => {
-        const watches = context.get(Keys.Watches);
-        const gate = context.get(Keys.Gate);
-        const content = GatewayContent.create({
-            clock: context.get(Keys.Clock),
-            log: context.get(Keys.Log),
-            table: context.get(Keys.Peers),
-            configuration: context.get(Keys.Configuration),
-            configurationFollower: context.get(Keys.ConfigurationFollower),
-            directory: context.get(Keys.Directory),
-            endpointFollower: context.get(Keys.EndpointFollower),
-            watches: [watches.configuration, watches.endpoints],
-            news: context.get(Keys.News),
-            caps: context.get(Keys.Caps),
-            allowance: context.get(Keys.Allowance),
-            usage: context.get(Keys.Usage),
-            usageLedger: context.get(Keys.UsageLedger),
-            work: context.get(Keys.Work),
-            lease: context.get(Keys.Lease),
-            ledger: context.get(Keys.Ledger),
-            versions: context.get(Keys.Versions),
-            plan: context.get(Keys.RelayPlan),
-            loads: context.get(Keys.Loads),
-            sums: context.get(Keys.Sums),
-            getIsLeaving: () => gate.isLeaving,
-        });
-        return GossipExchange.create(
-            context.get(Keys.Peers),
-            context.get(Keys.GossipLink),
-            content,
-            context.get(Keys.RelayPlan),
-            context.get(Keys.Clock),
-            settings.timing.gossipInterval,
-            context.get(Keys.Log),
-        );
-    });
-}
-
-function addDuties(container: Container, settings: GatewaySettings): void {
-    container.bind(Keys.Usage).toDynamicValue(context => UsageCounter.create(context.get(Keys.Clock), settings.usage.windowLength));
-    container.bind(Keys.UsageLedger).toDynamicValue(() => UsageLedger.create());
-    container.bind(Keys.Lease).toDynamicValue(context =>
-        DutyLease.create(
-            context.get(Keys.Store),
-            context.get(Keys.Clock),
-            context.get(Keys.Peers).identity,
-            settings.timing.leaseTerm,
-            context.get(Keys.Peers),
-            context.get(Keys.Log),
-        )
-    );
-    container.bind(Keys.Duties).toDynamicValue(context => {
-        const api = context.get(Keys.DutyApi);
-        const lease = context.get(Keys.Lease);
-        const clock = context.get(Keys.Clock);
-        const log = context.get(Keys.Log);
-        const duties: Duty[] = [
-            VersionMoveDuty.create({
-                clock,
-                log,
-                lease,
-                moves: context.get(Keys.Versions),
-                accounts: context.get(Keys.MoveAccounts),
-                configuration: context.get(Keys.Configuration),
-                directory: context.get(Keys.Directory),
-                schedule: MoveSchedule.create(settings.versions.exposure),
-            }),
-        ];
-        if (api !== undefined) {
-            duties.push(
-                UsageDuty.create({
-                    store: context.get(Keys.Store),
-                    api,
-                    clock,
-                    log,
-                    lease,
-                    table: context.get(Keys.Peers),
-                    counter: context.get(Keys.Usage),
-                    ledger: context.get(Keys.UsageLedger),
-                    dueTime: settings.usage.dueTime,
-                }),
-                FleetDuty.create({
-                    api,
-                    clock,
-                    log,
-                    lease,
-                    configuration: context.get(Keys.Configuration),
-                    directory: context.get(Keys.Directory),
-                    work: context.get(Keys.Work),
-                    versions: context.get(Keys.VersionTraffic),
-                    settings: settings.fleet,
-                }),
-            );
-        }
-        return DutyRunner.create(lease, duties, clock, log);
-    });
-}
-
 function addDataPath(container: Container, settings: GatewaySettings): void {
     container.bind(Keys.Caps).toDynamicValue(context => SharedRateLimiter.create(context.get(Keys.Clock), settings.caps));
     container.bind(Keys.Allowance).toDynamicValue(context => RetryAllowance.create(context.get(Keys.Clock), settings.retries));
--- /dev/null
+++ b/src/node/bindings/gatewayPeerBindings.ts
@@ -0,0 +1,70 @@
+import { Container } from "inversify";
+import { GatewaySettings } from "../../config/gatewaySettings.js";
+import { GatewayPeerService } from "../../generated/corianderward/gateway/v1/gateway_pb.js";
+import { FleetSums } from "../../gossip/fleetSums.js";
+import { GatewayContent } from "../../gossip/gatewayContent.js";
+import { GossipExchange } from "../../gossip/gossipExchange.js";
+import { ConnectGossipLink } from "../../gossip/gossipLink.js";
+import { RelayPlan } from "../../gossip/relayPlan.js";
+import { SharedLoads } from "../../gossip/sharedLoads.js";
+import { PeerSessions } from "../../peers/peerSessions.js";
+import { GatewayKeys as Keys } from "../gatewayKeys.js";
+
+/** Binds how nodes find one another and what they tell. */
+export function addPeerBindings(container: Container, settings: GatewaySettings): void {
+    container.bind(Keys.GossipLink).toDynamicValue(context => {
+        const metrics = context.get(Keys.Metrics);
+        return ConnectGossipLink.create(PeerSessions.create(GatewayPeerService, undefined, {
+            recordSilence: () => metrics.peerExchanges.inc({ outcome: "silence" }),
+            recordSessionError: () => metrics.peerExchanges.inc({ outcome: "session-error" }),
+        }));
+    });
+    container.bind(Keys.RelayPlan).toDynamicValue(context => RelayPlan.create(context.get(Keys.Peers)));
+    container.bind(Keys.Loads).toDynamicValue(context => SharedLoads.create(context.get(Keys.Directory), context.get(Keys.Clock)));
+    container.bind(Keys.Sums).toDynamicValue(context =>
+        FleetSums.create({
+            clock: context.get(Keys.Clock),
+            table: context.get(Keys.Peers),
+            plan: context.get(Keys.RelayPlan),
+            caps: context.get(Keys.Caps),
+            work: context.get(Keys.Work),
+            loads: context.get(Keys.Loads),
+        })
+    );
+    container.bind(Keys.Gossip).toDynamicValue(context => {
+        const watches = context.get(Keys.Watches);
+        const gate = context.get(Keys.Gate);
+        const content = GatewayContent.create({
+            clock: context.get(Keys.Clock),
+            log: context.get(Keys.Log),
+            table: context.get(Keys.Peers),
+            configuration: context.get(Keys.Configuration),
+            configurationFollower: context.get(Keys.ConfigurationFollower),
+            directory: context.get(Keys.Directory),
+            endpointFollower: context.get(Keys.EndpointFollower),
+            watches: [watches.configuration, watches.endpoints],
+            news: context.get(Keys.News),
+            caps: context.get(Keys.Caps),
+            allowance: context.get(Keys.Allowance),
+            usage: context.get(Keys.Usage),
+            usageLedger: context.get(Keys.UsageLedger),
+            work: context.get(Keys.Work),
+            lease: context.get(Keys.Lease),
+            ledger: context.get(Keys.Ledger),
+            versions: context.get(Keys.Versions),
+            plan: context.get(Keys.RelayPlan),
+            loads: context.get(Keys.Loads),
+            sums: context.get(Keys.Sums),
+            getIsLeaving: () => gate.isLeaving,
+        });
+        return GossipExchange.create(
+            context.get(Keys.Peers),
+            context.get(Keys.GossipLink),
+            content,
+            context.get(Keys.RelayPlan),
+            context.get(Keys.Clock),
+            settings.timing.gossipInterval,
+            context.get(Keys.Log),
+        );
+    });
+}
