--- a/src/soak/soakWorld.ts
+++ b/src/soak/soakWorld.ts
@@ -80,6 +80,13 @@
             node.process.startProcess();
             world.nodes.push(node);
         }
+        // Whoever stops the soak must not leave its gateways behind.
+        for (const signal of ["SIGINT", "SIGTERM"] as const) {
+            process.once(signal, () => {
+                world.killGateways();
+                process.exit(1);
+            });
+        }
         await Promise.all(world.nodes.map(node => node.process.waitUntilReady()));
         void world.watchReadiness();
         return world;
@@ -87,9 +94,8 @@
 
     async stop(): Promise<void> {
         this.isStopped = true;
+        this.killGateways();
         await Promise.all(this.nodes.map(async node => {
-            node.process.sendSignal("SIGCONT");
-            node.process.sendSignal("SIGKILL");
             await node.callerLink.stop();
             await node.storeLink.stop();
         }));
@@ -154,6 +160,10 @@
         }
     }
 
+    private killGateways(): void {
+        this.nodes.forEach(node => node.process.sendSignal("SIGKILL"));
+    }
+
     private pickWorker(fault: PlannedFault): RoutedWorker {
         const workers = this.platform.listWorkers();
         return workers[fault.choice % workers.length] as RoutedWorker;
