--- a/src/config/routeFiles.test.ts
+++ b/src/config/routeFiles.test.ts
@@ -52,7 +52,7 @@
         "connection-limit = none",
         "[route.r]",
         "host = Desk",
-        "path-prefix = /lookup",
+        "path = /lookup",
         "kind = saef",
         "service[] = c:2",
         "time-limit-milliseconds = 1000",
@@ -83,7 +83,7 @@
         "connection-limit = 5",
         "[route.r]",
         "host = a",
-        "path-prefix = /",
+        "path = /",
         "time-limit-milliseconds = 9",
         "objective-milliseconds = 9",
     ];
--- a/src/config/routeFiles.ts
+++ b/src/config/routeFiles.ts
@@ -82,7 +82,7 @@
 function readService(name: string, reader: SectionReader): RoutedService {
     const service: RoutedService = {
         name,
-        healthPath: reader.readText("health-path", "a path that begins with a slash", pathPattern, "/"),
+        healthPath: reader.readText("health-check", "a path that begins with a slash", pathPattern, "/"),
         connectionLimit: reader.readInteger("connection-limit", 1, largestCount),
         engine: readEngine(reader),
         scaling: readScaling(reader),
@@ -132,7 +132,7 @@
     const route: Route = {
         name,
         host: reader.readText("host", "a host name in lower case", hostPattern),
-        pathPrefix: reader.readText("path-prefix", "a path that begins and ends with a slash", prefixPattern),
+        pathPrefix: reader.readText("path", "a path that begins and ends with a slash", prefixPattern),
         kind: reader.readEnum("kind", RouteKind),
         timeLimit: reader.readInteger("time-limit-milliseconds", 1, millisecondsPerHour),
         objective: reader.readInteger("objective-milliseconds", 1, millisecondsPerHour),
@@ -156,7 +156,7 @@
         keys: reader.readList("key", "8 to 200 visible characters", keyPattern),
         priority: hasPriority ? reader.readInteger("priority", 0, 100) : undefined,
         unit: reader.readEnum("unit", UsageUnit, UsageUnit.Requests),
-        plainTokens: reader.readNumber("plain-tokens", 0, largestAmount, 0),
+        plainTokens: reader.readNumber("default-tokens", 0, largestAmount, 0),
         rate: reader.readNumber("rate-per-second", 0, largestAmount, 0),
         burst: reader.readNumber("burst", 0, largestAmount, 0),
     };
--- a/src/soak/main.ts
+++ b/src/testing/soak/main.ts
@@ -1,7 +1,7 @@
 import { Command, Flags } from "@oclif/core";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { millisecondsPerMinute, millisecondsPerSecond } from "../common/units.js";
+import { millisecondsPerMinute, millisecondsPerSecond } from "../../common/units.js";
 import { regressionSeeds } from "./regressionSeeds.js";
 import { runSoak } from "./soak.js";
 
--- a/src/soak/soak.ts
+++ b/src/testing/soak/soak.ts
@@ -1,6 +1,6 @@
 import { writeFileSync } from "node:fs";
-import { SeededRandom } from "../common/random.js";
-import { millisecondsPerSecond } from "../common/units.js";
+import { SeededRandom } from "../../common/random.js";
+import { millisecondsPerSecond } from "../../common/units.js";
 import { SoakCallers } from "./soakCallers.js";
 import { checkPromises } from "./soakChecks.js";
 import { createSoakPlan, PlannedFault } from "./soakPlan.js";
--- a/src/soak/soakCallers.ts
+++ b/src/testing/soak/soakCallers.ts
@@ -1,7 +1,7 @@
 import { Agent, request as sendHttpRequest } from "node:http";
-import { HeaderNames } from "../../platform/wire.js";
-import { RandomSource } from "../common/random.js";
-import { routedNames } from "../standins/routed/routedPlatform.js";
+import { HeaderNames } from "../../../platform/wire.js";
+import { RandomSource } from "../../common/random.js";
+import { routedNames } from "../../standins/routed/routedPlatform.js";
 
 /** What a caller asks for. */
 export enum CallKind {
--- a/src/soak/soakChecks.ts
+++ b/src/testing/soak/soakChecks.ts
@@ -1,5 +1,5 @@
-import { DutyCall } from "../standins/routed/routedCloud.js";
-import { RunRecord } from "../standins/routed/routedWorker.js";
+import { DutyCall } from "../../standins/routed/routedCloud.js";
+import { RunRecord } from "../../standins/routed/routedWorker.js";
 import { CallKind, CallResult } from "./soakCallers.js";
 
 const statusOk = 200;
--- a/src/soak/soakPlan.ts
+++ b/src/testing/soak/soakPlan.ts
@@ -1,4 +1,4 @@
-import { RandomSource, SeededRandom } from "../common/random.js";
+import { RandomSource, SeededRandom } from "../../common/random.js";
 
 /** What a fault does. */
 export enum FaultKind {
--- a/src/soak/soakWorld.ts
+++ b/src/testing/soak/soakWorld.ts
@@ -1,10 +1,10 @@
 import { mkdirSync } from "node:fs";
 import { join } from "node:path";
-import { ObjectKinds } from "../../platform/wire.js";
-import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
-import { StoreMood } from "../standins/routed/routedStore.js";
-import { RoutedWorker, RunRecord, WorkerFault } from "../standins/routed/routedWorker.js";
-import { GatewayProcess } from "../testing/gatewayProcess.js";
+import { ObjectKinds } from "../../../platform/wire.js";
+import { RoutedPlatform } from "../../standins/routed/routedPlatform.js";
+import { StoreMood } from "../../standins/routed/routedStore.js";
+import { RoutedWorker, RunRecord, WorkerFault } from "../../standins/routed/routedWorker.js";
+import { GatewayProcess } from "../gatewayProcess.js";
 import { FaultProxy, LinkMood } from "./faultProxy.js";
 import { FaultKind, PlannedFault } from "./soakPlan.js";
 
