--- a/src/testing/gatewayParts.ts
+++ b/src/testing/gatewayParts.ts
@@ -1,4 +1,5 @@
 import { EndpointEntry } from "../fleet/types.js";
+import { PlacementQuery } from "../placement/types.js";
 import { Route, RouteConfiguration, RouteKind } from "../routes/types.js";
 
 /** Creates a route of a plain idempotent service, with some of its parts replaced. */
@@ -46,3 +47,17 @@
         ...parts,
     };
 }
+
+/** Creates the query of a request that needs an endpoint, with some of its parts replaced. */
+export function createPlacementQuery(parts: Partial<PlacementQuery>): PlacementQuery {
+    return {
+        service: "desk",
+        prompt: undefined,
+        timeLeft: 15_000,
+        objective: 1_500,
+        rank: 1,
+        tried: new Set(),
+        isBoundStream: false,
+        ...parts,
+    };
+}
--- a/src/testing/soak/faultProxy.ts
+++ b/src/testing/soak/faultProxy.ts
@@ -1,4 +1,5 @@
 import { AddressInfo, connect, createServer, Server, Socket } from "node:net";
+import { startOnLoopback } from "../../standins/routed/loopbackHttp.js";
 
 /** What a proxy does to the bytes that pass it. */
 export enum LinkMood {
@@ -29,31 +30,28 @@
 /** A proxy on loopback between two parties, which spoils their link. */
 export class FaultProxy {
     private mood = LinkMood.Well;
+    private address = "";
     private readonly server: Server;
     private readonly connections = new Set<ProxiedConnection>();
 
-    private constructor(private target: string) {
+    private constructor(private readonly target: string) {
         this.server = createServer(near => this.openConnection(near));
     }
 
     static async start(target: string): Promise<FaultProxy> {
         const proxy = new FaultProxy(target);
-        await new Promise<void>(resolve => proxy.server.listen(0, "127.0.0.1", resolve));
+        proxy.address = await startOnLoopback(proxy.server);
         return proxy;
     }
 
     getAddress(): string {
-        return `127.0.0.1:${(this.server.address() as AddressInfo).port}`;
+        return this.address;
     }
 
     getPort(): number {
         return (this.server.address() as AddressInfo).port;
     }
 
-    setTarget(target: string): void {
-        this.target = target;
-    }
-
     setMood(mood: LinkMood): void {
         this.mood = mood;
         for (const connection of [...this.connections]) {
--- a/src/testing/soak/soak.ts
+++ b/src/testing/soak/soak.ts
@@ -1,4 +1,5 @@
 import { writeFileSync } from "node:fs";
+import { setTimeout as sleep } from "node:timers/promises";
 import { SeededRandom } from "../../common/random.js";
 import { millisecondsPerSecond } from "../../common/units.js";
 import { SoakCallers } from "./soakCallers.js";
@@ -67,7 +68,3 @@
         await world.stop();
     }
 }
-
-function sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
--- a/src/testing/soak/soakCallers.ts
+++ b/src/testing/soak/soakCallers.ts
@@ -1,4 +1,5 @@
 import { Agent, request as sendHttpRequest } from "node:http";
+import { setTimeout as sleep } from "node:timers/promises";
 import { HeaderNames } from "../../../platform/wire.js";
 import { RandomSource } from "../../common/random.js";
 import { routedNames } from "../../standins/routed/routedPlatform.js";
@@ -89,7 +90,7 @@
                 this.results.push(result);
                 await this.sendCall(result, target, this.openAgent(`${index}/${target.name}`));
             }
-            await new Promise(resolve => setTimeout(resolve, pauseMilliseconds));
+            await sleep(pauseMilliseconds);
         }
     }
 
--- a/src/testing/soak/soakWorld.ts
+++ b/src/testing/soak/soakWorld.ts
@@ -1,5 +1,6 @@
 import { mkdirSync } from "node:fs";
 import { join } from "node:path";
+import { setTimeout as sleep } from "node:timers/promises";
 import { ObjectKinds } from "../../../platform/wire.js";
 import { RoutedPlatform } from "../../standins/routed/routedPlatform.js";
 import { StoreMood } from "../../standins/routed/routedStore.js";
@@ -249,7 +250,3 @@
     const faults = Object.values(WorkerFault).filter(candidate => candidate !== WorkerFault.None);
     return faults[fault.variant % faults.length] as WorkerFault;
 }
-
-function sleep(milliseconds: number): Promise<void> {
-    return new Promise(resolve => setTimeout(resolve, milliseconds));
-}
