Derive ratios, ranks, sums and lives of a gateway in one place each

callAttempt computed the time against what was expected three times and recorded a served request in two copies; the rank of a call was worked out at each use; the total work was a second copy of its sum; the key of a node's life, on which usage counts are joined, was written in two files. Whether a node is the holder's relay was worked out again for each source of each window (a sort of the names each time).

--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -95,13 +95,17 @@
             return;
         }
         for (const service of this.parts.configuration.getTable()?.configuration.services ?? []) {
-            if (service.scaling !== undefined && service.engine !== undefined && this.isFleetKnown(service)) {
+            if (service.scaling !== undefined && service.engine !== undefined) {
+                this.updateBaseline(service);
                 await this.runService(service, service.scaling);
             }
         }
     }
 
     private async runService(service: RoutedService, scaling: ScalingBounds): Promise<void> {
+        if (this.baselines.get(service.name)?.isKnown !== true) {
+            return;
+        }
         const domains = scaling.domainPrices.map(({ failureDomain, price }) => this.createDomain(service, scaling, failureDomain, price));
         const needed = this.computeNeeded(service);
         const targets = this.plan.computeTargets(domains, { needed, minimum: scaling.minimum, maximum: scaling.maximum });
@@ -130,10 +134,10 @@
     }
 
     /**
-     * Records what serves, and says whether it is all known. Endpoints register one after the other when a deployment starts;
-     * an order by those that are known would take the others away.
+     * Records what serves, until it is all known. Endpoints register one after the other when a deployment starts; an order by
+     * those that are known would take the others away.
      */
-    private isFleetKnown(service: RoutedService): boolean {
+    private updateBaseline(service: RoutedService): void {
         const now = this.parts.clock.getMonotonicTime();
         const serving = this.listServing(service.name).length;
         const baseline = this.baselines.get(service.name) ?? { endpoints: 0, grownAt: now, isKnown: false, loadSince: undefined };
@@ -147,7 +151,6 @@
             baseline.endpoints = serving;
             baseline.grownAt = now;
         }
-        return baseline.isKnown;
     }
 
     /** Returns the endpoints that are kept until the load has been measured for a while: a new holder knows nothing of it. */
--- a/src/duties/usageDuty.ts
+++ b/src/duties/usageDuty.ts
@@ -2,8 +2,8 @@
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
-import { PeerTable } from "../gossip/peerTable.js";
-import { ObjectStore } from "../provider/objectStore.js";
+import { describeLife, PeerTable } from "../gossip/peerTable.js";
+import { ObjectStore, writeObject } from "../provider/objectStore.js";
 import { StoredObject } from "../provider/types.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { UsageLedger } from "../usage/usageLedger.js";
@@ -110,8 +110,7 @@
     /** Returns the newest reports: as many as a successor may have to repeat. */
     private listKept(reports: readonly UsageReport[]): UsageReport[] {
         const { counter, dueTime } = this.parts;
-        const windowLength = counter.getWindowEnd(1) - counter.getWindowEnd(0);
-        const kept = Math.ceil(dueTime / windowLength) + spareReports;
+        const kept = Math.ceil(dueTime / counter.windowLength) + spareReports;
         return [...reports].sort((left, right) => left.window - right.window).slice(-kept);
     }
 
@@ -122,13 +121,10 @@
     /** Computes the report of a window and stores it; undefined when the store did not take it. */
     private async recordReport(window: number): Promise<UsageReport | undefined> {
         const { parts } = this;
-        const { name, incarnation } = parts.table.identity;
-        parts.ledger.recordUsage(`${name}/${incarnation}`, window, parts.counter.listUsage(window));
+        parts.ledger.recordUsage(describeLife(parts.table.identity), window, parts.counter.listUsage(window));
         const report: UsageReport = { window, counts: parts.ledger.computeCounts(window) };
         const reports = this.listKept([...this.reports, report]);
-        const written = this.record === undefined
-            ? await parts.store.createObject(recordName, { reports })
-            : await parts.store.replaceObject(recordName, { reports }, this.record.revision);
+        const written = await writeObject(parts.store, recordName, { reports }, this.record);
         if (written.err) {
             // Whatever became of the write, the record is read again before anything else is sent.
             this.actingFencing = 0;
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -70,13 +70,8 @@
             return;
         }
         this.firstEventAt = this.parts.clock.getMonotonicTime();
-        this.endpoint.promptTokens -= this.waitingTokens;
-        this.waitingTokens = 0;
-        const expected = Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
-        const timeRatio = (this.firstEventAt - this.sentAt) / expected;
-        this.endpoint.recordSuccess(timeRatio);
-        this.recordVersionAttempt(true, timeRatio);
-        this.parts.crashes.recordSuccess(this.options.call);
+        this.removePromptLoad();
+        this.recordServed(this.firstEventAt);
     }
 
     private async exchange(): Promise<AttemptEnd> {
@@ -148,16 +143,26 @@
         if (status >= statusServerError || this.options.stream !== undefined) {
             return;
         }
-        const time = this.parts.clock.getMonotonicTime() - this.sentAt;
-        const expected = Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
-        this.endpoint.recordSuccess(time / expected);
-        this.recordVersionAttempt(true, time / expected);
-        this.parts.crashes.recordSuccess(this.options.call);
+        const answeredAt = this.parts.clock.getMonotonicTime();
+        this.recordServed(answeredAt);
         if (this.endpoint.countRequests() <= this.endpoint.entry.slots) {
-            this.parts.callPlacement.recordCallTime(this.options.call.service, time);
+            this.parts.callPlacement.recordCallTime(this.options.call.service, answeredAt - this.sentAt);
         }
     }
 
+    /** Counts the first event or the whole answer for the endpoint, its version and the request. */
+    private recordServed(servedAt: number): void {
+        const timeRatio = this.computeTimeRatio(servedAt);
+        this.endpoint.recordSuccess(timeRatio);
+        this.recordVersionAttempt(true, timeRatio);
+        this.parts.crashes.recordSuccess(this.options.call);
+    }
+
+    /** Returns the time since the attempt was sent as a multiple of what was expected. */
+    private computeTimeRatio(at: number): number {
+        return (at - this.sentAt) / Math.max(leastExpectedMilliseconds, this.options.placement.expectedTime);
+    }
+
     private settleBroken(): AttemptEnd {
         if (!this.stopping.signal.aborted) {
             this.endpoint.recordLoss(this.parts.clock.getMonotonicTime());
@@ -170,8 +175,7 @@
         const { parts, options } = this;
         const now = parts.clock.getMonotonicTime();
         if (this.isLate && this.firstEventAt === undefined) {
-            const expected = Math.max(leastExpectedMilliseconds, options.placement.expectedTime);
-            this.recordVersionAttempt(true, (now - this.sentAt) / expected);
+            this.recordVersionAttempt(true, this.computeTimeRatio(now));
         }
         const { code } = failure.message;
         if (code === Diagnostics.Another_endpoint_has_the_address.code) {
@@ -253,6 +257,10 @@
 
     private removeLoad(): void {
         this.endpoint.running -= 1;
+        this.removePromptLoad();
+    }
+
+    private removePromptLoad(): void {
         this.endpoint.promptTokens -= this.waitingTokens;
         this.waitingTokens = 0;
     }
@@ -263,6 +271,5 @@
     if (expectedTime > call.route.objective) {
         return leastUrgent;
     }
-    const rank = call.team?.priority ?? call.route.priority;
-    return Math.min(leastUrgent, mostUrgent + rank);
+    return Math.min(leastUrgent, mostUrgent + call.rank);
 }
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -121,7 +121,7 @@
             timeLeft,
             // A stream that has begun is better late than broken off.
             objective: this.caller.hasBegun() ? timeLeft : call.route.objective,
-            rank: call.team?.priority ?? call.route.priority,
+            rank: call.rank,
             tried: this.tried,
             isBoundStream: call.route.kind === RouteKind.Stream && !this.isIdempotent,
         });
--- a/src/gateway/callReader.ts
+++ b/src/gateway/callReader.ts
@@ -71,6 +71,7 @@
             route,
             service: pickService(route, this.random),
             team: team.val,
+            rank: team.val?.priority ?? route.priority,
             isKeyed: table.hasTeams(),
             getFingerprint: () => fingerprint ??= hashCall(team.val?.name ?? "", request.method ?? "", target, body.bytes),
             prompt: this.readPrompt(request),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -29,6 +29,8 @@
     readonly route: Route;
     readonly service: string;
     readonly team: RoutedTeam | undefined;
+    /** The team's priority, or else the route's; 0 is the most urgent. */
+    readonly rank: number;
     /** Whether the deployment's callers use keys, which are not for endpoints. */
     readonly isKeyed: boolean;
     /** Returns what is the same for every request with this team, target and body, on every node. It is computed when first asked for. */
--- a/src/gossip/gatewayContent.ts
+++ b/src/gossip/gatewayContent.ts
@@ -23,7 +23,7 @@
 import { VersionMoves } from "../versions/versionMoves.js";
 import { FleetSums } from "./fleetSums.js";
 import { GossipContent } from "./gossipExchange.js";
-import { PeerTable } from "./peerTable.js";
+import { describeLife, PeerTable } from "./peerTable.js";
 import { RelayPlan } from "./relayPlan.js";
 import { SharedLoads } from "./sharedLoads.js";
 import { GatewayDigest, GatewayDigestInit, GatewayPeer, SharedState, SharedStateInit } from "./types.js";
@@ -269,7 +269,8 @@
         const live = new Set([...table.listHeard(), table.identity].map(describeLife));
         // In a large fleet only the holder of the duties needs what others counted, and only of windows that have ended.
         const hasRelays = this.parts.plan.hasRelays();
-        const isChosen = hasRelays ? () => this.isHoldersRelay(peer) : (source: string) => !live.has(source);
+        const tellsAll = hasRelays && this.isHoldersRelay(peer);
+        const isChosen = (source: string) => hasRelays ? tellsAll : !live.has(source);
         const windows: { window: bigint; source: string; teams: { team: string; requests: number; }[]; }[] = [];
         for (let window = current - toldWindows + 1; window <= current; window += 1) {
             windows.push({ window: BigInt(window), source: "", teams: usage.listUsage(window) });
@@ -281,8 +282,3 @@
         return windows;
     }
 }
-
-/** Names one life of a node. */
-function describeLife(node: { readonly name: string; readonly incarnation: number; }): string {
-    return `${node.name}/${node.incarnation}`;
-}
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -146,3 +146,8 @@
         return isSettled ? count : Math.max(count, assumedNodes);
     }
 }
+
+/** Names one life of a node, as usage counts are kept by. */
+export function describeLife(node: Pick<PeerIdentity, "name" | "incarnation">): string {
+    return `${node.name}/${node.incarnation}`;
+}
--- a/src/placement/workMeter.ts
+++ b/src/placement/workMeter.ts
@@ -60,15 +60,8 @@
 
     /** Returns the sum of this node's and the chosen sources' work. */
     listSums(isCounted: (source: string) => boolean): ServiceWork[] {
-        const now = this.clock.getMonotonicTime();
-        return [...new Set([...this.own.keys(), ...this.others.keys()])].map(service => {
-            const own = this.own.get(service);
-            let work = own === undefined ? 0 : computeWork(own, now);
-            for (const [node, rate] of this.others.get(service) ?? []) {
-                work += isCounted(node) && now - rate.at <= workAgeLimitMilliseconds ? rate.work : 0;
-            }
-            return { service, work };
-        });
+        const services = [...new Set([...this.own.keys(), ...this.others.keys()])];
+        return services.map(service => ({ service, work: this.computeSum(service, isCounted) }));
     }
 
     listOwn(): ServiceWork[] {
@@ -78,13 +71,17 @@
 
     /** Returns the work of all nodes. */
     computeTotal(service: string): number {
+        return this.computeSum(service, () => true);
+    }
+
+    private computeSum(service: string, isCounted: (source: string) => boolean): number {
         const now = this.clock.getMonotonicTime();
         const own = this.own.get(service);
-        let total = own === undefined ? 0 : computeWork(own, now);
-        for (const rate of this.others.get(service)?.values() ?? []) {
-            total += now - rate.at <= workAgeLimitMilliseconds ? rate.work : 0;
+        let work = own === undefined ? 0 : computeWork(own, now);
+        for (const [node, rate] of this.others.get(service) ?? []) {
+            work += isCounted(node) && now - rate.at <= workAgeLimitMilliseconds ? rate.work : 0;
         }
-        return total;
+        return work;
     }
 }
 
--- a/src/provider/objectStore.ts
+++ b/src/provider/objectStore.ts
@@ -19,3 +19,13 @@
     /** Says whether the last call got an answer. */
     isReachable(): boolean;
 }
+
+/** Creates an object that is not there yet, or replaces it at the revision at which it was read; returns the new one. */
+export function writeObject(
+    store: ObjectStore,
+    name: string,
+    value: unknown,
+    current: Pick<StoredObject, "revision"> | undefined,
+): Promise<Result<number, WriteFailure>> {
+    return current === undefined ? store.createObject(name, value) : store.replaceObject(name, value, current.revision);
+}
--- a/src/usage/usageCounter.ts
+++ b/src/usage/usageCounter.ts
@@ -13,7 +13,7 @@
 export class UsageCounter {
     private readonly windows = new Map<number, Map<string, number>>();
 
-    private constructor(private readonly clock: Clock, private readonly windowLength: number) {}
+    private constructor(private readonly clock: Clock, readonly windowLength: number) {}
 
     /** The length of a window is in milliseconds; windows begin at its multiples since 1970. */
     static create(clock: Clock, windowLength: number): UsageCounter {
