Reuse what the project had for sections, schema faults, conditional writes and signals

Four readers of INI files built the fault of an unknown section, four decoders the list of a schema's faults, three programs waited for a signal to stop, five writers chose between creating and replacing, and both publishers built the failure of a platform that does not answer: one function each. The account of a version move is one schema. emulate takes its minute from units and its example call from the stand-in, so that no name of the platform stands in a command.

--- a/src/cli/commands/emulate.ts
+++ b/src/cli/commands/emulate.ts
@@ -1,7 +1,8 @@
 import { Flags } from "@oclif/core";
 import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
-import { routedNames, RoutedPlatform } from "../../standins/routed/routedPlatform.js";
+import { millisecondsPerMinute } from "../../common/units.js";
+import { RoutedPlatform } from "../../standins/routed/routedPlatform.js";
 import { BaseCommand } from "../baseCommand.js";
 
 const callersPort = 7_180;
@@ -9,7 +10,6 @@
 const peersPort = 7_182;
 const metricsPort = 7_183;
 const longestMinutes = 1_440;
-const millisecondsPerMinute = 60_000;
 
 /** `corianderward emulate`. */
 export class EmulateCommand extends BaseCommand {
@@ -36,8 +36,7 @@
         this.log(`The platform's store is at ${platform.storeAddress}, its cloud API at ${platform.cloudAddress}.`);
         this.log(`Start a gateway:  node target/gateway/gateway.mjs --settings ${settings}`);
         this.log(
-            `Call it:          curl -sN http://127.0.0.1:${callersPort}/notice/1 -H 'Host: ${routedNames.host}' `
-                + `-H 'Authorization: Bearer ${routedNames.key}' -H 'Attempt-Id: try-1' -d '{}'`,
+            `Call it:          ${platform.formatExampleCall(callersPort)}`,
         );
         await waitForStop(flags.minutes * millisecondsPerMinute);
         await platform.stop();
--- a/src/cli/publisher.ts
+++ b/src/cli/publisher.ts
@@ -5,7 +5,7 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { configurationPrefix } from "../config/objectNames.js";
 import { TeamConfiguration, teamConfigurationSchema } from "../config/types.js";
-import { ObjectStore } from "../provider/objectStore.js";
+import { ObjectStore, writeObject } from "../provider/objectStore.js";
 import { StoredObject, WriteFailure, WriteOutcome } from "../provider/types.js";
 import { ExitCode } from "./exitCodes.js";
 
@@ -85,9 +85,7 @@
         if (current.val !== undefined && isSameValue(current.val, team)) {
             return Ok({ team: team.team.name, revision: currentRevision, changed: false });
         }
-        const written = current.val === undefined
-            ? await this.store.createObject(name, team)
-            : await this.store.replaceObject(name, team, currentRevision);
+        const written = await writeObject(this.store, name, team, current.val);
         if (written.ok) {
             return Ok({ team: team.team.name, revision: written.val, changed: true });
         }
@@ -129,7 +127,8 @@
     return isDeepStrictEqual(object.value, JSON.parse(JSON.stringify(team)));
 }
 
-function createUnreachable(failure: Failure): PublishFailure {
+/** Creates the failure of a platform that did not answer. */
+export function createUnreachable(failure: Failure): PublishFailure {
     return { exitCode: ExitCode.Unreachable, diagnostic: createDiagnostic(Diagnostics.Platform_is_not_reachable_0, failure.text) };
 }
 
--- a/src/cli/routePublisher.ts
+++ b/src/cli/routePublisher.ts
@@ -3,11 +3,11 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { routesObjectName } from "../config/objectNames.js";
 import { RouteDeclaration } from "../config/routeFiles.js";
-import { ObjectStore } from "../provider/objectStore.js";
+import { ObjectStore, writeObject } from "../provider/objectStore.js";
 import { WriteOutcome } from "../provider/types.js";
 import { RouteConfiguration, routeConfigurationSchema } from "../routes/types.js";
 import { ExitCode } from "./exitCodes.js";
-import { PublishFailure } from "./publisher.js";
+import { createUnreachable, PublishFailure } from "./publisher.js";
 
 /** How a publishing of routes ended. */
 export interface PublishedRoutes {
@@ -27,7 +27,7 @@
     async publishRoutes(declaration: RouteDeclaration): Promise<Result<PublishedRoutes, PublishFailure>> {
         const current = await this.store.getObject(routesObjectName);
         if (current.err) {
-            return Err(createUnreachable(current.val.text));
+            return Err(createUnreachable(current.val));
         }
         const parsed = routeConfigurationSchema.safeParse(current.val?.value);
         const version = parsed.success ? parsed.data.version : 0;
@@ -35,9 +35,7 @@
             return Ok({ version, changed: false });
         }
         const next: RouteConfiguration = { ...declaration, version: version + 1 };
-        const written = current.val === undefined
-            ? await this.store.createObject(routesObjectName, next)
-            : await this.store.replaceObject(routesObjectName, next, current.val.revision);
+        const written = await writeObject(this.store, routesObjectName, next, current.val);
         if (written.ok) {
             return Ok({ version: next.version, changed: true });
         }
@@ -45,7 +43,7 @@
             const diagnostic = createDiagnostic(Diagnostics.Routes_were_published_by_another_operator_read_and_retry);
             return Err({ exitCode: ExitCode.Conflict, diagnostic });
         }
-        return Err(createUnreachable(written.val.failure.text));
+        return Err(createUnreachable(written.val.failure));
     }
 }
 
@@ -53,7 +51,3 @@
 function readBack(configuration: RouteConfiguration): RouteConfiguration {
     return routeConfigurationSchema.parse(JSON.parse(JSON.stringify(configuration)));
 }
-
-function createUnreachable(text: string): PublishFailure {
-    return { exitCode: ExitCode.Unreachable, diagnostic: createDiagnostic(Diagnostics.Platform_is_not_reachable_0, text) };
-}
--- a/src/common/json.ts
+++ b/src/common/json.ts
@@ -1,3 +1,5 @@
+import { z } from "zod";
+
 /** Parses JSON that comes from outside; undefined when it is none, which every schema refuses. */
 export function parseJson(text: string): unknown {
     try {
@@ -7,3 +9,8 @@
         return undefined;
     }
 }
+
+/** Returns every fault that a schema found, each with its place. */
+export function listIssues(error: z.ZodError): string[] {
+    return error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`);
+}
--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -2,7 +2,7 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { millisecondsPerMinute } from "../common/units.js";
 import { IniDocument, readIniDocument } from "./iniDocument.js";
-import { findNearestName, parseAddress, SectionReader } from "./sectionReader.js";
+import { createUnknownSection, parseAddress, SectionReader } from "./sectionReader.js";
 import { NetworkAddress } from "./types.js";
 
 const sectionNames = [
@@ -142,10 +142,7 @@
 function checkSections(document: IniDocument, faults: Diagnostic[]): void {
     for (const section of document.sections) {
         if (!sectionNames.includes(section.name)) {
-            const nearest = findNearestName(section.name, sectionNames);
-            faults.push(
-                createFileDiagnostic(document.file, section.line, Diagnostics.Unknown_section_0_did_you_mean_1, section.name, nearest),
-            );
+            faults.push(createUnknownSection(document, section, sectionNames));
         }
     }
     for (const name of requiredSections) {
--- a/src/config/routeFiles.ts
+++ b/src/config/routeFiles.ts
@@ -1,4 +1,4 @@
-import { createFileDiagnostic, Diagnostic, Diagnostics } from "../common/diagnostics.js";
+import { Diagnostic, Diagnostics } from "../common/diagnostics.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { millisecondsPerHour } from "../common/units.js";
 import {
@@ -13,7 +13,7 @@
     UsageUnit,
 } from "../routes/types.js";
 import { IniDocument, IniSection, readIniDocument } from "./iniDocument.js";
-import { findNearestName, SectionReader } from "./sectionReader.js";
+import { createUnknownSection, SectionReader } from "./sectionReader.js";
 
 /** What a route file declares; the version is given when it is published. */
 export type RouteDeclaration = Omit<RouteConfiguration, "version">;
@@ -72,10 +72,7 @@
 
 function checkSections(document: IniDocument, faults: Diagnostic[]): void {
     for (const section of document.sections.filter(candidate => readKind(candidate) === undefined)) {
-        const nearest = findNearestName(section.name, sectionForms);
-        faults.push(
-            createFileDiagnostic(document.file, section.line, Diagnostics.Unknown_section_0_did_you_mean_1, section.name, nearest),
-        );
+        faults.push(createUnknownSection(document, section, sectionForms));
     }
 }
 
--- a/src/config/sectionReader.ts
+++ b/src/config/sectionReader.ts
@@ -132,6 +132,12 @@
     }
 }
 
+/** Creates the fault of a section that nobody knows, with the nearest of the forms that are. */
+export function createUnknownSection(document: IniDocument, section: IniSection, forms: readonly string[]): Diagnostic {
+    const nearest = findNearestName(section.name, forms);
+    return createFileDiagnostic(document.file, section.line, Diagnostics.Unknown_section_0_did_you_mean_1, section.name, nearest);
+}
+
 /** Returns the candidate with the smallest edit distance to a name. */
 export function findNearestName(name: string, candidates: readonly string[]): string {
     let nearest = candidates[0] ?? "";
--- a/src/config/serviceFiles.ts
+++ b/src/config/serviceFiles.ts
@@ -5,7 +5,7 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { millisecondsPerHour, millisecondsPerSecond } from "../common/units.js";
 import { IniDocument, IniSection, readIniDocument } from "./iniDocument.js";
-import { findNearestName, SectionReader } from "./sectionReader.js";
+import { createUnknownSection, SectionReader } from "./sectionReader.js";
 import {
     MoveDeclaration,
     namePattern,
@@ -262,10 +262,7 @@
             const parts = section.name.split(".");
             const isKnown = partCounts[parts[0] as string] === parts.length && parts.every(part => namePattern.test(part));
             if (!isKnown) {
-                const nearest = findNearestName(section.name, sectionKinds);
-                faults.push(
-                    createFileDiagnostic(document.file, section.line, Diagnostics.Unknown_section_0_did_you_mean_1, section.name, nearest),
-                );
+                faults.push(createUnknownSection(document, section, sectionKinds));
                 continue;
             }
             const existing = found.get(section.name);
--- a/src/config/settings.ts
+++ b/src/config/settings.ts
@@ -5,7 +5,7 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { bytesPerKibibyte, bytesPerMebibyte, millisecondsPerHour, millisecondsPerMinute } from "../common/units.js";
 import { IniDocument, IniSection, readIniDocument } from "./iniDocument.js";
-import { findNearestName, SectionReader } from "./sectionReader.js";
+import { createUnknownSection, SectionReader } from "./sectionReader.js";
 import { EndpointGroupSettings, LimitSettings, namePattern, NodeSettings, PeerSettings, TimingSettings, TlsSettings } from "./types.js";
 
 const nameAllowed = "lower-case letters, digits and hyphens, at most 63";
@@ -38,10 +38,7 @@
         for (const section of document.sections) {
             const isKnown = fixedSections.includes(section.name) || section.name.startsWith("peer.") || section.name.startsWith("group.");
             if (!isKnown) {
-                const nearest = findNearestName(section.name, [...fixedSections, "peer.NAME", "group.NAME"]);
-                faults.push(
-                    createFileDiagnostic(document.file, section.line, Diagnostics.Unknown_section_0_did_you_mean_1, section.name, nearest),
-                );
+                faults.push(createUnknownSection(document, section, [...fixedSections, "peer.NAME", "group.NAME"]));
             }
         }
         for (const name of requiredSections) {
--- a/src/control/commands/leaseKeeper.ts
+++ b/src/control/commands/leaseKeeper.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { Clock } from "../../common/clock.js";
-import { ObjectStore } from "../../provider/objectStore.js";
+import { ObjectStore, writeObject } from "../../provider/objectStore.js";
 import { StoredObject, WriteOutcome } from "../../provider/types.js";
 
 /** Renewals in one term. */
@@ -177,9 +177,7 @@
         startedAt: StartTime,
     ): Promise<void> {
         const value: StoredLease = { holder: this.candidate.name, incarnation: this.candidate.incarnation, transitions, renewals };
-        const written = current === undefined
-            ? await this.store.createObject(this.name, value)
-            : await this.store.replaceObject(this.name, value, current.revision);
+        const written = await writeObject(this.store, this.name, value, current);
         if (written.ok) {
             this.applyGrant(value, startedAt);
             return;
--- a/src/control/moves/moveDuty.ts
+++ b/src/control/moves/moveDuty.ts
@@ -5,7 +5,7 @@
 import { ConfigurationSet } from "../../config/configurationSet.js";
 import { movePrefix } from "../../config/objectNames.js";
 import { MemberDirectory } from "../../peers/memberDirectory.js";
-import { ObjectStore } from "../../provider/objectStore.js";
+import { ObjectStore, writeObject } from "../../provider/objectStore.js";
 import { StoredObject } from "../../provider/types.js";
 import { EndpointRegistry } from "../../requests/endpointRegistry.js";
 import { LeaseKeeper } from "../commands/leaseKeeper.js";
@@ -162,9 +162,7 @@
     ): Promise<void> {
         const record = createMoveRecord(service, from, to, deadline, this.parts.clock.getWallTime());
         const name = movePrefix + service;
-        const written = current === undefined
-            ? await this.parts.store.createObject(name, record)
-            : await this.parts.store.replaceObject(name, record, current.revision);
+        const written = await writeObject(this.parts.store, name, record, current);
         if (written.ok) {
             this.parts.objects.applyObject({ name, revision: written.val, value: record });
         }
--- a/src/control/moves/moveOperations.ts
+++ b/src/control/moves/moveOperations.ts
@@ -5,7 +5,7 @@
 import { Verdict } from "../../common/verdict.js";
 import { ConfigurationSet } from "../../config/configurationSet.js";
 import { movePrefix } from "../../config/objectNames.js";
-import { ObjectStore } from "../../provider/objectStore.js";
+import { ObjectStore, writeObject } from "../../provider/objectStore.js";
 import { StoredObject, WriteFailure, WriteOutcome } from "../../provider/types.js";
 import { SharedObjects } from "../sharedObjects.js";
 import { createMoveRecord } from "./moveDuty.js";
@@ -93,9 +93,7 @@
 
     private async writeRecord(current: StoredObject | undefined, record: MoveRecord): Promise<Result<MoveRecord, Failure>> {
         const name = movePrefix + record.service;
-        const written = current === undefined
-            ? await this.store.createObject(name, record)
-            : await this.store.replaceObject(name, record, current.revision);
+        const written = await writeObject(this.store, name, record, current);
         if (written.ok) {
             this.objects.applyObject({ name, revision: written.val, value: record });
             return Ok(record);
--- a/src/daemon/gatewayDaemon.ts
+++ b/src/daemon/gatewayDaemon.ts
@@ -3,6 +3,7 @@
 import { createDiagnostic, Diagnostics, formatDiagnostic } from "../common/diagnostics.js";
 import { describeError } from "../common/failure.js";
 import { LogEvents } from "../common/logEvents.js";
+import { waitForStopSignal } from "../common/stopSignal.js";
 import { GatewaySettings, readGatewaySettings } from "../config/gatewaySettings.js";
 import { HopTracing, NoTracing } from "../gateway/hopTracing.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
@@ -40,7 +41,7 @@
         return DaemonExitCode.Failed;
     }
     void watchSettings(node, options.settings, settings.val);
-    await waitForStop();
+    await waitForStopSignal();
     await node.stop();
     return DaemonExitCode.Ok;
 }
@@ -68,13 +69,6 @@
     return CollectedTracing.create(Tracing.create({ node: settings.name, sampleRatio: 1, collectorUrl: settings.collectorUrl }));
 }
 
-function waitForStop(): Promise<void> {
-    return new Promise(resolve => {
-        process.once("SIGTERM", () => resolve());
-        process.once("SIGINT", () => resolve());
-    });
-}
-
 /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
 async function watchSettings(node: GatewayNode, file: string, initial: GatewaySettings): Promise<void> {
     const clock = node.container.get(Keys.Clock);
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,6 +1,7 @@
 import { Command, Flags } from "@oclif/core";
 import { createDiagnostic, DiagnosticCategory, Diagnostics, formatDiagnostic } from "../common/diagnostics.js";
 import { describeError } from "../common/failure.js";
+import { waitForStopSignal } from "../common/stopSignal.js";
 import { readNodeSettings } from "../config/settings.js";
 import { CorianderNode } from "../node/corianderNode.js";
 import { Keys } from "../node/keys.js";
@@ -38,15 +39,8 @@
             this.logToStderr(describeError(error));
             this.exit(DaemonExitCode.Failed);
         }
-        await waitForSignal();
+        await waitForStopSignal();
         await node.stop();
         process.exit(DaemonExitCode.Ok);
     }
 }
-
-function waitForSignal(): Promise<void> {
-    return new Promise(resolve => {
-        process.once("SIGTERM", () => resolve());
-        process.once("SIGINT", () => resolve());
-    });
-}
--- a/src/node/bindings/plainDeployment.ts
+++ b/src/node/bindings/plainDeployment.ts
@@ -1,5 +1,6 @@
 import { Container } from "inversify";
 import { z } from "zod";
+import { listIssues } from "../../common/json.js";
 import { Err, Ok, Result } from "../../common/results.js";
 import { routesObjectName } from "../../config/objectNames.js";
 import { EndpointDecoder } from "../../fleet/endpointFollower.js";
@@ -9,7 +10,7 @@
 import { StoredObject, WriteFailure } from "../../provider/types.js";
 import { ConfigurationDecoder } from "../../routes/configurationFollower.js";
 import { RouteConfiguration, routeConfigurationSchema } from "../../routes/types.js";
-import { DecodedMove, MoveAccount, MoveAccountStore, MoveStage, VersionMoveDecoder } from "../../versions/types.js";
+import { DecodedMove, MoveAccount, moveAccountSchema, MoveAccountStore, VersionMoveDecoder } from "../../versions/types.js";
 import { GatewayKeys as Keys } from "../gatewayKeys.js";
 
 /** Reads configurations in the product's own form. */
@@ -55,13 +56,7 @@
     target: z.string().min(1),
     /** Milliseconds. */
     duration: z.number().positive(),
-    account: z.object({
-        target: z.string(),
-        stage: z.enum(MoveStage),
-        /** Unix milliseconds. */
-        deadline: z.number(),
-        reason: z.string(),
-    }).optional(),
+    account: moveAccountSchema.optional(),
 });
 
 /** Reads orders of version moves in the product's own form, where the account stands in the order. */
@@ -89,10 +84,6 @@
     }
 }
 
-function listIssues(error: z.ZodError): string[] {
-    return error.issues.map(issue => `${issue.path.join(".")}: ${issue.message}`);
-}
-
 /** Binds the product's own forms and headers on a store. */
 export function addPlainBindings(container: Container, store: ObjectStore): void {
     container.bind(Keys.Store).toConstantValue(store);
--- a/src/standins/main.ts
+++ b/src/standins/main.ts
@@ -1,4 +1,5 @@
 import { Command, Flags } from "@oclif/core";
+import { waitForStopSignal } from "../common/stopSignal.js";
 import { formatAddress } from "../config/sectionReader.js";
 import { StandInEngine } from "./engine.js";
 import { CacheExchange } from "./engineTypes.js";
@@ -37,7 +38,7 @@
         }
         platform.publishHosts();
         this.log(`platform at http://${host}:${flags.port}, ${platform.hosts.length} endpoints`);
-        await new Promise(resolve => process.once("SIGTERM", resolve).once("SIGINT", resolve));
+        await waitForStopSignal();
         process.exit(0);
     }
 }
--- a/src/standins/routed/routedPlatform.ts
+++ b/src/standins/routed/routedPlatform.ts
@@ -50,6 +50,12 @@
         return [...this.engines, ...this.callWorkers];
     }
 
+    /** Returns the command by which a person calls a gateway that listens on a port. */
+    formatExampleCall(port: number): string {
+        return `curl -sN http://127.0.0.1:${port}/notice/1 -H 'Host: ${routedNames.host}' `
+            + `-H 'Authorization: Bearer ${routedNames.key}' -H 'Attempt-Id: try-1' -d '{}'`;
+    }
+
     publishWorker(worker: RoutedWorker): void {
         this.store.putObject(ObjectKinds.servers, worker.id, worker.createEntry());
     }
--- a/src/versions/types.ts
+++ b/src/versions/types.ts
@@ -1,3 +1,4 @@
+import { z } from "zod";
 import { Result } from "../common/results.js";
 import { StoredObject, WriteFailure } from "../provider/types.js";
 
@@ -24,13 +25,14 @@
 }
 
 /** What the product says of a move, for operators and for its own nodes. */
-export interface MoveAccount {
-    readonly target: string;
-    readonly stage: MoveStage;
+export const moveAccountSchema = z.object({
+    target: z.string(),
+    stage: z.enum(MoveStage),
     /** Unix milliseconds. */
-    readonly deadline: number;
-    readonly reason: string;
-}
+    deadline: z.number(),
+    reason: z.string(),
+});
+export type MoveAccount = z.infer<typeof moveAccountSchema>;
 
 /** An order with the account that was last written of it. */
 export interface DecodedMove {
