Send nothing to endpoints that say they are leaving or ask for a pause

Both were ignored: an endpoint counted as leaving only by its entry in the store, and as full for 150 ms after any refusal.

Ruled out: marking the entry itself as draining, since the next entry from the store that still says ready would undo it.

Change: an endpoint's word about itself holds for its incarnation, is told to peers until the entry says it too, and ends the reuse of its connections. A stated pause excludes the endpoint until its end, bounded at five minutes, and the callers refused meanwhile learn when it ends, spread over half that time.

--- a/src/fleet/endpointDirectory.ts
+++ b/src/fleet/endpointDirectory.ts
@@ -90,7 +90,7 @@
         const wasDraining = known.entry.isDraining;
         known.entry = entry;
         known.isRemoved = false;
-        if (entry.isDraining && !wasDraining) {
+        if (entry.isDraining && !wasDraining && !known.isLeaving) {
             this.publishChange({ kind: DirectoryChangeKind.Draining, endpoint: known, source });
         }
         return true;
@@ -111,13 +111,21 @@
         this.publishChange({ kind: DirectoryChangeKind.Removed, endpoint, source });
     }
 
-    /** Marks an endpoint as draining after it reported so itself, before its entry in the store changes. */
-    markDraining(endpoint: FleetEndpoint, source: string): void {
-        if (endpoint.entry.isDraining || endpoint.isRemoved) {
+    /** Marks an endpoint as leaving after it said so in a response, mostly before its entry in the store changes. */
+    markLeaving(endpoint: FleetEndpoint, source: string): void {
+        if (endpoint.isLeaving || endpoint.isRemoved) {
             return;
         }
-        endpoint.entry = { ...endpoint.entry, isDraining: true };
-        this.publishChange({ kind: DirectoryChangeKind.Draining, endpoint, source });
+        const wasDraining = endpoint.entry.isDraining;
+        endpoint.isLeaving = true;
+        if (!wasDraining) {
+            this.publishChange({ kind: DirectoryChangeKind.Draining, endpoint, source });
+        }
+    }
+
+    /** Returns the endpoints that said that they are leaving while their entries do not say so yet. */
+    listUnregisteredLeaving(): FleetEndpoint[] {
+        return this.listAll().filter(endpoint => endpoint.isLeaving && !endpoint.entry.isDraining);
     }
 
     /** Marks an endpoint as removed after another endpoint responded at its address. */
--- a/src/fleet/fleetEndpoint.ts
+++ b/src/fleet/fleetEndpoint.ts
@@ -34,11 +34,14 @@
     lastReceivedAt = -Infinity;
     /** Whether the endpoint was removed, or another endpoint responded at its address. Only a new entry makes it usable again. */
     isRemoved = false;
+    /** Whether it said in a response that it is leaving. Holds for the rest of its incarnation, whatever its entry says. */
+    isLeaving = false;
     readonly cache: PromptCache;
     private failureShare = 0;
     private failuresInRow = 0;
     private excludedUntil = -Infinity;
     private fullUntil = -Infinity;
+    private pausedUntil = -Infinity;
     private latencyRatio = 1;
 
     private constructor(public entry: EndpointEntry, memoryTokens: number) {
@@ -49,9 +52,9 @@
         return new FleetEndpoint(entry, memoryTokens);
     }
 
-    /** Returns whether new requests may be sent to it: it is neither removed nor draining. */
+    /** Returns whether new requests may be sent to it: it is neither removed nor draining nor leaving. */
     isUsable(): boolean {
-        return !this.isRemoved && !this.entry.isDraining;
+        return !this.isRemoved && !this.entry.isDraining && !this.isLeaving;
     }
 
     /** Returns whether it is temporarily excluded because it did not respond. */
@@ -59,9 +62,14 @@
         return now < this.excludedUntil;
     }
 
-    /** Returns whether it recently refused a request because it was full. */
+    /** Returns whether it recently refused a request because it was full, or asked for a pause that has not ended. */
     isFull(now: number): boolean {
-        return now < this.fullUntil;
+        return now < this.getFullUntil();
+    }
+
+    /** Returns the time until which it takes no requests because it refused one or asked for a pause; -Infinity if it never did. */
+    getFullUntil(): number {
+        return Math.max(this.fullUntil, this.pausedUntil);
     }
 
     /** Returns whether its failure share is so high that other endpoints are preferred. */
@@ -120,4 +128,9 @@
     recordRefusal(now: number): void {
         this.fullUntil = now + fullMilliseconds;
     }
+
+    /** Records that the endpoint wants no requests from this node before the given time. */
+    recordRequestedPause(until: number): void {
+        this.pausedUntil = Math.max(this.pausedUntil, until);
+    }
 }
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -4,7 +4,7 @@
 import { Verdict } from "../common/verdict.js";
 import { formatAddress } from "../config/sectionReader.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { EndpointExchange } from "./endpointExchange.js";
+import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
 import { BufferingResponseRelay, RelayOutcome } from "./responseRelay.js";
 import { AttemptOptions, AttemptResult, CallAttemptDependencies, IncomingCall } from "./types.js";
 
@@ -97,6 +97,7 @@
         }, dependencies.protocol);
         try {
             const sent = await exchange.sendRequest();
+            this.applyNotice(exchange.getNotice());
             const result = sent.err ? this.handleFailure(sent.val, exchange) : await this.relayResponse(sent.val, exchange);
             hop.end(result.failure?.text);
             return result;
@@ -106,6 +107,16 @@
         }
     }
 
+    /** Sends the endpoint nothing new from now on if it is leaving, or for the time for which it asked. */
+    private applyNotice(notice: EndpointNotice): void {
+        if (notice.isLeaving) {
+            this.dependencies.directory.markLeaving(this.endpoint, "own request");
+        }
+        if (notice.requestedPause !== undefined) {
+            this.endpoint.recordRequestedPause(this.dependencies.clock.getMonotonicTime() + notice.requestedPause);
+        }
+    }
+
     private getCacheSource(): string | undefined {
         const { cacheSource } = this.options.placement;
         return cacheSource === undefined ? undefined : formatAddress(cacheSource.entry.address);
--- a/src/gateway/callProtocol.ts
+++ b/src/gateway/callProtocol.ts
@@ -17,6 +17,8 @@
     readonly signature: string;
     /** The endpoint's running requests, waiting requests and slots, separated by commas. */
     readonly load: string;
+    /** Marks a response of an endpoint that is leaving; its value is `1`. */
+    readonly leaving: string;
     readonly retryAfter: string;
     readonly lastEventId: string;
     /** Prompt parts as `id:tokens`, separated by commas. */
--- a/src/gateway/defaultCallProtocol.ts
+++ b/src/gateway/defaultCallProtocol.ts
@@ -9,6 +9,7 @@
     notRun: "x-request-not-run",
     signature: "x-answer-signature",
     load: "x-endpoint-load",
+    leaving: "x-endpoint-leaving",
     retryAfter: "retry-after",
     lastEventId: "last-event-id",
     promptParts: "x-prompt-parts",
--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -16,19 +16,19 @@
 class EndpointAgent extends Agent {
     private readonly unexpectedDataHandlers = new WeakMap<Duplex, () => void>();
 
-    private constructor() {
+    private constructor(private readonly endpoint: FleetEndpoint) {
         super({ keepAlive: true, scheduling: "lifo", maxFreeSockets: Infinity });
     }
 
-    static create(): EndpointAgent {
-        return new EndpointAgent();
+    static create(endpoint: FleetEndpoint): EndpointAgent {
+        return new EndpointAgent(endpoint);
     }
 
     override keepSocketAlive(stream: Duplex): boolean {
         const socket = stream as Socket;
         const response = (stream as { _httpMessage?: { res?: { headers: Record<string, string | undefined>; }; }; })._httpMessage?.res;
         const limit = readIdleLimit(response?.headers["keep-alive"]);
-        if (limit <= 0 || socket.readableLength > 0) {
+        if (limit <= 0 || socket.readableLength > 0 || !this.endpoint.isUsable()) {
             return false;
         }
         // Bytes on an idle connection belong to no request; a response read after them might be one to another request.
@@ -76,7 +76,7 @@
         if (existing !== undefined) {
             return existing;
         }
-        const agent = EndpointAgent.create();
+        const agent = EndpointAgent.create(endpoint);
         this.agents.set(endpoint, agent);
         return agent;
     }
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -3,6 +3,7 @@
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { Err, Ok, Result } from "../common/results.js";
+import { millisecondsPerSecond } from "../common/units.js";
 import { Verdict } from "../common/verdict.js";
 import { EndpointRequest } from "../endpoints/endpointRequest.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
@@ -15,7 +16,21 @@
 const notRunStatuses = new Set([408, 421, 429, 503]);
 const statusOk = 200;
 const statusRedirect = 300;
+const statusTooManyRequests = 429;
+const statusUnavailable = 503;
 const maximumLoadCount = 100_000;
+/** Longest pause that an endpoint can request, in milliseconds; a longer one is more likely an error than a planned absence. */
+const maximumRequestedPauseMilliseconds = 300_000;
+
+/** What an endpoint said of itself in the headers of a response. */
+export interface EndpointNotice {
+    /** Whether it is leaving and gets no new requests. */
+    readonly isLeaving: boolean;
+    /** Time for which it wants no more requests from this node, in milliseconds; undefined if it stated none. */
+    readonly requestedPause: number | undefined;
+}
+
+const emptyNotice: EndpointNotice = { isLeaving: false, requestedPause: undefined };
 
 /** Target, headers and limits of one attempt. Times are in milliseconds. */
 export interface ExchangeOptions {
@@ -67,6 +82,7 @@
 export class EndpointExchange {
     private readonly request: EndpointRequest;
     private readonly observer = ConnectionObserver.create();
+    private notice = emptyNotice;
 
     private constructor(private readonly options: ExchangeOptions, private readonly protocol: CallProtocol) {
         const { call, endpoint } = options;
@@ -97,6 +113,9 @@
             return Err(this.request.connection.createFailure(error));
         }
         this.observer.start(response.socket);
+        if (this.isFromEndpoint(response)) {
+            this.notice = this.readNotice(response);
+        }
         const failure = this.checkHead(response);
         if (failure === undefined) {
             return Ok(response);
@@ -105,6 +124,11 @@
         return Err(failure);
     }
 
+    /** Returns what the endpoint said of itself in the response; nothing before the response, or if another endpoint sent it. */
+    getNotice(): EndpointNotice {
+        return this.notice;
+    }
+
     /** Returns whether a connection was established, so that the request may have arrived. */
     hasConnection(): boolean {
         return this.request.connection.getVerdict() !== Verdict.NotRun;
@@ -138,15 +162,35 @@
         return { running, waiting, slots };
     }
 
+    /** Returns whether a response belongs to this attempt and was sent by the expected endpoint. */
+    private isFromEndpoint(response: IncomingMessage): boolean {
+        return this.isForThisAttempt(response) && response.statusCode !== statusMisdirected;
+    }
+
+    private isForThisAttempt(response: IncomingMessage): boolean {
+        const responseAttemptId = response.headers[this.protocol.attemptId];
+        // On a reused connection, a response without the id may be a late response to an earlier request.
+        return responseAttemptId === this.options.call.id || (responseAttemptId === undefined && !this.request.isConnectionReused());
+    }
+
+    private readNotice(response: IncomingMessage): EndpointNotice {
+        const status = response.statusCode ?? 0;
+        const isRefusal = status === statusUnavailable || status === statusTooManyRequests;
+        return {
+            isLeaving: response.headers[this.protocol.leaving] === "1",
+            requestedPause: isRefusal ? parseRequestedPause(response.headers[this.protocol.retryAfter]) : undefined,
+        };
+    }
+
     private checkHead(response: IncomingMessage): Failure | undefined {
-        const { protocol, options } = this;
+        const { protocol } = this;
         const status = response.statusCode ?? 0;
-        const responseAttemptId = response.headers[protocol.attemptId];
-        // On a reused connection, a response without the id may be a late response to an earlier request.
-        const isForThisAttempt = responseAttemptId === options.call.id
-            || (responseAttemptId === undefined && !this.request.isConnectionReused());
-        if (!isForThisAttempt) {
-            return Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_names_another_request_0, String(responseAttemptId));
+        if (!this.isForThisAttempt(response)) {
+            return Failure.create(
+                Verdict.MayHaveRun,
+                Diagnostics.Answer_names_another_request_0,
+                String(response.headers[protocol.attemptId]),
+            );
         }
         if (status === statusMisdirected) {
             return Failure.create(Verdict.NotRun, Diagnostics.Another_endpoint_has_the_address);
@@ -175,6 +219,15 @@
     }
 }
 
+/** Returns the pause that a Retry-After header states in seconds, in milliseconds; undefined for a date or any other value. */
+function parseRequestedPause(header: string | string[] | undefined): number | undefined {
+    const seconds = typeof header === "string" && header.trim() !== "" ? Number(header) : NaN;
+    if (!(seconds > 0)) {
+        return undefined;
+    }
+    return Math.min(seconds * millisecondsPerSecond, maximumRequestedPauseMilliseconds);
+}
+
 function isCount(value: number | undefined): value is number {
     return value !== undefined && Number.isInteger(value) && value >= 0 && value <= maximumLoadCount;
 }
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -27,6 +27,7 @@
     for (const worker of platform.listWorkers()) {
         worker.runs.length = 0;
         worker.faults.length = 0;
+        worker.refusalPause = undefined;
         worker.workMilliseconds = 0;
         worker.eventCount = 5;
         worker.eventMilliseconds = 5;
@@ -298,3 +299,81 @@
     }
     agent.destroy();
 });
+
+test("sends nothing more to a worker from its first response that says it is leaving, though its entry says it is ready", async () => {
+    const [leaving, staying] = await startExtraWorkers("leaving", "staying");
+    leaving.announcesLeaving = true;
+    await waitUntil(() => gateway.node.container.get(directoryKey).findEndpoint("leaving") !== undefined);
+    for (let call = 0; call < 40 && leaving.runs.length === 0; call += 1) {
+        await gateway.sendCall("/lookup/1");
+    }
+    assert.equal(leaving.runs.length, 1);
+    platform.store.putObject("servers", "leaving", { ...leaving.createEntry(), slots: 7 });
+    await waitUntil(() => gateway.node.container.get(directoryKey).findEndpoint("leaving")?.entry.slots === 7);
+    for (let call = 0; call < 40; call += 1) {
+        assert.equal((await gateway.sendCall("/lookup/1")).status, 200);
+    }
+    assert.equal(leaving.runs.length, 1);
+    await stopExtraWorkers(leaving, staying);
+});
+
+test("sends nothing to a worker for the time that its refusal states, then uses it again", async () => {
+    const [pausing, other] = await startExtraWorkers("pausing", "other");
+    pausing.refusalPause = "0.6";
+    setFault([pausing], WorkerFault.Shed);
+    while (pausing.faults.length > 0) {
+        await gateway.sendCall("/lookup/1");
+    }
+    const refusedAt = performance.now();
+    const runs = pausing.runs.length;
+    while (performance.now() < refusedAt + 450) {
+        await gateway.sendCall("/lookup/1");
+    }
+    assert.equal(pausing.runs.length, runs);
+    await waitUntil(() => !(gateway.node.container.get(directoryKey).findEndpoint("pausing")?.isFull(performance.now()) ?? true));
+    for (let call = 0; call < 100 && pausing.runs.length === runs; call += 1) {
+        await gateway.sendCall("/lookup/1");
+    }
+    assert.equal(pausing.runs.length > runs, true);
+    await stopExtraWorkers(pausing, other);
+});
+
+test("ignores a stated pause that is no positive number, and limits a very long one", async () => {
+    const expected = new Map([["-5", 0], ["Fri, 04 Dec 2026 10:00:00 GMT", 0], ["soon", 0], ["", 0], ["99999999999", 300_000], [
+        "2",
+        2_000,
+    ]]);
+    for (const [header, longest] of expected) {
+        const [worker] = await startExtraWorkers("odd");
+        const endpoint = () => gateway.node.container.get(directoryKey).findEndpoint("odd");
+        worker.refusalPause = header;
+        setFault([worker], WorkerFault.Shed);
+        while (worker.faults.length > 0) {
+            await gateway.sendCall("/lookup/1");
+        }
+        const pause = (endpoint()?.getFullUntil() ?? 0) - performance.now();
+        // Without a stated pause an endpoint counts as full for 150 ms.
+        assert.equal(pause <= Math.max(150, longest) && pause > longest - 1_000, true, `"${header}": ${pause}`);
+        await stopExtraWorkers(worker);
+    }
+});
+
+/** Starts further workers of the plain service and waits until the gateway knows them. */
+async function startExtraWorkers<Ids extends string[]>(...ids: Ids): Promise<{ [Index in keyof Ids]: RoutedWorker; }> {
+    const service = platform.callWorkers[0]?.service ?? "";
+    const workers = ids.map(id => RoutedWorker.create(id, service, "xela", false));
+    for (const worker of workers) {
+        await worker.start();
+        platform.store.putObject("servers", worker.id, worker.createEntry());
+    }
+    await waitUntil(() => ids.every(id => gateway.node.container.get(directoryKey).findEndpoint(id) !== undefined));
+    return workers as { [Index in keyof Ids]: RoutedWorker; };
+}
+
+async function stopExtraWorkers(...workers: RoutedWorker[]): Promise<void> {
+    for (const worker of workers) {
+        platform.store.removeObject("servers", worker.id);
+        await waitUntil(() => gateway.node.container.get(directoryKey).findEndpoint(worker.id) === undefined);
+        await worker.stop();
+    }
+}
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -92,6 +92,7 @@
             suspects: this.listSuspects(),
             works: dependencies.work.listLocalWork().map(({ service, work }) => ({ service, work })),
             evidence: this.listEvidence(peer),
+            leavingEndpoints: this.listLeavingEndpoints(),
             summary: peer === undefined ? undefined : dependencies.sums.createSummary(peer),
         };
     }
@@ -100,6 +101,7 @@
         const { dependencies } = this;
         dependencies.sums.applyDigest(peer, digest);
         this.applyPlacements(peer, digest);
+        this.applyLeavingEndpoints(digest, peer.name);
         digest.suspects.forEach(suspect => this.applySuspect(suspect, peer.name));
         for (const { window, teams, source } of digest.usage) {
             dependencies.usageLedger.recordUsage(source === "" ? formatIncarnationKey(peer) : source, Number(window), teams);
@@ -182,6 +184,23 @@
         }));
     }
 
+    private listLeavingEndpoints() {
+        return this.dependencies.directory.listUnregisteredLeaving().map(({ entry }) => ({
+            endpoint: entry.id,
+            incarnation: BigInt(Math.round(entry.incarnation)),
+        }));
+    }
+
+    private applyLeavingEndpoints(digest: GatewayDigest, source: string): void {
+        const { directory } = this.dependencies;
+        for (const { endpoint: id, incarnation } of digest.leavingEndpoints) {
+            const endpoint = directory.findEndpoint(id);
+            if (endpoint !== undefined && BigInt(Math.round(endpoint.entry.incarnation)) === incarnation) {
+                directory.markLeaving(endpoint, source);
+            }
+        }
+    }
+
     private listSuspects() {
         const { ledger } = this.dependencies;
         const suspected = ledger.listRecords().map(record => ({
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -48,6 +48,17 @@
     await waitUntil(() => directory.findEndpoint(worker.id) === undefined);
 });
 
+test("an endpoint that told one node that it is leaving gets nothing more from the other node", async () => {
+    const findOn = (gateway: RoutedGateway) => gateway.node.container.get(Keys.Directory).findEndpoint(platform.engines[1]?.id ?? "");
+    await waitUntil(() => findOn(first) !== undefined && findOn(storelessGateway) !== undefined);
+    const endpoint = findOn(first);
+    assert.notEqual(endpoint, undefined);
+    if (endpoint !== undefined) {
+        first.node.container.get(Keys.Directory).markLeaving(endpoint, "test");
+    }
+    await waitUntil(() => findOn(storelessGateway)?.isUsable() === false);
+});
+
 test("a change that no store watch delivers is still detected and sent to peers", async () => {
     const configuration = storelessGateway.node.container.get(Keys.Configuration);
     let version = 0;
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -3,6 +3,7 @@
 import { Failure } from "../common/failure.js";
 import { RandomSource } from "../common/random.js";
 import { Err, Ok, Result } from "../common/results.js";
+import { millisecondsPerSecond } from "../common/units.js";
 import { Verdict } from "../common/verdict.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
@@ -15,6 +16,9 @@
 /** Connections to an endpoint that this node leaves unused below its limit, because all nodes share the endpoint's connection limit. */
 const reservedConnections = 2;
 
+/** Longest extra wait of a refused caller, as a share of the time until an endpoint takes requests again. */
+const returnSpreadShare = 0.5;
+
 /** Options compared for one request; the lowest fixed cost and two random ones already keep queues nearly as short as comparing all. */
 const sampleSize = 4;
 
@@ -57,9 +61,7 @@
 
     /** Chooses an endpoint; fails when no endpoint is available or none is expected to serve the request before its deadline. */
     choosePlacement(query: PlacementQuery): Result<Placement, Failure> {
-        let result: Result<Placement, Failure> = Err(
-            Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service),
-        );
+        let result: Result<Placement, Failure> | undefined;
         for (const group of this.traffic.listGroups(query, this.directory.listEndpoints(query.service))) {
             const placement = this.choosePlacementInGroup(group, query);
             if (placement?.ok === true) {
@@ -67,7 +69,22 @@
             }
             result = placement ?? result;
         }
-        return result;
+        return result ?? Err(this.createUnavailableFailure(query));
+    }
+
+    /** Creates the failure of a request that no endpoint can take now; it names the time until one that asked for a pause takes requests again. */
+    private createUnavailableFailure(query: PlacementQuery): Failure {
+        const failure = Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service);
+        const now = this.clock.getMonotonicTime();
+        const pauses = this.directory.listEndpoints(query.service)
+            .filter(endpoint => endpoint.isUsable() && endpoint.isFull(now))
+            .map(endpoint => endpoint.getFullUntil() - now);
+        if (pauses.length === 0) {
+            return failure;
+        }
+        // Spread over time, so that the callers refused now do not all return at the same moment.
+        const spread = 1 + this.random.pickFraction() * returnSpreadShare;
+        return failure.setRetryAfter(Math.min(...pauses) * spread / millisecondsPerSecond);
     }
 
     /** Chooses an endpoint of one group; undefined when the group has none that can take the request. */
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -90,7 +90,7 @@
     const clock = VirtualClock.create();
     const { directory, endpoints } = createFleet(clock, 4);
     const [draining, full, unresponsive, healthy] = endpoints as [FleetEndpoint, FleetEndpoint, FleetEndpoint, FleetEndpoint];
-    directory.markDraining(draining, "test");
+    directory.markLeaving(draining, "test");
     full.recordRefusal(0);
     unresponsive.recordMissingResponse(0);
     healthy.promptTokens = 20_000;
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -53,6 +53,10 @@
     readonly faults: WorkerFault[] = [];
     connections = 0;
     isDraining = false;
+    /** Whether it says in all its answers that it is leaving. */
+    announcesLeaving = false;
+    /** Retry-After of its refusals; undefined where it sends none. */
+    refusalPause: string | undefined;
     workMilliseconds = 0;
     eventCount = 5;
     eventMilliseconds = 5;
@@ -104,6 +108,9 @@
         const body = await readText(request);
         const attemptId = String(request.headers[HeaderNames.attemptId] ?? "");
         response.setHeader(HeaderNames.attemptId, attemptId);
+        if (this.announcesLeaving) {
+            response.setHeader(HeaderNames.serverLeaving, "1");
+        }
         const expected = request.headers[HeaderNames.expectInstance];
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(statusMisdirected, { [HeaderNames.instanceId]: this.id });
@@ -112,7 +119,8 @@
         }
         const fault = this.faults.shift() ?? WorkerFault.None;
         if (fault === WorkerFault.Shed) {
-            response.writeHead(statusUnavailable, { [HeaderNames.notRun]: "1" });
+            const pause = this.refusalPause === undefined ? {} : { "retry-after": this.refusalPause };
+            response.writeHead(statusUnavailable, { [HeaderNames.notRun]: "1", ...pause });
             response.end();
             return;
         }
