Bound what is read of a response that never ends

A server in trouble may send bytes without end, in a head or a body, until its client closes. Weighed reader by reader: header bytes are bounded by the runtime's parser and every wait by a time limit, but the store's, the cloud's and the peers' bodies, one event of a stream, and interim responses were not.

A body that an endpoint sends without a length goes on to the caller, with back pressure, until the route's time limit, since nothing tells it from a sound one.

--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -7,6 +7,9 @@
 /** Size up to which a response is buffered until it is complete; well above ordinary responses. Larger ones are streamed. */
 const bufferedResponseBytes = 262_144;
 
+/** Largest event of a stream, in bytes; an event without an end would be buffered without bound. */
+const maximumEventBytes = 1_048_576;
+
 /** Outcome of relaying one response. */
 export enum RelayOutcome {
     /** The complete response was written to the caller. */
@@ -115,6 +118,11 @@
             const finishEarly = () => finish(caller.isCallerDisconnected() ? RelayOutcome.CallerDisconnected : RelayOutcome.Truncated);
             response.on("data", (chunk: Buffer) => {
                 const events = splitter.addBytes(chunk);
+                if (splitter.getIncompleteEvent().length > maximumEventBytes) {
+                    exchange.close();
+                    finishEarly();
+                    return;
+                }
                 if (events.length === 0 || isResolved) {
                     return;
                 }
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -5,6 +5,7 @@
 import { startListening } from "../common/listening.js";
 import { NetworkAddress } from "../config/types.js";
 import { PeerService } from "../generated/corianderward/v1/peer_pb.js";
+import { maximumPeerMessageBytes } from "./peerSessions.js";
 import { TlsMaterial } from "./tlsMaterial.js";
 import { PeerHandler } from "./types.js";
 
@@ -16,7 +17,7 @@
     private readonly sessions = new Set<ServerHttp2Session>();
 
     private constructor(routes: (router: ConnectRouter) => void, tls: TlsMaterial | undefined) {
-        const listener = connectNodeAdapter({ routes });
+        const listener = connectNodeAdapter({ routes, readMaxBytes: maximumPeerMessageBytes });
         this.server = createListeningServer(listener, tls);
         this.server.on("connection", (socket: Socket) => {
             this.sockets.add(socket);
--- a/src/peers/peerSessions.ts
+++ b/src/peers/peerSessions.ts
@@ -11,6 +11,9 @@
 import { NetworkAddress } from "../config/types.js";
 import { TlsMaterial } from "./tlsMaterial.js";
 
+/** Largest message that is read from a peer, in bytes: the endpoints and the configuration of a large fleet take less than one megabyte. */
+export const maximumPeerMessageBytes = 8_388_608;
+
 /** Interval of the HTTP/2 pings on a connection with open calls. */
 const pingIntervalMilliseconds = 1_000;
 const pingTimeoutMilliseconds = 1_000;
@@ -103,7 +106,13 @@
             idleConnectionTimeoutMs: idleConnectionMilliseconds,
         }, options);
         // Within a region, network traffic costs less than the processor time for compression.
-        const transport: Transport = createConnectTransport({ httpVersion: "2", baseUrl, sessionManager: sessions, acceptCompression: [] });
+        const transport: Transport = createConnectTransport({
+            httpVersion: "2",
+            baseUrl,
+            sessionManager: sessions,
+            acceptCompression: [],
+            readMaxBytes: maximumPeerMessageBytes,
+        });
         const peer: OpenPeer<S> = { client: createClient(this.service, transport), sessions };
         this.peers.set(key, peer);
         return peer;
