Keep apart what the store said before and after it was restored from a copy

Revisions go back and are given out again, and a header in all answers counts the eras. A node compared bare revision numbers: after a drill it would have ignored newer entries, written over others' objects whose revision number happened to match, brought back draining and removed endpoints, acted on a lease that was gone, reused a fencing token, and sent a second, different usage report of a window.

Weighed: a pair type through the whole product, against one ordered number of era and revision (chosen: every comparison stays as it is, digests and stored fields keep their types). Fencing tokens as a count, which a copy takes back, against the revision of the acquiring write (chosen: no two acquisitions share one, in any era).

Change: the adapter drops answers of an earlier era, ends watches at a new one, and reports a conditional write across eras as unknown. Peers tell one another the era. A holder's lease ends with its era; it may acquire at once, others after its term. Reports that may have been sent and lost are not computed again; known ones, move statuses and node entries are written again. What was draining or removed stays so until the endpoint writes again.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -67,6 +67,11 @@
     PeerChanged: createInfo("peer changed", stateChangeLinesPerSecond, "A peer was found, heard again, lost or leaves."),
     DependencyLost: createWarning("dependency lost", stateChangeLinesPerSecond, "The store, the cloud API or a watch does not answer."),
     DependencyRegained: createInfo("dependency regained", stateChangeLinesPerSecond, "It answers again; how long it was away."),
+    StoreRestored: createWarning(
+        "store restored",
+        stateChangeLinesPerSecond,
+        "The store was restored from a copy: its era rose, and later writes are gone.",
+    ),
     LeaseChanged: createInfo("lease changed", stateChangeLinesPerSecond, "The lease of a duty was taken, given up or lost."),
     DutyDone: createInfo("duty done", stateChangeLinesPerSecond, "A usage report or an order was accepted."),
     DutyFailed: createWarning("duty failed", stateChangeLinesPerSecond, "A usage report or an order was refused or got no answer."),
--- a/src/control/commands/leaseManager.ts
+++ b/src/control/commands/leaseManager.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { Clock } from "../../common/clock.js";
 import { ObjectStore, writeObject } from "../../provider/objectStore.js";
+import { getEra, Revision } from "../../provider/revision.js";
 import { StoredObject, WriteOutcome } from "../../provider/types.js";
 
 /** Renewals that the holder attempts in one term. */
@@ -16,9 +17,11 @@
 const leaseSchema = z.object({
     holder: z.string(),
     incarnation: z.number(),
-    /** Increases by one with each acquisition; serves as the fencing number of orders. */
+    /** Increases by one with each acquisition. */
     transitions: z.number().int(),
     renewals: z.number().int(),
+    /** Era of the store in which the lease was written. A restored copy holds leases of an earlier era. */
+    era: z.number().int().default(0),
 });
 type StoredLease = z.infer<typeof leaseSchema>;
 
@@ -36,7 +39,13 @@
 
 /** A lease that is held now: its fencing number and validity. */
 export interface LeaseGrant {
-    readonly fencing: number;
+    /**
+     * Store revision of the write that acquired the lease: higher for each acquisition, also after the store was restored from a
+     * copy, since that begins a new era.
+     */
+    readonly fencing: Revision;
+    /** Fencing number under which this holder held the lease without a gap until the store was restored; undefined if it did not. */
+    readonly continuedFencing: Revision | undefined;
     /** Milliseconds for which the lease is still guaranteed to be held. */
     readonly remaining: number;
     /** Milliseconds since this holder acquired the lease. */
@@ -63,9 +72,12 @@
     /** Unix milliseconds; the wall clock advances while the host is suspended, the monotonic clock does not. */
     private validUntilWallTime = -Infinity;
     private acquiredAt = 0;
-    private transitions = 0;
-    private observedRevision = -1;
+    private fencing: Revision = 0;
+    private continuedFencing: Revision | undefined;
+    private observedRevision: Revision = -1;
     private revisionObservedAt = 0;
+    private observedEra: number | undefined;
+    private eraObservedAt = -Infinity;
 
     private constructor(
         private readonly store: ObjectStore,
@@ -108,12 +120,13 @@
 
     /** Returns the grant as of now, or undefined when the lease is not guaranteed to be held. */
     getGrant(): LeaseGrant | undefined {
-        const now = this.clock.getMonotonicTime();
-        const remaining = Math.min(this.validUntilMonotonicTime - now, this.validUntilWallTime - this.clock.getWallTime());
-        if (remaining <= 0) {
+        const remaining = this.computeRemaining();
+        // A lease of an earlier era is gone with what else was written after the copy from which the store was restored.
+        if (remaining <= 0 || getEra(this.fencing) !== this.store.getEra()) {
             return undefined;
         }
-        return { fencing: this.transitions, remaining, heldFor: now - this.acquiredAt };
+        const heldFor = this.clock.getMonotonicTime() - this.acquiredAt;
+        return { fencing: this.fencing, continuedFencing: this.continuedFencing, remaining, heldFor };
     }
 
     /** Stops renewing and clears the holder in the store, so that another node can acquire the lease without waiting. */
@@ -147,22 +160,56 @@
         if (found.err) {
             return;
         }
+        this.observeEra();
         if (found.val === undefined) {
-            await this.writeLease(undefined, 1, 0, startedAt);
+            if (this.isPreviousHolderGone()) {
+                await this.acquireLease(undefined, 1, startedAt);
+            }
             return;
         }
         const lease = parseLease(found.val);
         if (lease !== undefined && this.isHeldByCandidate(lease) && this.getGrant() !== undefined) {
-            await this.writeLease(found.val, lease.transitions, lease.renewals + 1, startedAt);
+            await this.renewLease(found.val, lease, startedAt);
             return;
         }
         this.observeRevision(found.val.revision);
         const sinceLastRenewal = this.clock.getMonotonicTime() - this.revisionObservedAt;
-        const isFree = lease === undefined || lease.holder === "" || this.isHeldByCandidate(lease)
-            || sinceLastRenewal > this.term * (1 + clockDriftFraction);
-        if (isFree) {
-            await this.writeLease(found.val, (lease?.transitions ?? 0) + 1, 0, startedAt);
+        const isExpired = sinceLastRenewal > this.getPreviousHolderTimeout();
+        const isReleased = lease === undefined || lease.holder === "" || this.isHeldByCandidate(lease);
+        // A lease of an earlier era comes from the restored copy: its holder may have changed after the copy was made.
+        const isOfEarlierEra = lease !== undefined && lease.era < this.store.getEra();
+        const isFree = isOfEarlierEra ? isExpired || this.hasHeldLeaseUntilRestore() : isExpired || isReleased;
+        if (isFree && (isExpired || this.isPreviousHolderGone())) {
+            await this.acquireLease(found.val, (lease?.transitions ?? 0) + 1, startedAt);
+        }
+    }
+
+    /** Returns the milliseconds for which the last lease that this node wrote is valid by its own clocks, whatever the store's era. */
+    private computeRemaining(): number {
+        const { clock } = this;
+        return Math.min(this.validUntilMonotonicTime - clock.getMonotonicTime(), this.validUntilWallTime - clock.getWallTime());
+    }
+
+    private observeEra(): void {
+        const era = this.store.getEra();
+        if (this.observedEra !== undefined && era > this.observedEra) {
+            this.eraObservedAt = this.clock.getMonotonicTime();
         }
+        this.observedEra = era;
+    }
+
+    /** Returns whether this node held the lease when the store was restored, and its term has not ended since. */
+    private hasHeldLeaseUntilRestore(): boolean {
+        return this.computeRemaining() > 0 && getEra(this.fencing) < this.store.getEra();
+    }
+
+    /**
+     * Returns whether a lease that looks free may be acquired although the store was restored: the holder of the earlier era, which
+     * may not know of the restore yet, keeps it for its term.
+     */
+    private isPreviousHolderGone(): boolean {
+        const sinceRestore = this.clock.getMonotonicTime() - this.eraObservedAt;
+        return this.hasHeldLeaseUntilRestore() || sinceRestore > this.getPreviousHolderTimeout();
     }
 
     private isHeldByCandidate(lease: StoredLease): boolean {
@@ -177,49 +224,50 @@
         }
     }
 
-    private async writeLease(
-        current: StoredObject | undefined,
-        transitions: number,
-        renewals: number,
-        startedAt: StartTime,
-    ): Promise<void> {
-        const value: StoredLease = { holder: this.candidate.name, incarnation: this.candidate.incarnation, transitions, renewals };
-        const written = await writeObject(this.store, this.name, value, current);
-        if (written.ok) {
-            this.applyGrant(value, startedAt);
-            return;
+    private async renewLease(current: StoredObject, lease: StoredLease, startedAt: StartTime): Promise<void> {
+        const value = { ...lease, renewals: lease.renewals + 1, era: this.store.getEra() };
+        const revision = await this.writeLease(current, value);
+        if (revision !== undefined && getEra(this.fencing) === getEra(revision)) {
+            this.extendGrant(startedAt);
         }
-        if (written.val.outcome === WriteOutcome.Unknown) {
-            await this.resolveUnknownOutcome(value, startedAt);
+    }
+
+    private async acquireLease(current: StoredObject | undefined, transitions: number, startedAt: StartTime): Promise<void> {
+        const { name, incarnation } = this.candidate;
+        const continuedFencing = this.hasHeldLeaseUntilRestore() ? this.fencing : undefined;
+        const revision = await this.writeLease(current, { holder: name, incarnation, transitions, renewals: 0, era: this.store.getEra() });
+        if (revision === undefined) {
+            return;
         }
+        this.fencing = revision;
+        this.continuedFencing = continuedFencing;
+        this.acquiredAt = this.clock.getMonotonicTime();
+        this.extendGrant(startedAt);
+        this.observer.recordAcquisition(this.name, revision);
+    }
+
+    /** Writes the lease; returns the revision of the write, or undefined if it did not take effect in the era that the lease names. */
+    private async writeLease(current: StoredObject | undefined, value: StoredLease): Promise<Revision | undefined> {
+        const written = await writeObject(this.store, this.name, value, current);
+        const isUnknown = written.ok ? written.val === 0 : written.val.outcome === WriteOutcome.Unknown;
+        const revision = isUnknown ? await this.findWrittenRevision(value) : written.ok ? written.val : undefined;
+        return revision !== undefined && getEra(revision) === value.era ? revision : undefined;
     }
 
     /** Reads the lease after a write with unknown outcome: the write took effect if the object holds exactly the written value. */
-    private async resolveUnknownOutcome(value: StoredLease, startedAt: StartTime): Promise<void> {
+    private async findWrittenRevision(value: StoredLease): Promise<Revision | undefined> {
         const found = await this.store.getObject(this.name);
-        if (found.err || found.val === undefined) {
-            return;
-        }
-        const lease = parseLease(found.val);
+        const lease = found.ok && found.val !== undefined ? parseLease(found.val) : undefined;
         const isWritten = lease !== undefined && this.isHeldByCandidate(lease) && lease.transitions === value.transitions
-            && lease.renewals === value.renewals;
-        if (isWritten) {
-            this.applyGrant(value, startedAt);
-        }
+            && lease.renewals === value.renewals && lease.era === value.era;
+        return isWritten && found.ok ? found.val?.revision : undefined;
     }
 
-    private applyGrant(lease: StoredLease, startedAt: StartTime): void {
-        const now = this.clock.getMonotonicTime();
-        const isAcquisition = lease.transitions !== this.transitions || this.validUntilMonotonicTime <= now;
-        this.transitions = lease.transitions;
+    private extendGrant(startedAt: StartTime): void {
         // Counted from before the write was sent, since candidates count from when they read it.
         this.validUntilMonotonicTime = startedAt.monotonic + this.term * (1 - clockDriftFraction);
         // The wall clock also covers a suspension of the host between the write and its response.
         this.validUntilWallTime = startedAt.wall + this.term * (1 - clockDriftFraction);
-        if (isAcquisition) {
-            this.acquiredAt = now;
-            this.observer.recordAcquisition(this.name, this.transitions);
-        }
     }
 }
 
--- a/src/duties/dutyLease.ts
+++ b/src/duties/dutyLease.ts
@@ -59,7 +59,7 @@
         if (grant === undefined || grant.fencing <= this.highestRejectedFencing || grant.fencing < this.knownFencing) {
             return undefined;
         }
-        return { holder: this.candidate.name, fencing: grant.fencing };
+        return { holder: this.candidate.name, fencing: grant.fencing, continuedFencing: grant.continuedFencing };
     }
 
     /** Returns the name of the latest known holder; empty when none is known. */
--- a/src/duties/types.ts
+++ b/src/duties/types.ts
@@ -1,10 +1,13 @@
 import { Result } from "../common/results.js";
+import { Revision } from "../provider/revision.js";
 import { TeamUsage } from "../usage/usageCounter.js";
 
 /** Lease holder and fencing token with which a call to the cloud API is made. */
 export interface DutyCredentials {
     readonly holder: string;
-    readonly fencing: number;
+    readonly fencing: Revision;
+    /** Fencing token under which this node held the lease without a gap until the store was restored; undefined if it did not. */
+    readonly continuedFencing?: Revision | undefined;
 }
 
 /** Outcome of a duty's cloud API call that was not accepted. */
--- a/src/duties/usageDuty.ts
+++ b/src/duties/usageDuty.ts
@@ -4,6 +4,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { formatIncarnationKey, PeerTable } from "../gossip/peerTable.js";
 import { ObjectStore, writeObject } from "../provider/objectStore.js";
+import { getEra, Revision } from "../provider/revision.js";
 import { StoredObject } from "../provider/types.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { UsageLedger } from "../usage/usageLedger.js";
@@ -23,7 +24,11 @@
     window: z.number().int(),
     counts: z.array(z.object({ team: z.string(), requests: z.number().int() })),
 });
-const storedReportsSchema = z.object({ reports: z.array(reportSchema) });
+const storedReportsSchema = z.object({
+    reports: z.array(reportSchema),
+    /** Era of the store in which the record was written. A restored copy lacks the reports that were stored after it was made. */
+    era: z.number().int().default(0),
+});
 
 /** Dependencies of the usage duty. Times are in milliseconds. */
 export interface UsageDutyDependencies {
@@ -50,7 +55,14 @@
     /** Windows whose reports this node sent successfully. */
     private readonly accepted = new Set<number>();
     /** Fencing token under which the record was loaded; 0 when it must be loaded again. */
-    private actingFencing = 0;
+    private actingFencing: Revision = 0;
+    /** Fencing token under which this node knows every report that was sent; 0 before the first record was loaded. */
+    private completeFencing: Revision = 0;
+    /**
+     * Unix milliseconds. A report that could have been computed before then may have been sent and lost with the store's later
+     * writes; computed again, its counts could differ.
+     */
+    private unknownReportsUntil = -Infinity;
 
     private constructor(private readonly dependencies: UsageDutyDependencies) {}
 
@@ -64,7 +76,7 @@
             return;
         }
         for (const window of this.listReadyWindows()) {
-            const report = this.findReport(window) ?? await this.storeReport(window);
+            const report = this.findReport(window) ?? await this.storeReport(window, credentials);
             if (report === undefined || !await this.sendReport(report)) {
                 return;
             }
@@ -79,8 +91,38 @@
         }
         this.record = found.val;
         const parsed = storedReportsSchema.safeParse(found.val?.value);
-        this.reports = parsed.success ? parsed.data.reports : [];
+        const stored = parsed.success ? parsed.data : undefined;
+        const isCurrent = stored?.era === getEra(credentials.fencing);
+        const knowsAllReports = this.completeFencing !== 0 && credentials.continuedFencing === this.completeFencing;
+        if (!isCurrent && !knowsAllReports) {
+            this.unknownReportsUntil = this.dependencies.clock.getWallTime();
+        }
+        const reports = mergeReports(stored?.reports ?? [], knowsAllReports ? this.reports : []);
+        if (!isCurrent && !await this.writeRecord(reports, credentials)) {
+            return false;
+        }
+        this.reports = reports;
         this.actingFencing = credentials.fencing;
+        this.completeFencing = credentials.fencing;
+        return true;
+    }
+
+    /** Stores the reports under the era of the lease; returns whether the write succeeded. */
+    private async writeRecord(reports: readonly UsageReport[], credentials: DutyCredentials): Promise<boolean> {
+        const { store, log } = this.dependencies;
+        const value = { reports, era: getEra(credentials.fencing) };
+        const written = await writeObject(store, reportsObjectName, value, this.record);
+        if (written.err) {
+            // The write may have taken effect, so the record is loaded again before anything else is sent.
+            this.actingFencing = 0;
+            log.log(LogEvents.DutyFailed, {
+                duty: "usage record",
+                outcome: written.val.outcome,
+                cause: written.val.failure.text,
+            });
+            return false;
+        }
+        this.record = { name: reportsObjectName, revision: written.val, value };
         return true;
     }
 
@@ -92,7 +134,9 @@
         const windows: number[] = [];
         for (let window = oldest; counter.getWindowEnd(window) + countArrivalMilliseconds <= now; window += 1) {
             const isDue = now < counter.getWindowEnd(window) + dueTime;
-            if (isDue && !this.accepted.has(window) && (this.findReport(window) !== undefined || this.hasAllCounts(window, now))) {
+            const mayBeSentAlready = counter.getWindowEnd(window) + countArrivalMilliseconds <= this.unknownReportsUntil;
+            const isComputable = !mayBeSentAlready && this.hasAllCounts(window, now);
+            if (isDue && !this.accepted.has(window) && (this.findReport(window) !== undefined || isComputable)) {
                 windows.push(window);
             }
         }
@@ -122,24 +166,14 @@
     }
 
     /** Computes the report of a window and stores it; undefined when the write failed or its outcome is unknown. */
-    private async storeReport(window: number): Promise<UsageReport | undefined> {
+    private async storeReport(window: number, credentials: DutyCredentials): Promise<UsageReport | undefined> {
         const { dependencies } = this;
         dependencies.ledger.recordUsage(formatIncarnationKey(dependencies.table.identity), window, dependencies.counter.listUsage(window));
         const report: UsageReport = { window, counts: dependencies.ledger.computeCounts(window) };
         const reports = this.listRetainedReports([...this.reports, report]);
-        const written = await writeObject(dependencies.store, reportsObjectName, { reports }, this.record);
-        if (written.err) {
-            // The write may have taken effect, so the record is loaded again before anything else is sent.
-            this.actingFencing = 0;
-            dependencies.log.log(LogEvents.DutyFailed, {
-                duty: "usage record",
-                window,
-                outcome: written.val.outcome,
-                cause: written.val.failure.text,
-            });
+        if (!await this.writeRecord(reports, credentials)) {
             return undefined;
         }
-        this.record = { name: reportsObjectName, revision: written.val, value: { reports } };
         this.reports = reports;
         return report;
     }
@@ -171,3 +205,9 @@
         return false;
     }
 }
+
+/** Returns the stored reports, and those of `known` whose windows they lack. */
+function mergeReports(stored: readonly UsageReport[], known: readonly UsageReport[]): UsageReport[] {
+    const storedWindows = new Set(stored.map(report => report.window));
+    return [...stored, ...known.filter(report => !storedWindows.has(report.window))];
+}
--- a/src/duties/versionMoveDuty.ts
+++ b/src/duties/versionMoveDuty.ts
@@ -33,8 +33,13 @@
         return new VersionMoveDuty(dependencies);
     }
 
-    /** Stores a new account for each running move whose stage changes. */
+    /** Stores a new account for each running move whose stage changes, and again those that a restored store has lost. */
     async runRound(): Promise<void> {
+        for (const move of this.dependencies.moves.listWithLostStatus()) {
+            if (move.account !== undefined) {
+                await this.writeStatus(move, move.account);
+            }
+        }
         for (const move of this.dependencies.moves.listRunning()) {
             await this.runMove(move);
         }
@@ -42,7 +47,13 @@
 
     private async runMove(move: VersionMove): Promise<void> {
         const account = this.createAccount(move);
-        if (account.stage === move.account?.stage || this.dependencies.lease.getCredentials() === undefined) {
+        if (account.stage !== move.account?.stage) {
+            await this.writeStatus(move, account);
+        }
+    }
+
+    private async writeStatus(move: VersionMove, account: VersionMoveStatus): Promise<void> {
+        if (this.dependencies.lease.getCredentials() === undefined) {
             return;
         }
         const fields = { duty: "version move", service: move.order.service, target: account.target, stage: account.stage };
--- a/src/fleet/endpointDirectory.ts
+++ b/src/fleet/endpointDirectory.ts
@@ -1,7 +1,11 @@
 import { Clock } from "../common/clock.js";
+import { getEra, Revision } from "../provider/revision.js";
 import { FleetEndpoint } from "./fleetEndpoint.js";
 import { EndpointEntry } from "./types.js";
 
+/** Number of removed endpoints that are remembered, so that older updates do not add them again. */
+const maximumRecordedRemovals = 5_000;
+
 /** Kind of a change of the directory. */
 export enum DirectoryChangeKind {
     Added = "added",
@@ -27,14 +31,16 @@
 /** An entry with the store revision at which it was written. */
 export interface RevisedEntry {
     readonly entry: EndpointEntry;
-    readonly revision: number;
+    readonly revision: Revision;
 }
 
 /** Directory of the registered endpoints of every service. An update of an entry is applied only if its revision is newer. */
 export class EndpointDirectory {
     private readonly endpoints = new Map<string, FleetEndpoint>();
     private readonly endpointsByService = new Map<string, FleetEndpoint[]>();
-    private readonly revisionsById = new Map<string, number>();
+    private readonly revisionsById = new Map<string, Revision>();
+    /** Incarnation of each removed endpoint, under its id. */
+    private readonly removedIncarnations = new Map<string, number>();
     private readonly listeners: DirectoryListener[] = [];
     private getMemoryTokens: (service: string) => number = () => 0;
 
@@ -81,14 +87,20 @@
         if (revision <= (this.revisionsById.get(entry.id) ?? 0)) {
             return false;
         }
+        const isRestored = getEra(revision) > getEra(this.revisionsById.get(entry.id) ?? revision);
         this.revisionsById.set(entry.id, revision);
         const known = this.endpoints.get(entry.id);
+        if (known === undefined && isRestored && this.removedIncarnations.get(entry.id) === entry.incarnation) {
+            // The removal is newer than the copy from which the store was restored. An endpoint that lives writes its entry again.
+            return false;
+        }
         if (known === undefined || known.entry.incarnation !== entry.incarnation || known.entry.service !== entry.service) {
             this.putEndpoint(entry, known, source);
             return true;
         }
         const wasDraining = known.entry.isDraining;
-        known.entry = entry;
+        // The copy from which a store is restored may be older than the endpoint's report that it is draining.
+        known.entry = isRestored && wasDraining ? { ...entry, isDraining: true } : entry;
         known.isRemoved = false;
         if (entry.isDraining && !wasDraining && !known.isLeaving) {
             this.publishChange({ kind: DirectoryChangeKind.Draining, endpoint: known, source });
@@ -97,7 +109,7 @@
     }
 
     /** Removes an endpoint whose entry was removed. The revision, if given, prevents older updates from adding it again. */
-    removeEntry(id: string, revision: number | undefined, source: string): void {
+    removeEntry(id: string, revision: Revision | undefined, source: string): void {
         const known = this.revisionsById.get(id) ?? 0;
         if (revision !== undefined && revision <= known) {
             return;
@@ -107,6 +119,7 @@
         if (endpoint === undefined) {
             return;
         }
+        this.recordRemoval(endpoint);
         this.removeEndpoint(endpoint);
         this.publishChange({ kind: DirectoryChangeKind.Removed, endpoint, source });
     }
@@ -149,6 +162,16 @@
         this.publishChange({ kind, endpoint, previous: known, source });
     }
 
+    private recordRemoval({ entry }: FleetEndpoint): void {
+        this.removedIncarnations.delete(entry.id);
+        this.removedIncarnations.set(entry.id, entry.incarnation);
+        const [oldestId] = this.removedIncarnations.keys();
+        if (this.removedIncarnations.size > maximumRecordedRemovals && oldestId !== undefined) {
+            this.removedIncarnations.delete(oldestId);
+            this.revisionsById.delete(oldestId);
+        }
+    }
+
     private removeEndpoint(endpoint: FleetEndpoint): void {
         endpoint.isRemoved = true;
         this.endpoints.delete(endpoint.entry.id);
--- a/src/fleet/endpointFollower.test.ts
+++ b/src/fleet/endpointFollower.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { SilentEventLog } from "../common/eventLog.js";
 import { DefaultEndpointDecoder } from "../node/bindings/defaultDeployment.js";
+import { createRevision } from "../provider/revision.js";
 import { createEndpointEntry } from "../testing/gatewayParts.js";
 import { VirtualClock } from "../testing/virtualClock.js";
 import { EndpointDirectory } from "./endpointDirectory.js";
@@ -77,3 +78,33 @@
         assert.equal(isUsable("newer"), true, trigger);
     }
 });
+
+test("a restored copy of the store neither brings back an endpoint that was draining or removed nor drops one that it lacks", async () => {
+    const clock = VirtualClock.create();
+    const { directory, follower, isUsable, change } = createFollower(clock);
+    const toObject = (id: string, revision: number) => ({
+        name: `endpoints/${id}`,
+        revision,
+        value: createEndpointEntry({ id }),
+    });
+    change(1, { id: "draining" });
+    change(2, { id: "removed" });
+    change(3, { id: "draining", isDraining: true });
+    follower.handleRemoval("endpoints/removed", 4);
+    change(5, { id: "recent" });
+    await clock.runUntil(5_000);
+    follower.setOutageSource(() => 5_000);
+    follower.handleListing({
+        revision: createRevision(1, 2),
+        objects: [toObject("draining", createRevision(1, 1)), toObject("removed", createRevision(1, 2))],
+    });
+    assert.equal(isUsable("draining") || isUsable("removed"), false);
+    assert.equal(isUsable("recent"), true);
+    // Entries of the era before are older, whichever peer sends them.
+    directory.applyEntry({ entry: createEndpointEntry({ id: "draining" }), revision: 9 }, "peer");
+    assert.equal(isUsable("draining"), false);
+    change(createRevision(1, 3), { id: "recent" });
+    change(createRevision(1, 4), { id: "removed" });
+    await clock.runUntil(9_000);
+    assert.equal(isUsable("recent") && isUsable("removed"), true);
+});
--- a/src/fleet/endpointFollower.ts
+++ b/src/fleet/endpointFollower.ts
@@ -3,6 +3,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { Result } from "../common/results.js";
 import { ObjectChangeHandler } from "../provider/objectWatcher.js";
+import { Revision } from "../provider/revision.js";
 import { ObjectList, StoredObject } from "../provider/types.js";
 import { EndpointDirectory } from "./endpointDirectory.js";
 import { EndpointEntry } from "./types.js";
@@ -25,7 +26,7 @@
 export class EndpointFollower implements ObjectChangeHandler {
     private readonly pendingRemovalRevisions = new Map<string, number>();
     private getOutageEndedAt: () => number = () => -Infinity;
-    private revision = 0;
+    private revision: Revision = 0;
     private changedAt = -Infinity;
 
     private constructor(
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -10,6 +10,7 @@
 import { crashesUntilRefusal } from "../gateway/poisonRequestDetector.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
 import { ServiceWorkTracker } from "../placement/serviceWorkTracker.js";
+import { ObjectStore } from "../provider/objectStore.js";
 import { ObjectWatcher } from "../provider/objectWatcher.js";
 import { FleetRetryBudget } from "../quotas/fleetRetryBudget.js";
 import { SharedRateLimiter } from "../quotas/sharedRateLimiter.js";
@@ -37,6 +38,7 @@
 export interface GatewayDigestDependencies {
     readonly clock: Clock;
     readonly log: EventLog;
+    readonly store: Pick<ObjectStore, "getEra" | "recordEra">;
     readonly table: PeerTable;
     readonly configuration: ConfigurationHolder;
     readonly configurationFollower: ConfigurationFollower;
@@ -92,6 +94,7 @@
             suspects: this.listSuspects(),
             works: dependencies.work.listLocalWork().map(({ service, work }) => ({ service, work })),
             evidence: this.listEvidence(peer),
+            storeEra: BigInt(dependencies.store.getEra()),
             leavingEndpoints: this.listLeavingEndpoints(),
             summary: peer === undefined ? undefined : dependencies.sums.createSummary(peer),
         };
@@ -99,6 +102,7 @@
 
     applyDigest(peer: GatewayPeer, digest: GatewayDigest): void {
         const { dependencies } = this;
+        dependencies.store.recordEra(Number(digest.storeEra));
         dependencies.sums.applyDigest(peer, digest);
         this.applyPlacements(peer, digest);
         this.applyLeavingEndpoints(digest, peer.name);
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -81,3 +81,19 @@
     void stopping.stop().then(() => (isStopped = true));
     await waitUntil(() => isStopped);
 });
+
+test("after the store is restored, nodes register again and keep serving with the newest configuration they have seen", async () => {
+    const copy = platform.store.takeCopy();
+    const version = platform.publishManifest();
+    const { container } = first.node;
+    await waitUntil(() => container.get(Keys.Configuration).getVersion() === version);
+    const restarted = await RoutedGateway.start(platform, { name: "late", peersPort: await pickFreePort(), seeds: first.getPeerAddress() });
+    await waitUntil(() => platform.store.getObject("nodes", "late") !== undefined);
+    platform.store.loadCopy(copy);
+    assert.equal(platform.store.getObject("nodes", "late"), undefined);
+    await waitUntil(() => platform.store.getObject("nodes", "late") !== undefined);
+    assert.equal(container.get(Keys.Configuration).getVersion(), version);
+    assert.equal((await restarted.sendCall("/lookup/1")).status, 200);
+    await waitUntil(() => storelessGateway.node.container.get(Keys.Store).getEra() === container.get(Keys.Store).getEra());
+    await restarted.stop();
+});
--- a/src/gossip/nodeRegistry.ts
+++ b/src/gossip/nodeRegistry.ts
@@ -22,6 +22,8 @@
 /** Registers this node in the store and discovers the other nodes from their entries there. */
 export class NodeRegistry implements ObjectChangeHandler {
     private readonly stopping = new AbortController();
+    /** Whether this node's entry was stored; false while it is being written. */
+    private isRegistered = false;
 
     private constructor(
         private readonly store: ObjectStore,
@@ -36,6 +38,10 @@
 
     handleListing(list: ObjectList): void {
         const listed = new Set(list.objects.map(object => object.name.slice(nodePrefix.length)));
+        if (this.isRegistered && !this.isListed(list)) {
+            // A store that was restored from a copy has lost entries.
+            void this.registerNode();
+        }
         list.objects.forEach(object => this.handleChange(object));
         for (const peer of this.table.listPeers()) {
             if (!listed.has(peer.name) && !this.table.isReachable(peer)) {
@@ -64,8 +70,10 @@
     async registerNode(): Promise<void> {
         const { identity } = this.table;
         const name = nodePrefix + identity.name;
+        this.isRegistered = false;
         while (!this.stopping.signal.aborted) {
             if (await this.writeEntry(name, identity)) {
+                this.isRegistered = true;
                 return;
             }
             await this.clock.sleep(retryDelayMilliseconds, this.stopping.signal);
@@ -76,6 +84,15 @@
         this.stopping.abort();
     }
 
+    /** Returns whether a list has the entry of this node's current incarnation. */
+    private isListed(list: ObjectList): boolean {
+        const { name, incarnation } = this.table.identity;
+        return list.objects.some(object => {
+            const parsed = nodeSchema.safeParse(object.value);
+            return parsed.success && parsed.data.name === name && parsed.data.incarnation === incarnation;
+        });
+    }
+
     private async writeEntry(name: string, identity: PeerIdentity): Promise<boolean> {
         const created = await this.store.createObject(name, identity);
         if (created.ok) {
--- a/src/node/bindings/gatewayPeerBindings.ts
+++ b/src/node/bindings/gatewayPeerBindings.ts
@@ -39,6 +39,7 @@
         const content = GatewayDigestHandler.create({
             clock: context.get(Keys.Clock),
             log: context.get(Keys.Log),
+            store: context.get(Keys.Store),
             table: context.get(Keys.Peers),
             configuration: context.get(Keys.Configuration),
             configurationFollower: context.get(Keys.ConfigurationFollower),
--- a/src/provider/httpObjectStore.ts
+++ b/src/provider/httpObjectStore.ts
@@ -66,6 +66,13 @@
         return this.reachable;
     }
 
+    /** This interface has no eras: its store is never restored from a copy. */
+    getEra(): number {
+        return 0;
+    }
+
+    recordEra(): void {}
+
     async getObject(name: string): Promise<Result<StoredObject | undefined, Failure>> {
         const response = await this.sendRead("get", `objects/${encodeURIComponent(name)}`);
         if (response.err) {
--- a/src/provider/objectWatcher.ts
+++ b/src/provider/objectWatcher.ts
@@ -2,6 +2,7 @@
 import { EventLog } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
 import { ObjectStore } from "./objectStore.js";
+import { getEra, Revision } from "./revision.js";
 import { ObjectList, StoredObject, WatchEvent, WatchEventKind } from "./types.js";
 
 /** Backoff after a failed call, doubled with each further failure up to the maximum. It limits the number of calls, which are counted during an outage too. */
@@ -22,7 +23,9 @@
 /** Keeps a handler up to date with all objects under a prefix: lists them, watches for changes, and lists again when the watch history has expired. */
 export class ObjectWatcher {
     private readonly stopController = new AbortController();
-    private revision: number | undefined;
+    private revision: Revision | undefined;
+    /** Era of the store in the last complete list; undefined before the first. */
+    private era: number | undefined;
     private consecutiveFailures = 0;
     private outageStartedAt: number | undefined;
     private outageEndedAt = -Infinity;
@@ -89,14 +92,25 @@
             return false;
         }
         this.recordSuccess();
+        this.recordEra(listed.val.revision);
         this.revision = listed.val.revision;
         this.handler.handleListing(listed.val);
         this.handleRelist();
         return true;
     }
 
+    /** Treats a restore of the store from a copy like the end of an outage: what was written after the copy is still being written again. */
+    private recordEra(revision: Revision): void {
+        const era = getEra(revision);
+        if (this.era !== undefined && era > this.era) {
+            this.outageEndedAt = this.clock.getMonotonicTime();
+            this.log.log(LogEvents.StoreRestored, { dependency: `store ${this.prefix}`, era, before: this.era });
+        }
+        this.era = era;
+    }
+
     /** Watches until the watch ends; returns whether any event was received. */
-    private async watchOnce(afterRevision: number): Promise<boolean> {
+    private async watchOnce(afterRevision: Revision): Promise<boolean> {
         let hasReceivedEvent = false;
         let hasChange = false;
         for await (const event of this.store.watchObjects(this.prefix, afterRevision, this.stopController.signal)) {
@@ -105,7 +119,7 @@
             if (event.kind === WatchEventKind.Expired) {
                 this.log.log(LogEvents.DependencyLost, {
                     dependency: `watch ${this.prefix}`,
-                    cause: "history is gone",
+                    cause: "history is gone or the store was restored",
                     revision: afterRevision,
                 });
                 this.revision = undefined;
--- a/src/provider/types.ts
+++ b/src/provider/types.ts
@@ -1,10 +1,11 @@
 import { z } from "zod";
 import { Failure } from "../common/failure.js";
+import { Revision } from "./revision.js";
 
 /** An object of the platform's store, with the revision of its last write. */
 export interface StoredObject {
     readonly name: string;
-    readonly revision: number;
+    readonly revision: Revision;
     readonly value: unknown;
     /** Status that this system wrote for the object; undefined in a store that has no status beside the value. */
     readonly status?: unknown;
@@ -12,7 +13,7 @@
 
 /** Objects under a prefix, and the revision of the store at which they were read. */
 export interface ObjectList {
-    readonly revision: number;
+    readonly revision: Revision;
     readonly objects: readonly StoredObject[];
 }
 
@@ -38,14 +39,14 @@
     Removed = "removed",
     /** Shows that the watch is connected, and up to which revision it has reported all changes. */
     Heartbeat = "heartbeat",
-    /** The store no longer has the history from the requested revision on; the objects must be listed again. */
+    /** The store no longer has the history from the requested revision on, or was restored from a copy; the objects must be listed again. */
     Expired = "expired",
 }
 
 /** One event of a watch, with the revision of the store that it reports. */
 export interface WatchEvent {
     readonly kind: WatchEventKind;
-    readonly revision: number;
+    readonly revision: Revision;
     readonly object?: StoredObject;
 }
 
--- a/src/standins/routed/routedStore.ts
+++ b/src/standins/routed/routedStore.ts
@@ -1,5 +1,5 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
-import { Paths, statusPath, StoreQuery } from "../../../platform/wire.js";
+import { HeaderNames, Paths, statusPath, StoreQuery } from "../../../platform/wire.js";
 import { readJson, sendJson, startOnLoopback, stopServer } from "./loopbackHttp.js";
 
 const statusOk = 200;
@@ -25,6 +25,12 @@
     readonly tombstone: boolean;
 }
 
+/** Objects and revision of the store at one moment. */
+export interface StoreCopy {
+    readonly objects: ReadonlyMap<string, WireObject>;
+    readonly revision: number;
+}
+
 /** What a write is about. */
 interface WritePath {
     readonly kind: string;
@@ -51,6 +57,7 @@
     private readonly objects = new Map<string, WireObject>();
     private events: StoreEvent[] = [];
     private revision = 10;
+    private era = 3;
     private oldestRevision = 0;
     private readonly waiting = new Set<() => void>();
 
@@ -96,6 +103,22 @@
         return this.objects.get(`${kind}/${name}`);
     }
 
+    /** Returns a copy of everything stored, from which the store can be restored later. */
+    takeCopy(): StoreCopy {
+        return { objects: new Map(this.objects), revision: this.revision };
+    }
+
+    /** Restores a copy as a drill does: later writes are gone, their revisions are given out again, and the era rises. */
+    loadCopy(copy: StoreCopy): void {
+        this.objects.clear();
+        copy.objects.forEach((object, key) => this.objects.set(key, object));
+        this.revision = copy.revision;
+        this.era += 1;
+        this.events = [];
+        this.oldestRevision = copy.revision;
+        this.server.closeAllConnections();
+    }
+
     /** Forgets the history: watches that started before get 410. */
     removeHistory(): void {
         this.events = [];
@@ -126,6 +149,7 @@
 
     private async serve(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const url = new URL(request.url ?? "", "http://store");
+        response.setHeader(HeaderNames.storeEra, this.era);
         const body = await readJson(request);
         const watch = url.searchParams.get(StoreQuery.watch);
         this.calls.push(`${request.method} ${url.pathname}${watch ? " watch" : ""}`);
@@ -173,7 +197,7 @@
     }
 
     private async serveWatch(kind: string, after: number, wait: number, response: ServerResponse): Promise<void> {
-        if (after < this.oldestRevision) {
+        if (after < this.oldestRevision || after > this.revision) {
             sendJson(response, statusGone, { error: "history is gone" });
             return;
         }
--- a/src/testing/memoryObjectStore.ts
+++ b/src/testing/memoryObjectStore.ts
@@ -5,6 +5,7 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
 import { ObjectStore } from "../provider/objectStore.js";
+import { createRevision, getEra, getStoreRevision, Revision } from "../provider/revision.js";
 import { ObjectList, StoredObject, WatchEvent, WatchEventKind, WriteFailure, WriteOutcome } from "../provider/types.js";
 import { PausableClock, VirtualClock } from "./virtualClock.js";
 
@@ -22,10 +23,10 @@
 
 /** The state that the viewers of one memory store share. */
 export class MemoryObjects {
-    readonly history: StoredObject[] = [];
+    history: StoredObject[] = [];
     readonly removals: { readonly revision: number; readonly object: StoredObject; }[] = [];
-    readonly objects = new Map<string, StoredObject>();
-    revision = 0;
+    objects = new Map<string, StoredObject>();
+    revision: Revision = 0;
 
     /** Virtual time of each write, by its revision. */
     readonly writtenAt = new Map<number, number>();
@@ -36,6 +37,24 @@
         return new MemoryObjects(getTime);
     }
 
+    getEra(): number {
+        return getEra(this.revision);
+    }
+
+    /** Returns a copy of all objects, from which the store can be restored later. */
+    takeCopy(): ObjectList {
+        return { revision: this.revision, objects: [...this.objects.values()] };
+    }
+
+    /** Restores a copy: later writes are gone, their revision numbers are assigned again, and a new era begins. */
+    loadCopy(copy: ObjectList): void {
+        const era = this.getEra() + 1;
+        const move = (revision: Revision) => createRevision(era, getStoreRevision(revision));
+        this.objects = new Map(copy.objects.map(object => [object.name, { ...object, revision: move(object.revision) }]));
+        this.history = [...this.objects.values()].sort((left, right) => left.revision - right.revision);
+        this.revision = move(copy.revision);
+    }
+
     putObject(name: string, value: unknown): number {
         this.revision += 1;
         const object: StoredObject = { name, revision: this.revision, value: JSON.parse(JSON.stringify(value)) as unknown };
@@ -50,6 +69,7 @@
 export class MemoryObjectStore implements ObjectStore {
     readonly faults: StoreFaults = { isDown: false, lostAnswerShare: 0, staleReadShare: 0, delay: 10 };
     private reachable = true;
+    private era = 0;
 
     private constructor(
         private readonly shared: MemoryObjects,
@@ -68,6 +88,14 @@
         return this.reachable;
     }
 
+    getEra(): number {
+        return this.era;
+    }
+
+    recordEra(era: number): void {
+        this.era = Math.max(this.era, era);
+    }
+
     async getObject(name: string): Promise<Result<StoredObject | undefined, Failure>> {
         return this.runRead(() => this.readObject(name));
     }
@@ -86,18 +114,20 @@
         });
     }
 
-    async createObject(name: string, value: unknown): Promise<Result<number, WriteFailure>> {
+    async createObject(name: string, value: unknown): Promise<Result<Revision, WriteFailure>> {
         return this.runWrite(name, () => (this.shared.objects.has(name) ? undefined : this.shared.putObject(name, value)));
     }
 
-    async replaceObject(name: string, value: unknown, expectedRevision: number): Promise<Result<number, WriteFailure>> {
+    async replaceObject(name: string, value: unknown, expectedRevision: Revision): Promise<Result<Revision, WriteFailure>> {
         return this.runWrite(name, () => {
             const current = this.shared.objects.get(name);
-            return current?.revision === expectedRevision ? this.shared.putObject(name, value) : undefined;
-        });
+            // Like the platform's store, it compares its own revision numbers, which a restored copy assigns again.
+            const isExpected = current !== undefined && getStoreRevision(current.revision) === getStoreRevision(expectedRevision);
+            return isExpected ? this.shared.putObject(name, value) : undefined;
+        }, getEra(expectedRevision));
     }
 
-    async removeObject(name: string, expectedRevision: number): Promise<Result<void, WriteFailure>> {
+    async removeObject(name: string, expectedRevision: Revision): Promise<Result<void, WriteFailure>> {
         const removed = await this.runWrite(name, () => {
             const current = this.shared.objects.get(name);
             if (current?.revision !== expectedRevision) {
@@ -110,14 +140,20 @@
         return removed.map(() => undefined);
     }
 
-    async *watchObjects(prefix: string, afterRevision: number, signal: AbortSignal): AsyncIterable<WatchEvent> {
+    async *watchObjects(prefix: string, afterRevision: Revision, signal: AbortSignal): AsyncIterable<WatchEvent> {
         let seen = afterRevision;
+        const era = getEra(afterRevision);
         let heartbeatAt = this.world.getMonotonicTime();
         while (!signal.aborted) {
             await this.clock.sleep(watchPollMilliseconds, signal);
             if (this.faults.isDown) {
                 return;
             }
+            if (this.shared.getEra() !== era || this.era > era) {
+                this.recordEra(this.shared.getEra());
+                yield { kind: WatchEventKind.Expired, revision: seen };
+                return;
+            }
             for (const object of this.shared.history) {
                 if (object.revision > seen && object.name.startsWith(prefix)) {
                     seen = object.revision;
@@ -147,12 +183,21 @@
             return Err(Failure.create(Verdict.NotRun, Diagnostics.Platform_did_not_answer_0, "down"));
         }
         const value = read();
+        const era = this.shared.getEra();
         await this.travel();
+        if (era < this.era) {
+            return Err(Failure.create(Verdict.NotRun, Diagnostics.Platform_did_not_answer_0, "answer of an earlier era"));
+        }
+        this.recordEra(era);
         this.reachable = true;
         return Ok(value);
     }
 
-    private async runWrite(name: string, write: () => number | undefined): Promise<Result<number, WriteFailure>> {
+    private async runWrite(
+        name: string,
+        write: () => Revision | undefined,
+        expectedEra?: number,
+    ): Promise<Result<Revision, WriteFailure>> {
         const startedAt = this.world.getMonotonicTime();
         await this.travel();
         if (this.faults.isDown) {
@@ -163,9 +208,13 @@
             });
         }
         const revision = write();
+        const era = this.shared.getEra();
         await this.travel();
         const isLate = this.world.getMonotonicTime() - startedAt > this.timeLimit;
-        if (isLate || this.random.pickFraction() < this.faults.lostAnswerShare) {
+        const isOfEarlierEra = era < this.era;
+        this.recordEra(era);
+        const isConditionOutdated = revision !== undefined && expectedEra !== undefined && expectedEra !== era;
+        if (isLate || isOfEarlierEra || isConditionOutdated || this.random.pickFraction() < this.faults.lostAnswerShare) {
             return Err({
                 outcome: WriteOutcome.Unknown,
                 failure: Failure.create(Verdict.NotRun, Diagnostics.Platform_did_not_answer_0, "answer lost"),
--- a/src/versions/versionMoves.test.ts
+++ b/src/versions/versionMoves.test.ts
@@ -5,6 +5,7 @@
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { DefaultVersionMoveStore } from "../node/bindings/defaultDeployment.js";
 import { PlacementQuery } from "../placement/types.js";
+import { createRevision } from "../provider/revision.js";
 import { createEndpointEntry, createPlacementQuery } from "../testing/gatewayParts.js";
 import { MemoryObjects, MemoryObjectStore } from "../testing/memoryObjectStore.js";
 import { VirtualClock } from "../testing/virtualClock.js";
@@ -136,3 +137,19 @@
     assert.equal(computeStage(1_000), MoveStage.All);
     assert.equal(computeStage(-500), MoveStage.All);
 });
+
+test("a move that was completed stays completed when the store is restored without its status or its order", () => {
+    const { moves, publish } = createMoves();
+    publish(MoveStage.All);
+    publish(MoveStage.Done);
+    moves.handleListing({ revision: createRevision(1, 2), objects: [] });
+    const move = moves.findMove("desk");
+    assert.equal(move?.account?.stage, MoveStage.Done);
+    moves.handleChange({ name: "version-moves/desk", revision: createRevision(1, 3), value: order });
+    assert.equal(move?.account?.stage, MoveStage.Done);
+    assert.equal(moves.listWithLostStatus().length, 1);
+    if (move?.account !== undefined) {
+        moves.recordStatus(move, { ...move.object, revision: createRevision(1, 4) }, move.account);
+    }
+    assert.equal(moves.listWithLostStatus().length, 0);
+});
--- a/src/versions/versionMoves.ts
+++ b/src/versions/versionMoves.ts
@@ -5,6 +5,7 @@
 import { addCounts, createEmptyCounts, EvidenceCounts, EvidenceEntry, MoveEvidence } from "../control/moves/moveEvidence.js";
 import { VersionJudge } from "../control/moves/versionJudge.js";
 import { ObjectChangeHandler } from "../provider/objectWatcher.js";
+import { getEra } from "../provider/revision.js";
 import { ObjectList, StoredObject } from "../provider/types.js";
 import { isFinalStage, MoveStage, VersionAttempt, VersionMoveDecoder, VersionMoveOrder, VersionMoveStatus, VersionSide } from "./types.js";
 
@@ -17,6 +18,8 @@
     /** The stored object as last read or written. */
     object: StoredObject;
     account: VersionMoveStatus | undefined;
+    /** Whether the store was restored from a copy without the last status, which the duty then writes again. */
+    isStatusLost: boolean;
     /** Monotonic milliseconds at which this node first read the order. */
     readonly seenAt: number;
     /** Unix milliseconds. */
@@ -47,6 +50,7 @@
 export class VersionMoves implements ObjectChangeHandler {
     private readonly moves = new Map<string, VersionMove>();
     private readonly baselines = new Map<string, LatencyBaseline>();
+    private era = 0;
 
     private constructor(
         private readonly decoder: VersionMoveDecoder,
@@ -61,7 +65,11 @@
 
     handleListing(list: ObjectList): void {
         const listed = new Set(list.objects.map(object => object.name));
-        for (const move of [...this.moves.values()].filter(known => !listed.has(known.object.name))) {
+        const isRestored = getEra(list.revision) > this.era;
+        this.era = getEra(list.revision);
+        // After a restore the operator writes the orders again that the copy does not have.
+        const unlisted = isRestored ? [] : [...this.moves.values()].filter(known => !listed.has(known.object.name));
+        for (const move of unlisted) {
             this.moves.delete(move.order.service);
         }
         list.objects.forEach(object => this.handleChange(object));
@@ -76,7 +84,10 @@
         const { order, account } = decoded.val;
         const known = this.moves.get(order.service);
         if (known?.order.target === order.target) {
-            if (object.revision > known.object.revision) {
+            if (getEra(object.revision) > getEra(known.object.revision)) {
+                this.mergeRestoredStatus(known, object, account);
+            }
+            else if (object.revision > known.object.revision) {
                 this.recordStatus(known, object, account);
             }
             return;
@@ -92,10 +103,23 @@
         }
     }
 
+    /** Keeps the status of a move whose object was read from a restored copy, unless the copy's status is as far advanced. */
+    private mergeRestoredStatus(move: VersionMove, object: StoredObject, account: VersionMoveStatus | undefined): void {
+        const isCurrent = account?.target === move.order.target && account.stage === move.account?.stage;
+        if (move.account === undefined || isCurrent) {
+            this.recordStatus(move, object, account);
+            return;
+        }
+        move.object = object;
+        move.isStatusLost = true;
+        this.logStage(move);
+    }
+
     /** Records a status that was written to or read from the store; undefined keeps the previous one. */
     recordStatus(move: VersionMove, object: StoredObject, account: VersionMoveStatus | undefined): void {
         const before = this.getStage(move);
         move.object = object;
+        move.isStatusLost = false;
         if (account !== undefined) {
             move.account = account;
             move.deadline = account.deadline;
@@ -109,11 +133,16 @@
         return this.moves.get(service);
     }
 
-    /** Returns the moves whose stored stage is not final. */
+    /** Returns the moves whose stage is not final. */
     listRunning(): VersionMove[] {
         return [...this.moves.values()].filter(move => !isFinalStage(this.getReportedStage(move)));
     }
 
+    /** Returns the moves whose last status the store has lost. */
+    listWithLostStatus(): VersionMove[] {
+        return [...this.moves.values()].filter(move => move.isStatusLost);
+    }
+
     /** Returns the stage that this node applies: the stored one, or RolledBack at once when this node has a finding. */
     getStage(move: VersionMove): MoveStage {
         const stage = this.getReportedStage(move);
@@ -176,6 +205,7 @@
             object,
             // The status of an earlier order with another target does not apply to this one.
             account: account?.target === order.target ? account : undefined,
+            isStatusLost: false,
             seenAt: this.clock.getMonotonicTime(),
             deadline: account?.target === order.target ? account.deadline : this.clock.getWallTime() + order.duration,
             finding: undefined,
