--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -38,6 +38,8 @@
     /** Time without an update after which a peer is considered unreachable. */
     readonly peerSilence: number;
     readonly leaseTerm: number;
+    /** Time in which a change of the configuration or of the endpoints must be in force on every node. */
+    readonly applyLimit: number;
     readonly quarantineTerm: number;
     /** Time from the stop signal until the listener closes, in which the load balancer removes the node. */
     readonly listenerGrace: number;
@@ -251,6 +253,7 @@
         gossipInterval: readMilliseconds("gossip-interval", 500),
         peerSilence: readMilliseconds("peer-silence", 2_000),
         leaseTerm: readMilliseconds("lease-term", 2_500),
+        applyLimit: readMilliseconds("apply-limit", 2_000),
         quarantineTerm: readMilliseconds("quarantine-term", 10 * millisecondsPerMinute),
         listenerGrace: readMilliseconds("listener-grace", 3_000, 0),
         drainLimit: readMilliseconds("drain-limit", 7_300),
--- a/src/control/commands/leaseManager.ts
+++ b/src/control/commands/leaseManager.ts
@@ -76,6 +76,8 @@
     private continuedFencing: Revision | undefined;
     private observedRevision: Revision = -1;
     private revisionObservedAt = 0;
+    /** The lease as this node last wrote it, so that the next renewal need not read it; undefined when another may have written it since. */
+    private written: { readonly object: StoredObject; readonly lease: StoredLease; } | undefined;
     private observedEra: number | undefined;
     private eraObservedAt = -Infinity;
 
@@ -156,6 +158,12 @@
     /** Reads the lease once; renews it if this node holds it, acquires it if it is free or expired. */
     async runRound(): Promise<void> {
         const startedAt: StartTime = { monotonic: this.clock.getMonotonicTime(), wall: this.clock.getWallTime() };
+        if (this.written !== undefined && this.getGrant() !== undefined) {
+            await this.renewLease(this.written.object, this.written.lease, startedAt);
+            if (this.written !== undefined) {
+                return;
+            }
+        }
         const found = await this.store.getObject(this.name);
         if (found.err) {
             return;
@@ -248,10 +256,12 @@
 
     /** Writes the lease; returns the revision of the write, or undefined if it did not take effect in the era that the lease names. */
     private async writeLease(current: StoredObject | undefined, value: StoredLease): Promise<Revision | undefined> {
-        const written = await writeObject(this.store, this.name, value, current);
-        const isUnknown = written.ok ? written.val === 0 : written.val.outcome === WriteOutcome.Unknown;
-        const revision = isUnknown ? await this.findWrittenRevision(value) : written.ok ? written.val : undefined;
-        return revision !== undefined && getEra(revision) === value.era ? revision : undefined;
+        const result = await writeObject(this.store, this.name, value, current);
+        const isUnknown = result.ok ? result.val === 0 : result.val.outcome === WriteOutcome.Unknown;
+        const revision = isUnknown ? await this.findWrittenRevision(value) : result.ok ? result.val : undefined;
+        const isInEffect = revision !== undefined && getEra(revision) === value.era;
+        this.written = isInEffect ? { object: { name: this.name, revision, value }, lease: value } : undefined;
+        return isInEffect ? revision : undefined;
     }
 
     /** Reads the lease after a write with unknown outcome: the write took effect if the object holds exactly the written value. */
--- a/src/duties/dutyLease.ts
+++ b/src/duties/dutyLease.ts
@@ -3,6 +3,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { LeaseCandidate, LeaseHolderMonitor, LeaseManager } from "../control/commands/leaseManager.js";
 import { PeerTable } from "../gossip/peerTable.js";
+import { RelaySelector } from "../gossip/relaySelector.js";
 import { ObjectStore } from "../provider/objectStore.js";
 import { DutyCredentials } from "./types.js";
 
@@ -31,6 +32,7 @@
         term: number,
         private readonly table: PeerTable,
         private readonly log: EventLog,
+        private readonly plan: Pick<RelaySelector, "isFollowingRelay">,
     ) {
         this.clock = clock;
         this.leaseManager = LeaseManager.create(store, clock, candidate, leaseName, term, {
@@ -39,8 +41,16 @@
     }
 
     /** The term is in milliseconds. */
-    static create(store: ObjectStore, clock: Clock, candidate: LeaseCandidate, term: number, table: PeerTable, log: EventLog): DutyLease {
-        return new DutyLease(store, clock, candidate, term, table, log);
+    static create(
+        store: ObjectStore,
+        clock: Clock,
+        candidate: LeaseCandidate,
+        term: number,
+        table: PeerTable,
+        log: EventLog,
+        plan: Pick<RelaySelector, "isFollowingRelay"> = RelaySelector.create(table),
+    ): DutyLease {
+        return new DutyLease(store, clock, candidate, term, table, log, plan);
     }
 
     /** Acquires and renews the lease until it is released. */
@@ -93,9 +103,9 @@
         }
     }
 
-    /** Returns whether this node must not try to acquire the lease: the holder is reachable or an older node should acquire it. */
+    /** Returns whether this node must not try to acquire the lease: the holder is reachable, or a relay or an older node should acquire it. */
     isHolderReachable(): boolean {
-        return this.isKnownHolderReachable() || this.hasOlderCandidate();
+        return this.isKnownHolderReachable() || this.plan.isFollowingRelay() || this.hasOlderCandidate();
     }
 
     /** Returns whether this node started recently and a reachable node that started well before it can acquire the lease. */
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -32,6 +32,10 @@
 /** Number of usage windows in a digest: the current one and earlier ones whose usage report may still be due. */
 const reportedWindowCount = 4;
 
+const objectListSchema = z.object({
+    revision: z.number(),
+    objects: z.array(z.object({ name: z.string(), revision: z.number(), value: z.unknown(), status: z.unknown().optional() })),
+});
 const revisedEntriesSchema = z.array(z.object({ entry: endpointEntrySchema, revision: z.number() }));
 
 /** Dependencies of the digest handler: the state that it reports to peers and the state into which it merges their digests. */
@@ -94,6 +98,7 @@
             suspects: this.listSuspects(),
             works: dependencies.work.listLocalWork().map(({ service, work }) => ({ service, work })),
             evidence: this.listEvidence(peer),
+            versionMovesRevision: BigInt(dependencies.versions.listObjects().revision),
             storeEra: BigInt(dependencies.store.getEra()),
             leavingEndpoints: this.listLeavingEndpoints(),
             summary: peer === undefined ? undefined : dependencies.sums.createSummary(peer),
@@ -125,7 +130,9 @@
         // A peer that watches the store itself is about to receive a very recent change from its own watch.
         const dependsOnPeers = digest.isFollowing || !digest.isStoreReachable;
         const lacksEndpoints = hasOlderDirectory && (dependsOnPeers || dependencies.endpointFollower.isLatestChangePropagated());
-        if (!lacksConfiguration && !lacksEndpoints) {
+        const moves = dependencies.versions.listObjects();
+        const lacksMoves = Number(digest.versionMovesRevision) < moves.revision;
+        if (!lacksConfiguration && !lacksEndpoints && !lacksMoves) {
             return undefined;
         }
         const configuration = dependencies.configuration.getTable()?.configuration;
@@ -136,6 +143,7 @@
             endpointsJson: lacksEndpoints ? JSON.stringify(newerEntries) : "",
             endpointIds: lacksEndpoints ? entries.map(({ entry }) => entry.id) : [],
             directoryRevision: BigInt(dependencies.endpointFollower.getRevision()),
+            versionMovesJson: lacksMoves ? JSON.stringify(moves) : "",
         };
     }
 
@@ -153,6 +161,12 @@
                 this.applyEntries(parsed.data, state, source);
             }
         }
+        if (state.versionMovesJson !== "") {
+            const parsed = objectListSchema.safeParse(JSON.parse(state.versionMovesJson));
+            if (parsed.success) {
+                dependencies.versions.applyObjects(parsed.data);
+            }
+        }
     }
 
     /** Applies a peer's newer entries. Endpoints missing from its list had been removed by the revision that it reports. */
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -27,6 +27,7 @@
 export class PeerTable {
     private readonly peers = new Map<string, GatewayPeer>();
     private readonly discoveredAtByPeer = new Map<string, number>();
+    private membershipVersion = 0;
 
     private constructor(readonly identity: PeerIdentity, private readonly clock: Clock, private readonly silenceLimit: number) {}
 
@@ -55,9 +56,11 @@
                 sentPlacementSequence: 0,
             });
             this.discoveredAtByPeer.set(identity.name, this.clock.getMonotonicTime());
+            this.membershipVersion += 1;
             return;
         }
         if (identity.incarnation > known.incarnation) {
+            this.membershipVersion += 1;
             known.incarnation = identity.incarnation;
             known.address = identity.address;
             known.failureDomain = identity.failureDomain;
@@ -68,6 +71,7 @@
 
     removePeer(name: string): void {
         this.peers.delete(name);
+        this.membershipVersion += 1;
     }
 
     findPeer(name: string): GatewayPeer | undefined {
@@ -86,6 +90,7 @@
             return false;
         }
         const wasUnreachable = !this.isReachable(peer);
+        this.membershipVersion += wasUnreachable || peer.isLeaving !== digest.isLeaving ? 1 : 0;
         peer.lastSeenAt = this.clock.getMonotonicTime();
         peer.failuresInRow = 0;
         peer.isDirect = true;
@@ -101,6 +106,7 @@
 
     /** Records that an exchange with a peer failed. */
     recordFailure(peer: GatewayPeer): void {
+        this.membershipVersion += 1;
         peer.lastFailedAt = this.clock.getMonotonicTime();
         peer.failuresInRow += 1;
     }
@@ -113,6 +119,7 @@
         if (peer === undefined || identity.incarnation < peer.incarnation || lastSeenAt <= peer.lastSeenAt) {
             return;
         }
+        this.membershipVersion += !this.isReachable(peer) || peer.isLeaving !== state.isLeaving ? 1 : 0;
         peer.lastSeenAt = lastSeenAt;
         peer.isDirect = false;
         Object.assign(peer, state);
@@ -130,6 +137,16 @@
         return age <= recentDiscoveryMilliseconds && peer.failuresInRow === 0;
     }
 
+    /** Returns a number that changes when a peer appears, goes, becomes reachable again or starts to leave. */
+    getMembershipVersion(): number {
+        return this.membershipVersion;
+    }
+
+    /** Returns the time by which silence is measured, in monotonic milliseconds. */
+    getTime(): number {
+        return this.clock.getMonotonicTime();
+    }
+
     listPeers(): GatewayPeer[] {
         return [...this.peers.values()];
     }
--- a/src/gossip/relaySelector.ts
+++ b/src/gossip/relaySelector.ts
@@ -10,6 +10,17 @@
 /** Number of peers that a node calls at once while none is reachable. */
 const isolatedNodeCallLimit = 3;
 
+/** Time for which selected relays are reused while the membership is unchanged, in milliseconds: short compared with the silence after which a peer counts as unreachable. */
+const selectionMilliseconds = 100;
+
+/** Relays of each failure domain, as selected at one time. */
+interface RelaySelection {
+    readonly relaysByDomain: ReadonlyMap<string, readonly string[]>;
+    readonly relays: ReadonlySet<string>;
+    readonly membershipVersion: number;
+    readonly selectedAt: number;
+}
+
 /** A node that can be selected as a relay. */
 interface RelayCandidate {
     readonly name: string;
@@ -22,6 +33,8 @@
  * agreement protocol is needed. While the tables differ, some updates arrive twice or slightly later.
  */
 export class RelaySelector {
+    private selection: RelaySelection | undefined;
+
     private constructor(private readonly table: PeerTable) {}
 
     static create(table: PeerTable): RelaySelector {
@@ -35,17 +48,27 @@
 
     /** Returns whether this node is a relay. */
     isRelaying(): boolean {
-        return this.hasRelays() && this.listRelays(this.table.identity.failureDomain).includes(this.table.identity.name);
+        return this.hasRelays() && this.getSelection().relays.has(this.table.identity.name);
     }
 
     /** Returns whether a peer is a relay. */
     isRelay(peer: GatewayPeer): boolean {
-        return this.hasRelays() && this.listRelays(peer.failureDomain).includes(peer.name);
+        return this.hasRelays() && this.getSelection().relays.has(peer.name);
     }
 
-    /** Returns whether this node receives changes of the store from a relay, within two exchanges. */
+    /** Returns whether this node receives changes of the store from a relay that reads the store, within two exchanges. */
     isFollowingRelay(): boolean {
-        return this.hasRelays() && !this.isRelaying() && this.table.listReachablePeers().some(peer => peer.isDirect && this.isRelay(peer));
+        return this.hasRelays() && !this.isRelaying()
+            && this.listReachableRelays().some(relay => relay.isDirect && relay.isStoreReachable);
+    }
+
+    /** Returns the names of the nodes that read the store for all others: every node of a small fleet, the relays of a larger one. */
+    listReaders(): string[] {
+        if (!this.hasRelays()) {
+            return [this.table.identity.name, ...this.table.listReachablePeers().map(peer => peer.name)];
+        }
+        const readers = this.listReachableRelays().map(relay => relay.name);
+        return this.isRelaying() ? [this.table.identity.name, ...readers] : readers;
     }
 
     /** Returns the peers that this node calls: its relay, or, as a relay, the other relays and the holder of the duty lease. */
@@ -60,7 +83,7 @@
         }
         const domainRelays = this.listRelays(identity.failureDomain);
         if (domainRelays.includes(identity.name)) {
-            const relays = new Set(this.listDomains().flatMap(domain => this.listRelays(domain)));
+            const { relays } = this.getSelection();
             const callees = peers.filter(peer => (relays.has(peer.name) ? this.isCallerOf(peer) : peer.name === leaseHolder));
             return [...callees, ...this.listUnreachablePeers(1)];
         }
@@ -79,15 +102,38 @@
         return unreachable.sort((left, right) => compareNumbers(left.lastFailedAt, right.lastFailedAt)).slice(0, count);
     }
 
-    private listDomains(): string[] {
-        return [...new Set(this.listCandidates().map(candidate => candidate.failureDomain))];
+    private listReachableRelays(): GatewayPeer[] {
+        const peers = [...this.getSelection().relays].map(name => this.table.findPeer(name));
+        return peers.filter(peer => peer !== undefined).filter(peer => this.table.isReachable(peer));
     }
 
     /** Returns the names of a failure domain's relays: the first by name of its nodes that are reachable or recently discovered. */
-    private listRelays(failureDomain: string): string[] {
-        const candidates = this.listCandidates().filter(candidate => candidate.failureDomain === failureDomain);
-        const count = Math.ceil(candidates.length / nodesPerRelay);
-        return candidates.sort((left, right) => (left.name < right.name ? -1 : 1)).slice(0, count).map(candidate => candidate.name);
+    private listRelays(failureDomain: string): readonly string[] {
+        return this.getSelection().relaysByDomain.get(failureDomain) ?? [];
+    }
+
+    /** Returns the current selection; it is asked for several times with each exchange, so it is computed only when it may have changed. */
+    private getSelection(): RelaySelection {
+        const { selection, table } = this;
+        const now = table.getTime();
+        const isCurrent = selection !== undefined && selection.membershipVersion === table.getMembershipVersion()
+            && now - selection.selectedAt < selectionMilliseconds;
+        this.selection = isCurrent ? selection : this.createSelection(now);
+        return this.selection;
+    }
+
+    private createSelection(selectedAt: number): RelaySelection {
+        const namesByDomain = new Map<string, string[]>();
+        for (const { name, failureDomain } of this.listCandidates()) {
+            namesByDomain.set(failureDomain, [...namesByDomain.get(failureDomain) ?? [], name]);
+        }
+        const relaysByDomain = new Map<string, readonly string[]>();
+        for (const [failureDomain, names] of namesByDomain) {
+            const count = Math.ceil(names.length / nodesPerRelay);
+            relaysByDomain.set(failureDomain, names.sort((left, right) => (left < right ? -1 : 1)).slice(0, count));
+        }
+        const relays = new Set([...relaysByDomain.values()].flat());
+        return { relaysByDomain, relays, membershipVersion: this.table.getMembershipVersion(), selectedAt };
     }
 
     private listCandidates(): RelayCandidate[] {
--- a/src/gossip/watchScheduler.test.ts
+++ b/src/gossip/watchScheduler.test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { VirtualClock } from "../testing/virtualClock.js";
 import { PeerTable } from "./peerTable.js";
+import { RelaySelector } from "./relaySelector.js";
 import { GatewayDigest } from "./types.js";
 import { WatchScheduler } from "./watchScheduler.js";
 
@@ -14,14 +15,18 @@
     return table;
 }
 
+function createScheduler(table: PeerTable, clock: VirtualClock): WatchScheduler {
+    return WatchScheduler.create(table, RelaySelector.create(table), clock, 2_000);
+}
+
 test("some store watch ends within 1.3 seconds of any time, with 2, 9 and 74 nodes", async () => {
     for (const count of [2, 9, 74]) {
         const clock = VirtualClock.create();
         const names = Array.from({ length: count }, (_unused, index) => `node-${String(index).padStart(3, "0")}`);
-        const pacings = names.map(name => WatchScheduler.create(createTable(name, names, clock), clock));
+        const pacings = names.map(name => createScheduler(createTable(name, names, clock), clock));
         for (let time = 0; time < 30_000; time += 137) {
             await clock.runUntil(time);
-            const earliestEnd = Math.min(...pacings.map(pacing => pacing.computeWait()));
+            const earliestEnd = Math.min(...pacings.map(pacing => pacing.computeWait(true)));
             assert.equal(earliestEnd <= 1_300, true, `${count} nodes at ${time}: ${earliestEnd}`);
         }
     }
@@ -30,5 +35,5 @@
 test("a node without reachable peers uses watches of at most 1.3 seconds", () => {
     const clock = VirtualClock.create();
     const table = PeerTable.create({ name: "a", failureDomain: "x", address: "127.0.0.1:1", incarnation: 1 }, clock, 2_000);
-    assert.equal(WatchScheduler.create(table, clock).computeWait() <= 1_300, true);
+    assert.equal(createScheduler(table, clock).computeWait(true) <= 1_300, true);
 });
--- a/src/gossip/watchScheduler.ts
+++ b/src/gossip/watchScheduler.ts
@@ -1,8 +1,11 @@
 import { Clock } from "../common/clock.js";
 import { PeerTable } from "./peerTable.js";
+import { RelaySelector } from "./relaySelector.js";
 
-/** Time between the ends of two nodes' watches, in milliseconds: well below the two seconds in which changes must be in force. */
-const turnSpacingMilliseconds = 600;
+/** Time between the ends of two nodes' watches as a share of the time in which a change must be in force. */
+const turnShareOfApplyLimit = 0.3;
+/** The same for changes that are not urgent, as a multiple of that time. */
+const unhurriedTurnFactor = 4;
 /** Wait of a node that reaches too few peers to rely on their updates, in milliseconds. */
 const isolatedNodeWaitMilliseconds = 1_200;
 /** Minimum wait, in milliseconds: a shorter one would end within the same turn again. */
@@ -15,24 +18,32 @@
 /**
  * Spreads the ends of the nodes' store watches over time. A watch can stop responding, or miss changes while the store drops
  * its history, on all nodes at once; the node whose watch ends next detects the changes and sends them to its peers. The
- * number of store requests does not grow with the number of nodes.
+ * number of store requests grows with neither the number of nodes nor that of the nodes that read the store.
  */
 export class WatchScheduler {
-    private constructor(private readonly table: PeerTable, private readonly clock: Clock) {}
+    private constructor(
+        private readonly table: PeerTable,
+        private readonly plan: RelaySelector,
+        private readonly clock: Clock,
+        private readonly applyLimit: number,
+    ) {}
 
-    static create(table: PeerTable, clock: Clock): WatchScheduler {
-        return new WatchScheduler(table, clock);
+    /** `applyLimit` is the time in which a change must be in force on every node, in milliseconds. */
+    static create(table: PeerTable, plan: RelaySelector, clock: Clock, applyLimit: number): WatchScheduler {
+        return new WatchScheduler(table, plan, clock, applyLimit);
     }
 
     /** Returns the maximum duration of a watch that starts now, in milliseconds: the time until this node's next turn. */
-    computeWait(): number {
-        const names = this.table.listReachablePeers().map(peer => peer.name);
-        if (names.length + 1 < this.table.countServingNodes() * minimumReachableShare) {
+    computeWait(isUrgent: boolean): number {
+        const { identity } = this.table;
+        if (this.table.listReachablePeers().length + 1 < this.table.countServingNodes() * minimumReachableShare) {
             return isolatedNodeWaitMilliseconds;
         }
-        const precedingNodes = names.filter(name => name < this.table.identity.name).length;
-        const period = (names.length + 1) * turnSpacingMilliseconds;
-        const timeSinceTurn = (this.clock.getWallTime() - precedingNodes * turnSpacingMilliseconds) % period;
+        const spacing = this.applyLimit * turnShareOfApplyLimit * (isUrgent ? 1 : unhurriedTurnFactor);
+        const readers = this.plan.listReaders();
+        const period = Math.max(1, readers.length) * spacing;
+        const precedingNodes = readers.filter(name => name < identity.name).length;
+        const timeSinceTurn = (this.clock.getWallTime() + period - precedingNodes * spacing) % period;
         const wait = period - timeSinceTurn;
         return Math.min(maximumWaitMilliseconds, wait < minimumWaitMilliseconds ? wait + period : wait);
     }
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -21,7 +21,7 @@
 import { EnginePlacementPolicy } from "../../placement/enginePlacementPolicy.js";
 import { PlacementUpdates } from "../../placement/placementUpdates.js";
 import { ServiceWorkTracker } from "../../placement/serviceWorkTracker.js";
-import { batchPauseMilliseconds, ObjectWatcher } from "../../provider/objectWatcher.js";
+import { ObjectWatcher } from "../../provider/objectWatcher.js";
 import { FleetRetryBudget } from "../../quotas/fleetRetryBudget.js";
 import { SharedRateLimiter } from "../../quotas/sharedRateLimiter.js";
 import { QuarantineLedger } from "../../requests/quarantineLedger.js";
@@ -33,8 +33,6 @@
 import { addDutyBindings } from "./gatewayDutyBindings.js";
 import { addPeerBindings } from "./gatewayPeerBindings.js";
 
-/** Poll interval of the endpoint entries while a relay sends their changes: the poll finds changes that the relay has missed. */
-const relayedEndpointPollMilliseconds = 4_000;
 /** Poll interval of the node entries; gossip distributes new nodes as well. */
 const nodeEntryPollMilliseconds = 1_000;
 /** Upper bound of the seed of the random source, which takes 31 bits. */
@@ -89,7 +87,14 @@
         };
         return PeerTable.create(identity, clock, settings.timing.peerSilence);
     });
-    container.bind(Keys.WatchPacing).toDynamicValue(context => WatchScheduler.create(context.get(Keys.Peers), context.get(Keys.Clock)));
+    container.bind(Keys.WatchPacing).toDynamicValue(context =>
+        WatchScheduler.create(
+            context.get(Keys.Peers),
+            context.get(Keys.RelayPlan),
+            context.get(Keys.Clock),
+            settings.timing.applyLimit,
+        )
+    );
     container.bind(Keys.Registry).toDynamicValue(context =>
         NodeRegistry.create(context.get(Keys.Store), context.get(Keys.Peers), context.get(Keys.Clock), context.get(Keys.Log))
     );
@@ -113,15 +118,16 @@
         const endpoints = ObjectWatcher.create(store, context.get(Keys.EndpointDecoder).prefix, endpointFollower, clock, log);
         endpointFollower.setOutageSource(() => endpoints.getOutageEndedAt());
         const plan = context.get(Keys.RelayPlan);
-        endpoints.setBatchPauseSource(() => plan.isFollowingRelay() ? relayedEndpointPollMilliseconds : batchPauseMilliseconds);
         const nodes = ObjectWatcher.create(store, nodePrefix, context.get(Keys.Registry), clock, log);
         nodes.setBatchPauseSource(() => nodeEntryPollMilliseconds);
-        return {
+        const watches = {
             configuration: ObjectWatcher.create(store, configurationPrefix, context.get(Keys.ConfigurationFollower), clock, log),
             endpoints,
             nodes,
             versions: ObjectWatcher.create(store, context.get(Keys.VersionMoveDecoder).prefix, context.get(Keys.Versions), clock, log),
         };
+        Object.values(watches).forEach(watch => watch.setSuspensionSource(() => plan.isFollowingRelay()));
+        return watches;
     });
 }
 
--- a/src/provider/objectWatcher.ts
+++ b/src/provider/objectWatcher.ts
@@ -10,7 +10,10 @@
 const maximumBackoffMilliseconds = 1_000;
 
 /** Pause after a batch of changes before the next call: changes occur in groups, and one call returns a whole group. */
-export const batchPauseMilliseconds = 200;
+const batchPauseMilliseconds = 200;
+
+/** Pause between two checks whether a suspended watch must start again, in milliseconds: short compared with the time to apply a change. */
+const suspensionPollMilliseconds = 250;
 
 /** Receives the objects and changes that an `ObjectWatcher` reads. */
 export interface ObjectChangeHandler {
@@ -31,6 +34,7 @@
     private outageEndedAt = -Infinity;
     private handleRelist: () => void = () => {};
     private getBatchPause: () => number = () => batchPauseMilliseconds;
+    private isSuspended: () => boolean = () => false;
 
     private constructor(
         private readonly store: ObjectStore,
@@ -54,9 +58,18 @@
         this.getBatchPause = getBatchPause;
     }
 
+    /** Sets a function that returns whether the changes arrive by another path, so that this node need not watch the store. */
+    setSuspensionSource(isSuspended: () => boolean): void {
+        this.isSuspended = isSuspended;
+    }
+
     /** Lists and watches until `stop` is called. */
     async run(): Promise<void> {
         while (!this.stopController.signal.aborted) {
+            if (this.revision !== undefined && this.isSuspended()) {
+                await this.clock.sleep(suspensionPollMilliseconds, this.stopController.signal);
+                continue;
+            }
             const hasSucceeded = this.revision === undefined ? await this.listAll() : await this.watchOnce(this.revision);
             if (this.stopController.signal.aborted) {
                 return;
@@ -127,6 +140,9 @@
             }
             this.revision = Math.max(event.revision, this.revision ?? 0);
             if (event.kind === WatchEventKind.Heartbeat) {
+                if (this.isSuspended()) {
+                    return true;
+                }
                 if (hasChange) {
                     hasChange = false;
                     await this.clock.sleep(this.getBatchPause(), this.stopController.signal);
--- a/src/versions/versionMoves.ts
+++ b/src/versions/versionMoves.ts
@@ -5,7 +5,7 @@
 import { addCounts, createEmptyCounts, EvidenceCounts, EvidenceEntry, MoveEvidence } from "../control/moves/moveEvidence.js";
 import { VersionJudge } from "../control/moves/versionJudge.js";
 import { ObjectChangeHandler } from "../provider/objectWatcher.js";
-import { getEra } from "../provider/revision.js";
+import { getEra, Revision } from "../provider/revision.js";
 import { ObjectList, StoredObject } from "../provider/types.js";
 import { isFinalStage, MoveStage, VersionAttempt, VersionMoveDecoder, VersionMoveOrder, VersionMoveStatus, VersionSide } from "./types.js";
 
@@ -50,7 +50,7 @@
 export class VersionMoves implements ObjectChangeHandler {
     private readonly moves = new Map<string, VersionMove>();
     private readonly baselines = new Map<string, LatencyBaseline>();
-    private era = 0;
+    private revision: Revision = 0;
 
     private constructor(
         private readonly decoder: VersionMoveDecoder,
@@ -65,8 +65,7 @@
 
     handleListing(list: ObjectList): void {
         const listed = new Set(list.objects.map(object => object.name));
-        const isRestored = getEra(list.revision) > this.era;
-        this.era = getEra(list.revision);
+        const isRestored = getEra(list.revision) > getEra(this.revision);
         // After a restore the operator writes the orders again that the copy does not have.
         const unlisted = isRestored ? [] : [...this.moves.values()].filter(known => !listed.has(known.object.name));
         for (const move of unlisted) {
@@ -76,6 +75,7 @@
     }
 
     handleChange(object: StoredObject): void {
+        this.recordRevision(object.revision);
         const decoded = this.decoder.decodeMove(object);
         if (decoded.err) {
             this.log.log(LogEvents.VersionMoveFaulty, { order: object.name, revision: object.revision, fault: decoded.val });
@@ -95,7 +95,8 @@
         this.addMove(order, object, account);
     }
 
-    handleRemoval(name: string): void {
+    handleRemoval(name: string, revision: Revision): void {
+        this.recordRevision(revision);
         for (const move of this.moves.values()) {
             if (move.object.name === name) {
                 this.moves.delete(move.order.service);
@@ -117,6 +118,7 @@
 
     /** Records a status that was written to or read from the store; undefined keeps the previous one. */
     recordStatus(move: VersionMove, object: StoredObject, account: VersionMoveStatus | undefined): void {
+        this.recordRevision(object.revision);
         const before = this.getStage(move);
         move.object = object;
         move.isStatusLost = false;
@@ -129,6 +131,19 @@
         }
     }
 
+    /** Returns the orders as last read or written, with the highest revision of any change to them, to send to nodes that do not read the store. */
+    listObjects(): ObjectList {
+        return { revision: this.revision, objects: [...this.moves.values()].map(move => move.object) };
+    }
+
+    /** Applies the list of a peer if it is newer than what this node has read or received. */
+    applyObjects(list: ObjectList): void {
+        if (list.revision > this.revision) {
+            this.handleListing(list);
+            this.recordRevision(list.revision);
+        }
+    }
+
     findMove(service: string): VersionMove | undefined {
         return this.moves.get(service);
     }
@@ -198,6 +213,10 @@
         }
     }
 
+    private recordRevision(revision: Revision): void {
+        this.revision = Math.max(this.revision, revision);
+    }
+
     private addMove(order: VersionMoveOrder, object: StoredObject, account: VersionMoveStatus | undefined): void {
         const evidence = MoveEvidence.create();
         const move: VersionMove = {
