--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -81,7 +81,7 @@
             member: { ...identity, incarnation: BigInt(identity.incarnation) },
             isLeaving: dependencies.getIsLeaving(),
             isStoreReachable: this.isStoreCurrent(),
-            isFollowing: dependencies.plan.isFollowingRelay(),
+            isFollowing: dependencies.plan.isFollowingReader(),
             configurationVersion: BigInt(dependencies.configuration.getVersion()),
             directoryRevision: BigInt(dependencies.endpointFollower.getRevision()),
             // In a fleet with relays, the summary lists the members.
--- a/src/gossip/relaySelector.ts
+++ b/src/gossip/relaySelector.ts
@@ -7,6 +7,9 @@
 /** Nodes of a failure domain for each relay. A larger value means more exchanges for a relay, a smaller one more pairs of relays. */
 const nodesPerRelay = 16;
 
+/** Failure domains in which a relay reads the store: with two, the fleet notices changes while one of them is cut off or lost. */
+const readingDomains = 2;
+
 /** Number of peers that a node calls at once while none is reachable. */
 const isolatedNodeCallLimit = 3;
 
@@ -56,19 +59,38 @@
         return this.hasRelays() && this.getSelection().relays.has(peer.name);
     }
 
-    /** Returns whether this node receives changes of the store from a relay that reads the store, within two exchanges. */
+    /** Returns whether this node is not a relay and exchanges digests with one, so that it knows within two exchanges what relays know. */
     isFollowingRelay(): boolean {
-        return this.hasRelays() && !this.isRelaying()
-            && this.listReachableRelays().some(relay => relay.isDirect && relay.isStoreReachable);
+        return this.hasRelays() && !this.isRelaying() && this.listReachableRelays().some(relay => relay.isDirect);
     }
 
-    /** Returns the names of the nodes that read the store for all others: every node of a small fleet, the relays of a larger one. */
+    /**
+     * Returns whether this node receives changes of the store from peers and need not read it itself: it follows a relay, or it is a
+     * relay that exchanges digests with a reader whose last call to the store succeeded.
+     */
+    isFollowingReader(): boolean {
+        if (!this.isRelaying()) {
+            return this.isFollowingRelay();
+        }
+        const names = this.listReaders();
+        const readers = names.map(name => this.table.findPeer(name));
+        return !names.includes(this.table.identity.name)
+            && readers.some(reader => reader?.isDirect === true && reader.isStoreReachable);
+    }
+
+    /**
+     * Returns the names of the nodes that read the store for all others. In a small fleet all nodes do; in a larger one a relay in
+     * each of the first failure domains, preferably one whose last call to the store succeeded.
+     */
     listReaders(): string[] {
+        const { identity } = this.table;
         if (!this.hasRelays()) {
-            return [this.table.identity.name, ...this.table.listReachablePeers().map(peer => peer.name)];
+            return [identity.name, ...this.table.listReachablePeers().map(peer => peer.name)];
         }
-        const readers = this.listReachableRelays().map(relay => relay.name);
-        return this.isRelaying() ? [this.table.identity.name, ...readers] : readers;
+        const self = this.isRelaying() ? [{ name: identity.name, failureDomain: identity.failureDomain, isStoreReachable: true }] : [];
+        const relays = [...self, ...this.listReachableRelays()];
+        const connected = relays.filter(relay => relay.isStoreReachable);
+        return selectReaders(connected.length > 0 ? connected : relays);
     }
 
     /** Returns the peers that this node calls: its relay, or, as a relay, the other relays and the holder of the duty lease. */
@@ -145,6 +167,18 @@
     }
 }
 
+/** Returns the first relay by name of each of the first failure domains. */
+function selectReaders(relays: readonly RelayCandidate[]): string[] {
+    const sorted = [...relays].sort((left, right) => (left.name < right.name ? -1 : 1));
+    const firstByDomain = new Map<string, string>();
+    for (const { name, failureDomain } of sorted) {
+        if (!firstByDomain.has(failureDomain)) {
+            firstByDomain.set(failureDomain, name);
+        }
+    }
+    return [...firstByDomain].sort(([left], [right]) => (left < right ? -1 : 1)).slice(0, readingDomains).map(([, name]) => name);
+}
+
 /** Compares numbers for sorting, including infinite ones, whose difference is not a number. */
 function compareNumbers(left: number, right: number): number {
     if (left === right) {
--- a/src/gossip/relays.test.ts
+++ b/src/gossip/relays.test.ts
@@ -158,3 +158,31 @@
     await fleet.runRounds(24);
     checkSums(fleet);
 });
+
+/** Creates the plan of a node that has exchanged digests with all others; `isConnected` tells which of them reach the store. */
+function createPlan(name: string, names: readonly string[], isConnected: (name: string) => boolean): RelaySelector {
+    const clock = VirtualClock.create();
+    const getDomain = (node: string) => node.split("-")[0] ?? "";
+    const table = PeerTable.create({ name, failureDomain: getDomain(name), address: "x:1", incarnation: 1 }, clock, silenceMilliseconds);
+    for (const peer of names.filter(candidate => candidate !== name)) {
+        const member = { name: peer, failureDomain: getDomain(peer), address: `${peer}:1`, incarnation: 1n };
+        table.recordDigest(create(GatewayDigestSchema, { member, isStoreReachable: isConnected(peer) }));
+    }
+    return RelaySelector.create(table);
+}
+
+test("two relays in different failure domains read the store for a large fleet, and other nodes only while none of them reaches it", () => {
+    for (const nodesPerDomain of [6, 39]) {
+        const names = ["a", "b", "c", "d", "e"].flatMap(domain =>
+            Array.from({ length: nodesPerDomain }, (_value, index) => `${domain}-${String(index).padStart(2, "0")}`)
+        );
+        const listReading = (isConnected: (name: string) => boolean) =>
+            names.filter(name => !createPlan(name, names, isConnected).isFollowingReader());
+        assert.deepEqual(listReading(() => true), ["a-00", "b-00"]);
+        // A reader without the store keeps trying; the next relay reads in its place.
+        const withoutFirst = listReading(name => name !== "a-00");
+        assert.equal(withoutFirst.includes("b-00") && withoutFirst.length <= 3, true, withoutFirst.join(" "));
+        const withoutStore = listReading(() => false);
+        assert.equal(withoutStore.length, 5 * Math.ceil(nodesPerDomain / 16));
+    }
+});
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -33,6 +33,8 @@
 import { addDutyBindings } from "./gatewayDutyBindings.js";
 import { addPeerBindings } from "./gatewayPeerBindings.js";
 
+/** Pause after a batch of changes of endpoints, as a share of the time in which a change must be in force: each batch is one call. */
+const batchPauseShareOfApplyLimit = 0.1;
 /** Poll interval of the node entries; gossip distributes new nodes as well. */
 const nodeEntryPollMilliseconds = 1_000;
 /** Upper bound of the seed of the random source, which takes 31 bits. */
@@ -119,6 +121,7 @@
         endpointFollower.setOutageSource(() => endpoints.getOutageEndedAt());
         const plan = context.get(Keys.RelayPlan);
         const nodes = ObjectWatcher.create(store, nodePrefix, context.get(Keys.Registry), clock, log);
+        endpoints.setBatchPauseSource(() => settings.timing.applyLimit * batchPauseShareOfApplyLimit);
         nodes.setBatchPauseSource(() => nodeEntryPollMilliseconds);
         const watches = {
             configuration: ObjectWatcher.create(store, configurationPrefix, context.get(Keys.ConfigurationFollower), clock, log),
@@ -126,7 +129,7 @@
             nodes,
             versions: ObjectWatcher.create(store, context.get(Keys.VersionMoveDecoder).prefix, context.get(Keys.Versions), clock, log),
         };
-        Object.values(watches).forEach(watch => watch.setSuspensionSource(() => plan.isFollowingRelay()));
+        Object.values(watches).forEach(watch => watch.setSuspensionSource(() => plan.isFollowingReader()));
         return watches;
     });
 }
--- a/src/testing/gatewayProcess.ts
+++ b/src/testing/gatewayProcess.ts
@@ -18,6 +18,7 @@
     "bounds.quota-slack": "140000",
     "bounds.quota-window-s": "8",
     "bounds.window-s": "1",
+    "bounds.drain-ms": "2000",
     "bounds.usage-late-s": "10",
     "bounds.canary-share": "0.1",
     "bounds.canary-slack": "50",
