--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -64,7 +64,8 @@
     /** Speeds of engines, and the penalties in milliseconds that routing adds to the cost of an endpoint. */
     readonly engines: {
         readonly promptTokensPerMillisecond: number;
-        readonly outputToken: number;
+        readonly step: number;
+        readonly stepPerRequest: number;
         readonly batchPenalty: number;
         readonly domainPenalty: number;
         readonly copyPenalty: number;
@@ -197,7 +198,8 @@
 function readEngines(reader: SectionReader): GatewaySettings["engines"] {
     return {
         promptTokensPerMillisecond: reader.readNumber("prompt-tokens-per-millisecond", 0.001, 100_000, 48.2),
-        outputToken: reader.readNumber("output-token-milliseconds", 0, 1_000, 0.4),
+        step: reader.readNumber("step-milliseconds", 0, 1_000, 3),
+        stepPerRequest: reader.readNumber("step-milliseconds-per-request", 0, 1_000, 0.1),
         batchPenalty: reader.readNumber("batch-penalty-milliseconds", 0, 1_000, 1.5),
         domainPenalty: reader.readNumber("domain-penalty-milliseconds", 0, 10_000, 30),
         copyPenalty: reader.readNumber("copy-penalty-milliseconds-per-1000-tokens", 0, 10_000, 20),
@@ -214,7 +216,7 @@
 
 function readFleet(reader: SectionReader): GatewaySettings["fleet"] {
     return {
-        targetUtilization: reader.readNumber("target-utilization", 0.05, 2, 1),
+        targetUtilization: reader.readNumber("target-utilization", 0.05, 2, 0.85),
         leastNeeded: reader.readInteger("least-needed", 0, 10_000, 2),
         shrinkDelay: reader.readInteger("shrink-delay-milliseconds", 0, millisecondsPerMinute, 2_500),
         reclaimableShrinkDelay: reader.readInteger("reclaimable-shrink-delay-milliseconds", 0, millisecondsPerMinute, 10_000),
--- a/src/duties/fleetDuty.test.ts
+++ b/src/duties/fleetDuty.test.ts
@@ -58,7 +58,7 @@
         }],
     });
     const directory = EndpointDirectory.create(clock);
-    const work = ServiceWorkTracker.create(clock, { promptTokensPerMillisecond: 48, outputToken: 0.4 });
+    const work = ServiceWorkTracker.create(clock, { promptTokensPerMillisecond: 48, step: 3, stepPerRequest: 0.1 });
     const moves = VersionMoves.create(DefaultVersionMoveStore.create(store), table.identity, clock, log);
     const api = new RecordingApi();
     const duty = FleetDuty.create({
--- a/src/gossip/relays.test.ts
+++ b/src/gossip/relays.test.ts
@@ -35,7 +35,7 @@
         this.directory = EndpointDirectory.create(clock);
         this.directory.applyEntry({ entry: createEndpointEntry({ id: "e" }), revision: 1 }, "test");
         this.loads = PeerLoadTracker.create(this.directory, clock);
-        const work = ServiceWorkTracker.create(clock, { promptTokensPerMillisecond: 48, outputToken: 1 });
+        const work = ServiceWorkTracker.create(clock, { promptTokensPerMillisecond: 48, step: 1, stepPerRequest: 0 });
         this.sums = FleetSummaryAggregator.create({ clock, table: this.table, plan: this.plan, caps: this.caps, work, loads: this.loads });
         this.getEndpoint().running = 1;
     }
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -136,7 +136,12 @@
 
 function addPlacementBindings(container: Container, settings: GatewaySettings): void {
     container.bind(Keys.PlacementUpdates).toDynamicValue(() => PlacementUpdates.create());
-    container.bind(Keys.ServiceWorkTracker).toDynamicValue(context => ServiceWorkTracker.create(context.get(Keys.Clock), settings.engines));
+    container.bind(Keys.ServiceWorkTracker).toDynamicValue(context => {
+        const configuration = context.get(Keys.Configuration);
+        const tracker = ServiceWorkTracker.create(context.get(Keys.Clock), settings.engines);
+        tracker.setSlotsSource(service => configuration.getTable()?.findService(service)?.engine?.slots ?? 1);
+        return tracker;
+    });
     container.bind(Keys.EnginePlacement).toDynamicValue(() => EnginePlacementPolicy.create(settings.engines, settings.failureDomain));
     container.bind(Keys.CallPlacement).toDynamicValue(context => {
         const clock = context.get(Keys.Clock);
--- a/src/placement/serviceWorkTracker.ts
+++ b/src/placement/serviceWorkTracker.ts
@@ -9,10 +9,14 @@
 /** Assumed speed of an engine. */
 export interface TokenProcessingTimes {
     readonly promptTokensPerMillisecond: number;
-    /** Engine time of one output token in a batch of usual size, in milliseconds. */
-    readonly outputToken: number;
+    /** Engine time of a step, which produces one token of each running request: a fixed part and a part for each request, in milliseconds. */
+    readonly step: number;
+    readonly stepPerRequest: number;
 }
 
+/** Share of an engine's slots that its batches are planned to fill: fuller ones leave no room for a burst. */
+const plannedBatchShare = 0.5;
+
 /** Engine time demand of one service, in milliseconds of engine time per second. */
 export interface ServiceWork {
     readonly service: string;
@@ -29,6 +33,7 @@
 export class ServiceWorkTracker {
     private readonly localRates = new Map<string, DecayingWorkRate>();
     private readonly peerRatesByService = new Map<string, Map<string, DecayingWorkRate>>();
+    private getSlots: (service: string) => number = () => 1;
 
     private constructor(private readonly clock: Clock, private readonly times: TokenProcessingTimes) {}
 
@@ -36,11 +41,16 @@
         return new ServiceWorkTracker(clock, times);
     }
 
+    /** Sets the function that returns the slots of a service's engines. */
+    setSlotsSource(getSlots: (service: string) => number): void {
+        this.getSlots = getSlots;
+    }
+
     /** Adds the estimated engine time of a generation that this node sends to an engine. */
     recordWork(service: string, tokensToRead: number, outputTokens: number): void {
         const now = this.clock.getMonotonicTime();
         const rate = this.localRates.get(service) ?? { work: 0, at: now };
-        const milliseconds = tokensToRead / this.times.promptTokensPerMillisecond + outputTokens * this.times.outputToken;
+        const milliseconds = tokensToRead / this.times.promptTokensPerMillisecond + outputTokens * this.computeTokenTime(service);
         rate.work = computeDecayedWork(rate, now) + milliseconds * millisecondsPerSecond / workTimeConstantMilliseconds;
         rate.at = now;
         this.localRates.set(service, rate);
@@ -77,6 +87,12 @@
         return this.computeSum(service, () => true);
     }
 
+    /** Returns the engine time of one output token: the fixed part of a step is shared by the batch. */
+    private computeTokenTime(service: string): number {
+        const batch = Math.max(1, this.getSlots(service) * plannedBatchShare);
+        return this.times.step / batch + this.times.stepPerRequest;
+    }
+
     private computeSum(service: string, isCounted: (source: string) => boolean): number {
         const now = this.clock.getMonotonicTime();
         const localRate = this.localRates.get(service);
