Release the first on-demand endpoints as soon as ordered ones serve in their place

The duty waited 2.5 s for endpoints that register late, and then held a surplus for the delay that guards against a load that falls and rises.

Change: orders begin after one heartbeat without a new endpoint; endpoints that register later but started before the first order still count to the baseline; while the need is the baseline it does not vary, so the delay does not apply.

Test: a third case in fleetDuty.test.ts, failing before. The second case gave ordered endpoints the start time of the first ones, which no real one has; it now gives them the time at which they start.

--- a/src/duties/fleetDuty.test.ts
+++ b/src/duties/fleetDuty.test.ts
@@ -104,7 +104,8 @@
     const register = (prefix: string, isReclaimable: boolean) => {
         for (let index = 0; index < total; index += 1) {
             const failureDomain = domains[index % domains.length] as string;
-            const entry = createEndpointEntry({ id: `${prefix}-${index}`, failureDomain, slots: 64, isReclaimable });
+            const incarnation = clock.getWallTime();
+            const entry = createEndpointEntry({ id: `${prefix}-${index}`, incarnation, failureDomain, slots: 64, isReclaimable });
             directory.applyEntry({ entry, revision: directory.listAll().length + 1 }, "test");
         }
     };
@@ -123,3 +124,39 @@
     const reclaimable = domains.reduce((sum, domain) => sum + (latest.get(`${domain}/true`) ?? 0), 0);
     assert.equal(reclaimable, total, JSON.stringify([...latest]));
 });
+
+test("before the load is measured, on-demand endpoints are released as soon as ordered ones serve in their place, also those registered late", async () => {
+    const { clock, directory, api, duty } = createDuty();
+    await clock.runUntil(1_000);
+    const startedAt = clock.getWallTime();
+    const register = (prefix: string, count: number, isReclaimable: boolean, incarnation: number) => {
+        for (let index = 0; index < count; index += 1) {
+            const failureDomain = domains[index % domains.length] as string;
+            const entry = createEndpointEntry({ id: `${prefix}-${index}`, incarnation, failureDomain, slots: 64, isReclaimable });
+            directory.applyEntry({ entry, revision: directory.listAll().length + 1 }, "test");
+        }
+    };
+    const runRounds = async (until: number) => {
+        while (clock.getMonotonicTime() < until) {
+            await duty.runRound({ holder: "n", fencing: 1 });
+            await clock.runUntil(clock.getMonotonicTime() + roundMilliseconds);
+        }
+    };
+    const countOrdered = (isReclaimable: boolean) => {
+        const latest = new Map(
+            api.orders.filter(order => order.isReclaimable === isReclaimable).map(order => [order.failureDomain, order.count]),
+        );
+        return [...latest.values()].reduce((sum, count) => sum + count, 0);
+    };
+    register("first", 9, false, startedAt);
+    await runRounds(3_000);
+    assert.equal(countOrdered(true), 9);
+    register("late", 3, false, startedAt);
+    await runRounds(4_000);
+    assert.equal(countOrdered(true), 12);
+    register("ordered", 12, true, clock.getWallTime());
+    await runRounds(4_600);
+    assert.equal(api.orders.some(order => !order.isReclaimable), true);
+    assert.equal(countOrdered(false), 0);
+    assert.equal(countOrdered(true), 12);
+});
--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -47,16 +47,16 @@
 /** Time under load after which the measured load is used, in milliseconds: twice the time constant of its moving average. */
 const loadMeasurementMilliseconds = 8_000;
 
-/** Time without a new endpoint after which the baseline is complete, in milliseconds: two heartbeats. */
-const baselineSettleMilliseconds = 2_500;
+/** Time without a new endpoint after which the first orders are sent, in milliseconds: one heartbeat. */
+const baselineSettleMilliseconds = 1_300;
 
 /** Endpoints that served when this node took over the duty; the fleet keeps this size until the load has been measured. */
 interface FleetBaseline {
     endpoints: number;
     /** Monotonic time at which an endpoint was last added. */
     lastGrownAt: number;
-    /** Whether the baseline is final, because no endpoint was added for the settle time. */
-    isComplete: boolean;
+    /** Unix milliseconds at which orders began, because no endpoint was added for the settle time; undefined before. */
+    orderedSince: number | undefined;
     /** Monotonic time at which load was first measured; undefined before. */
     loadSince: number | undefined;
 }
@@ -107,7 +107,7 @@
     }
 
     private async runService(service: RoutedService, scaling: ScalingBounds): Promise<void> {
-        if (this.baselines.get(service.name)?.isComplete !== true) {
+        if (this.baselines.get(service.name)?.orderedSince === undefined) {
             return;
         }
         const domains = scaling.domainPrices.map(({ failureDomain, price }) => this.createDomain(service, scaling, failureDomain, price));
@@ -139,23 +139,27 @@
     }
 
     /**
-     * Grows the baseline until it is complete. Endpoints register one after the other when a deployment starts; an order sized
-     * by those registered so far would remove the others.
+     * Grows the baseline by the endpoints that started before the first order. They register one after the other when a deployment
+     * starts; an order sized by those registered so far would remove the others.
      */
     private updateBaseline(service: RoutedService): void {
-        const now = this.dependencies.clock.getMonotonicTime();
-        const serving = this.listServing(service.name).length;
-        const baseline = this.baselines.get(service.name) ?? { endpoints: 0, lastGrownAt: now, isComplete: false, loadSince: undefined };
+        const { clock } = this.dependencies;
+        const now = clock.getMonotonicTime();
+        const baseline: FleetBaseline = this.baselines.get(service.name)
+            ?? { endpoints: 0, lastGrownAt: now, orderedSince: undefined, loadSince: undefined };
+        const orderedSince = baseline.orderedSince ?? Infinity;
+        const serving = this.listServing(service.name).filter(({ entry }) => entry.incarnation < orderedSince).length;
         this.baselines.set(service.name, baseline);
         if (this.dependencies.work.computeTotal(service.name) > 0) {
             baseline.loadSince ??= now;
         }
-        // Endpoints that register later were ordered by this duty, partly to replace those of the baseline.
-        baseline.isComplete ||= now - baseline.lastGrownAt >= baselineSettleMilliseconds;
-        if (!baseline.isComplete && serving > baseline.endpoints) {
+        if (serving > baseline.endpoints) {
             baseline.endpoints = serving;
             baseline.lastGrownAt = now;
         }
+        if (now - baseline.lastGrownAt >= baselineSettleMilliseconds) {
+            baseline.orderedSince ??= clock.getWallTime();
+        }
     }
 
     /** Returns the endpoints to keep until this node, as the new holder, has measured the load for long enough; then 0. */
@@ -223,15 +227,20 @@
             // A smaller order could remove endpoints of either version.
             return;
         }
-        if (now < state.retryAt || (isSmaller && !this.isShrinkDelayOver(state, now, isReclaimable))) {
+        if (now < state.retryAt || (isSmaller && !this.mayShrink(service.name, state, now, isReclaimable))) {
             return;
         }
         await this.sendOrder({ service: service.name, failureDomain, isReclaimable, count }, state, serving);
     }
 
     /** Returns whether a smaller number has been sufficient for the shrink delay; starts the delay when it was not running. */
-    private isShrinkDelayOver(state: OrderState, now: number, isReclaimable: boolean): boolean {
+    private mayShrink(service: string, state: OrderState, now: number, isReclaimable: boolean): boolean {
         const { settings } = this.dependencies;
+        const baseline = this.baselines.get(service);
+        if (!isReclaimable && baseline !== undefined && !this.isMeasured(baseline)) {
+            // Until the load is measured the need is the baseline and does not vary: reclaimable endpoints already serve instead.
+            return true;
+        }
         state.surplusSince ??= now;
         return now - state.surplusSince >= (isReclaimable ? settings.reclaimableShrinkDelay : settings.shrinkDelay);
     }
