Try one failure domain at a time while no reclaimable endpoints are to be had

Change: the domains take turns, one try every two seconds; after the first success the others follow round by round. A service whose endpoints are never reclaimable gets no such orders any more. Test: a fourth case in fleetDuty.test.ts.

--- a/src/duties/fleetDuty.test.ts
+++ b/src/duties/fleetDuty.test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { SilentEventLog } from "../common/eventLog.js";
 import { SeededRandom } from "../common/random.js";
-import { Ok, Result } from "../common/results.js";
+import { Err, Ok, Result } from "../common/results.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { PeerTable } from "../gossip/peerTable.js";
 import { DefaultVersionMoveStore } from "../node/bindings/defaultDeployment.js";
@@ -15,7 +15,7 @@
 import { VersionTraffic } from "../versions/versionTraffic.js";
 import { DutyLease } from "./dutyLease.js";
 import { FleetDuty } from "./fleetDuty.js";
-import { DutyApi, DutyFailure, EndpointOrder } from "./types.js";
+import { DutyApi, DutyFailure, DutyOutcome, EndpointOrder } from "./types.js";
 
 const domains = ["a", "b", "c"];
 const roundMilliseconds = 250;
@@ -23,12 +23,18 @@
 /** Accepts all calls and records the orders. */
 class RecordingApi implements DutyApi {
     readonly orders: EndpointOrder[] = [];
+    hasReclaimable = true;
+    refusals = 0;
 
     async sendUsage(): Promise<Result<void, DutyFailure>> {
         return Ok(undefined);
     }
 
     async orderEndpoints(order: EndpointOrder): Promise<Result<void, DutyFailure>> {
+        if (order.isReclaimable && !this.hasReclaimable) {
+            this.refusals += 1;
+            return Err({ outcome: DutyOutcome.Unavailable, text: "" });
+        }
         this.orders.push(order);
         return Ok(undefined);
     }
@@ -160,3 +166,26 @@
     assert.equal(countOrdered(false), 0);
     assert.equal(countOrdered(true), 12);
 });
+
+test("while no failure domain has reclaimable endpoints available, they are tried in turns, and all are ordered once one is available", async () => {
+    const { clock, directory, api, duty } = createDuty();
+    await clock.runUntil(1_000);
+    for (let index = 0; index < 6; index += 1) {
+        const entry = createEndpointEntry({ id: `first-${index}`, failureDomain: domains[index % domains.length] as string, slots: 64 });
+        directory.applyEntry({ entry, revision: index + 1 }, "test");
+    }
+    const runRounds = async (until: number) => {
+        while (clock.getMonotonicTime() < until) {
+            await duty.runRound({ holder: "n", fencing: 1 });
+            await clock.runUntil(clock.getMonotonicTime() + roundMilliseconds);
+        }
+    };
+    api.hasReclaimable = false;
+    await runRounds(23_000);
+    // One try in each domain at first, then one every two seconds.
+    assert.equal(api.refusals <= domains.length + 11, true, String(api.refusals));
+    api.hasReclaimable = true;
+    await runRounds(27_000);
+    const ordered = new Set(api.orders.filter(order => order.isReclaimable).map(order => order.failureDomain));
+    assert.equal(ordered.size, domains.length);
+});
--- a/src/duties/fleetDuty.ts
+++ b/src/duties/fleetDuty.ts
@@ -74,11 +74,18 @@
     surplusSince: number | undefined;
 }
 
+/** Which failure domain without available reclaimable endpoints is tried next, and the monotonic time of the next try. */
+interface ProbeState {
+    turn: number;
+    nextAt: number;
+}
+
 /** Scales the fleet: orders endpoints from the cloud so that each service has as many as its load requires. */
 export class FleetDuty {
     private readonly states = new Map<string, OrderState>();
     private readonly planner = FleetPlanner.create();
     private readonly baselines = new Map<string, FleetBaseline>();
+    private readonly probes = new Map<string, ProbeState>();
     private actingFencing = 0;
 
     private constructor(private readonly dependencies: FleetDutyDependencies) {}
@@ -115,7 +122,8 @@
         const targets = this.planner.computeTargets(domains, { needed, minimum: scaling.minimum, maximum: scaling.maximum });
         // Endpoints are released only as far as the serving ones exceed the need, since ordered ones may not serve yet.
         let surplus = this.listServing(service.name).length - needed;
-        for (const isReclaimable of [true, false]) {
+        const probedDomain = this.takeProbedDomain(service.name, domains);
+        for (const isReclaimable of scaling.reclaimablePrice === undefined ? [false] : [true, false]) {
             for (const target of targets) {
                 const domain = domains.find(candidate => candidate.failureDomain === target.failureDomain);
                 const isUnavailable = isReclaimable && domain?.isReclaimableAvailable !== true;
@@ -125,11 +133,39 @@
                 const serving = this.countServing(service.name, target.failureDomain, isReclaimable);
                 const kept = Math.max(count, serving - Math.max(0, surplus));
                 surplus -= Math.max(0, serving - kept);
+                if (isUnavailable && target.failureDomain !== probedDomain) {
+                    continue;
+                }
                 await this.orderCount(service, scaling, target.failureDomain, isReclaimable, kept);
             }
         }
     }
 
+    /**
+     * Returns the failure domain in which reclaimable endpoints are ordered although the last order there found none; undefined if none
+     * is due. The domains take turns, since every call counts and a shortage mostly ends in all of them at once.
+     */
+    private takeProbedDomain(service: string, domains: readonly DomainFleet[]): string | undefined {
+        const now = this.dependencies.clock.getMonotonicTime();
+        const unavailable = domains.filter(domain => !domain.isReclaimableAvailable);
+        const probe = this.probes.get(service) ?? { turn: 0, nextAt: -Infinity };
+        this.probes.set(service, probe);
+        if (unavailable.length === 0 || now < probe.nextAt) {
+            return undefined;
+        }
+        probe.turn += 1;
+        probe.nextAt = now + unavailableRetryMilliseconds;
+        return unavailable[probe.turn % unavailable.length]?.failureDomain;
+    }
+
+    /** Makes the other failure domains due at once after an order succeeded where none was available before. */
+    private endShortage(service: string): void {
+        const probe = this.probes.get(service);
+        if (probe !== undefined) {
+            probe.nextAt = -Infinity;
+        }
+    }
+
     /** Returns the number of endpoints that a service requires: by its measured load, its baseline and the settings. */
     private computeNeeded(service: RoutedService): number {
         const { settings, work } = this.dependencies;
@@ -267,6 +303,9 @@
             state.ordered = order.count;
             state.orderedAt = now;
             state.surplusSince = undefined;
+            if (!state.isAvailable) {
+                this.endShortage(order.service);
+            }
             state.isAvailable = true;
             dependencies.log.log(LogEvents.DutyDone, fields);
             return;
@@ -283,7 +322,6 @@
         }
         if (outcome === DutyOutcome.Unavailable) {
             state.isAvailable = false;
-            state.retryAt = now + unavailableRetryMilliseconds;
         }
     }
 
