Let a new holder of the duties wait for the counts that relays send it

The node that took the lease at 25.1 s reported the window that had ended before within 0.1 s. In a fleet with relays only the holder gets other nodes' counts, and the relays had not yet learned who it was; its own check saw that all peers had been heard since the window's end, which says nothing of counts there. Ruled out: the restore guard (the record was of the current era) and the two-second outage of all nodes, which cost another window.

Change: after a take-over a holder computes reports only once relays could have sent their counts (2.5 s: an exchange or two to learn the holder, one to send), within the wait that missing peers get anyway. Test in usageDuty.test.ts, failing before.

--- a/src/duties/usageDuty.test.ts
+++ b/src/duties/usageDuty.test.ts
@@ -146,3 +146,30 @@
     }
     assert.equal(api.accepted.length > byWindow.size, true);
 });
+
+test("a new lease holder waits for the counts that relays send it once they know that it holds the lease", async () => {
+    const clock = VirtualClock.create();
+    const store = MemoryObjectStore.create(MemoryObjects.create(() => clock.getMonotonicTime()), clock, clock, SeededRandom.create(1));
+    const api = RecordingApi.create(1, 0);
+    const table = PeerTable.create({ name: "a", failureDomain: "x", address: "127.0.0.1:1", incarnation: 1 }, clock, 2_000);
+    const log = SilentEventLog.create();
+    const lease = DutyLease.create(store, clock, { name: "a", incarnation: 1 }, 3_000, table, log);
+    const counter = UsageCounter.create(clock, 1_000);
+    const ledger = UsageLedger.create();
+    const runner = DutyRunner.create(
+        lease,
+        [UsageDuty.create({ store, api, clock, log, lease, table, counter, ledger, dueTime: 20_000 })],
+        clock,
+        log,
+    );
+    const window = counter.getWindow(clock.getWallTime());
+    await clock.runUntil(1_500);
+    void lease.runRounds();
+    void runner.run();
+    await clock.runUntil(3_300);
+    ledger.recordUsage("b/1", window, [{ team: "shops", requests: 7 }]);
+    await clock.runUntil(6_000);
+    runner.stop();
+    const report = api.accepted.find(sent => sent.report.window === window)?.report;
+    assert.deepEqual(report?.counts, [{ team: "shops", requests: 7 }]);
+});
--- a/src/duties/usageDuty.ts
+++ b/src/duties/usageDuty.ts
@@ -17,6 +17,11 @@
 const extraStoredReports = 3;
 /** Time after a window's end for the last counts of peers to arrive, in milliseconds: two gossip exchanges, plus a margin. */
 const countArrivalMilliseconds = 1_500;
+/**
+ * Time after this node acquired the lease for counts of earlier windows to arrive, in milliseconds: in a large fleet relays send them
+ * to the holder only, once they have learned in an exchange or two who it is.
+ */
+const handoverArrivalMilliseconds = 2_500;
 /** Share of the due time after which the duty no longer waits for the counts of unreachable peers. */
 const missingPeerWaitShare = 0.75;
 
@@ -58,6 +63,8 @@
     private actingFencing: Revision = 0;
     /** Fencing token under which this node knows every report that was sent; 0 before the first record was loaded. */
     private completeFencing: Revision = 0;
+    /** Monotonic time at which the record was first loaded under this lease. */
+    private actingSince = -Infinity;
     /**
      * Unix milliseconds. A report that could have been computed before then may have been sent and lost with the store's later
      * writes; computed again, its counts could differ.
@@ -102,6 +109,9 @@
             return false;
         }
         this.reports = reports;
+        if (this.completeFencing !== credentials.fencing && !knowsAllReports) {
+            this.actingSince = this.dependencies.clock.getMonotonicTime();
+        }
         this.actingFencing = credentials.fencing;
         this.completeFencing = credentials.fencing;
         return true;
@@ -143,13 +153,16 @@
         return windows;
     }
 
-    /** Returns whether every peer ever reached has sent its counts since the window ended, or the wait for missing peers is over. */
+    /** Returns whether every peer ever reached could send its counts to this holder since the window ended, or the wait for missing peers is over. */
     private hasAllCounts(window: number, now: number): boolean {
         const { clock, counter, table, dueTime } = this.dependencies;
         const sinceEnd = now - counter.getWindowEnd(window);
         if (sinceEnd >= dueTime * missingPeerWaitShare) {
             return true;
         }
+        if (clock.getMonotonicTime() - this.actingSince < handoverArrivalMilliseconds) {
+            return false;
+        }
         const endedAt = clock.getMonotonicTime() - sinceEnd;
         return table.listPeers().every(peer => peer.lastSeenAt > endedAt || peer.lastSeenAt === -Infinity);
     }
