Test that trickling streams end and slow sound ones are not cut

Operators of similar systems saw slow but sound streams cut, and stalled ones that sent a byte now and then run without end. Here a stream ends at its time limit whatever it sends, and a slow one with whole events is relayed; the test shows both. Not changed: a trickling resumable stream is not moved before its limit, since silence is counted in bytes.

--- a/src/gateway/endlessResponses.test.ts
+++ b/src/gateway/endlessResponses.test.ts
@@ -5,6 +5,7 @@
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { EndlessServer, measureMemoryPeak } from "../standins/routed/endlessServer.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { RoutedWorker } from "../standins/routed/routedWorker.js";
 import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
 
 /** Memory that the process may gain while a server sends without end, in bytes: it sends hundreds of megabytes a second. */
@@ -93,6 +94,31 @@
     });
 }
 
+test("a stream that sends a byte now and then but no whole event ends at its time limit, and a slow one with whole events is not cut", async context => {
+    const head = (id: string) => createHead(id, "content-type: text/event-stream\r\nconnection: close\r\n");
+    const findId = (request: string) => attemptIdPattern.exec(request)?.[1] ?? "";
+    const directory = gateway.node.container.get(Keys.Directory);
+    const trickling = EndlessServer.create(request => head(findId(request)), "x", 100);
+    const slow = RoutedWorker.create("slow", routedNames.engines, "xela", true);
+    slow.eventCount = 4;
+    slow.eventMilliseconds = 400;
+    context.after(() => Promise.all([trickling.stop(), slow.stop()]));
+    addEndpoint("trickling", await trickling.start(), routedNames.engines);
+    await waitUntil(() => directory.findEndpoint("trickling") !== undefined);
+    const startedAt = performance.now();
+    const trickled = await sendDiscardingCall("/notice/1");
+    assert.equal(trickled.isWhole && trickled.status === 200, false);
+    assert.equal(performance.now() - startedAt < 4_000, true);
+    await waitUntil(() => trickling.countConnections() === 0);
+    platform.store.removeObject("servers", "trickling");
+    await slow.start();
+    platform.publishWorker(slow);
+    await waitUntil(() => directory.findEndpoint("slow") !== undefined && directory.findEndpoint("trickling") === undefined);
+    const whole = await gateway.sendCall("/notice/1", { method: "POST", body: "{}", headers: { [HeaderNames.deadline]: "4000" } });
+    assert.equal(whole.isWhole && whole.status === 200, true);
+    assert.equal(whole.body.match(/^id: /gm)?.length, 4);
+});
+
 /** Sends a call and discards the bytes of the response, so that only the gateway could accumulate them. */
 function sendDiscardingCall(path: string): Promise<{ readonly status: number; readonly isWhole: boolean; }> {
     const headers = {
--- a/src/standins/routed/endlessServer.ts
+++ b/src/standins/routed/endlessServer.ts
@@ -6,21 +6,27 @@
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
 
-    private constructor(createStart: (request: string) => string, repeated: string) {
+    private constructor(createStart: (request: string) => string, repeated: string, pause: number | undefined) {
         this.server = createServer(socket => {
             this.sockets.add(socket);
             socket.on("error", () => {});
             socket.once("close", () => this.sockets.delete(socket));
             socket.once("data", (request: Buffer) => {
                 socket.write(createStart(request.toString("latin1")));
+                if (pause !== undefined) {
+                    const timer = setInterval(() => socket.write(repeated), pause);
+                    socket.once("close", () => clearInterval(timer));
+                    return;
+                }
                 sendRepeatedly(socket, repeated);
                 socket.on("drain", () => sendRepeatedly(socket, repeated));
             });
         });
     }
 
-    static create(createStart: (request: string) => string, repeated: string): EndlessServer {
-        return new EndlessServer(createStart, repeated);
+    /** `pause` is the time between two repetitions in milliseconds; without it they follow as fast as the client reads. */
+    static create(createStart: (request: string) => string, repeated: string, pause?: number): EndlessServer {
+        return new EndlessServer(createStart, repeated, pause);
     }
 
     /** Starts on a free port of loopback; returns its address as text. */
