--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -1,11 +1,9 @@
 import { Agent, ClientRequest, IncomingMessage, OutgoingHttpHeaders, request as openHttpRequest } from "node:http";
 import { Socket } from "node:net";
+import { observeInterimResponses } from "../common/interimResponses.js";
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
 
-/** Interim responses, such as 100 Continue, that are accepted before the final one; an endless series would occupy the processor. */
-const maximumInterimResponses = 8;
-
 /** Contents, target and limits of a request to an endpoint. Times are in milliseconds. */
 export interface EndpointRequestOptions {
     readonly address: NetworkAddress;
@@ -41,7 +39,6 @@
     private readonly request: ClientRequest;
     private response: IncomingMessage | undefined;
     private connectTimer: NodeJS.Timeout | undefined;
-    private interimResponses = 0;
 
     private constructor(private readonly options: EndpointRequestOptions) {
         const { address, method, path, headers, agent, signal } = options;
@@ -56,7 +53,7 @@
         });
         this.connection.observeRequest(this.request);
         this.request.once("socket", socket => this.observeSocket(socket));
-        this.request.on("information", () => this.countInterimResponse());
+        observeInterimResponses(this.request, cause => this.request.destroy(new Error(cause)));
         this.request.on("timeout", () => this.request.destroy(SilenceError.create(options.silenceLimit)));
     }
 
@@ -92,13 +89,6 @@
         }
     }
 
-    private countInterimResponse(): void {
-        this.interimResponses += 1;
-        if (this.interimResponses > maximumInterimResponses) {
-            this.request.destroy(new Error(`more than ${maximumInterimResponses} interim responses were received`));
-        }
-    }
-
     private observeSocket(socket: Socket): void {
         if (!socket.connecting) {
             return;
