Tell callers the end of a pause only where every endpoint asked for one

On reading: an endpoint that is full for a moment (150 ms after a refusal) also shortened the time to come back from 0.4 s, into the same overload. Test in placement.test.ts.

--- a/src/fleet/fleetEndpoint.ts
+++ b/src/fleet/fleetEndpoint.ts
@@ -64,12 +64,12 @@
 
     /** Returns whether it recently refused a request because it was full, or asked for a pause that has not ended. */
     isFull(now: number): boolean {
-        return now < this.getFullUntil();
+        return now < this.fullUntil || now < this.pausedUntil;
     }
 
-    /** Returns the time until which it takes no requests because it refused one or asked for a pause; -Infinity if it never did. */
-    getFullUntil(): number {
-        return Math.max(this.fullUntil, this.pausedUntil);
+    /** Returns the end of the pause for which it asked; -Infinity if it never did. */
+    getPausedUntil(): number {
+        return this.pausedUntil;
     }
 
     /** Returns whether its failure share is so high that other endpoints are preferred. */
--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -351,9 +351,8 @@
         while (worker.faults.length > 0) {
             await gateway.sendCall("/lookup/1");
         }
-        const pause = (endpoint()?.getFullUntil() ?? 0) - performance.now();
-        // Without a stated pause an endpoint counts as full for 150 ms.
-        assert.equal(pause <= Math.max(150, longest) && pause > longest - 1_000, true, `"${header}": ${pause}`);
+        const pause = Math.max(0, (endpoint()?.getPausedUntil() ?? 0) - performance.now());
+        assert.equal(pause <= longest && pause > longest - 1_000, true, `"${header}": ${pause}`);
         await stopExtraWorkers(worker);
     }
 });
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -72,14 +72,14 @@
         return result ?? Err(this.createUnavailableFailure(query));
     }
 
-    /** Creates the failure of a request that no endpoint can take now; it names the time until one that asked for a pause takes requests again. */
+    /** Creates the failure of a request that no endpoint can take now. If all asked for a pause, it names the time until the first one ends. */
     private createUnavailableFailure(query: PlacementQuery): Failure {
         const failure = Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, query.service);
         const now = this.clock.getMonotonicTime();
         const pauses = this.directory.listEndpoints(query.service)
-            .filter(endpoint => endpoint.isUsable() && endpoint.isFull(now))
-            .map(endpoint => endpoint.getFullUntil() - now);
-        if (pauses.length === 0) {
+            .filter(endpoint => endpoint.isUsable())
+            .map(endpoint => endpoint.getPausedUntil() - now);
+        if (pauses.length === 0 || pauses.some(pause => pause <= 0)) {
             return failure;
         }
         // Spread over time, so that the callers refused now do not all return at the same moment.
--- a/src/placement/placement.test.ts
+++ b/src/placement/placement.test.ts
@@ -102,3 +102,18 @@
     const withoutHealthy = chooser.choosePlacement(createPlacementQuery({ triedEndpoints: new Set([healthy]) }));
     assert.equal(withoutHealthy.ok && withoutHealthy.val.endpoint, unresponsive);
 });
+
+test("callers refused while every endpoint has asked for a pause are told to return after the first pause, spread over time", () => {
+    const clock = VirtualClock.create();
+    const { directory, endpoints } = createFleet(clock, 3);
+    const chooser = createChooser(directory, clock, 1);
+    const listReturns = () =>
+        Array.from({ length: 40 }, () => {
+            const refused = chooser.choosePlacement(createPlacementQuery({}));
+            return refused.err ? refused.val.retryAfterSeconds : undefined;
+        });
+    endpoints.forEach((endpoint, index) => endpoint.recordRequestedPause(2_000 + index * 1_000));
+    const returns = listReturns().map(seconds => seconds ?? 0);
+    assert.equal(returns.every(seconds => seconds >= 2 && seconds <= 3), true, returns.join(" "));
+    assert.equal(new Set(returns.map(seconds => Math.floor(seconds * 10))).size >= 5, true);
+});
