Let a node read the store itself while an exchange with its relay is overdue

An exchange that is lost takes 1.5 s to time out and its repetition starts a second later; a follower went on relying on its relay for two seconds of silence.

Change: a relay or reader counts as followed only within 1.25 s of the last exchange; else the node's own watches start again from where they were. Test in relays.test.ts, failing before.

--- a/src/gossip/relaySelector.ts
+++ b/src/gossip/relaySelector.ts
@@ -13,6 +13,12 @@
 /** Number of peers that a node calls at once while none is reachable. */
 const isolatedNodeCallLimit = 3;
 
+/**
+ * Silence of a relay or reader after which a node that follows it reads the store itself, in milliseconds: two and a half of the usual
+ * exchanges. One exchange that is lost takes longer, and with its repetition most of the time in which a change must be in force.
+ */
+const followedSilenceMilliseconds = 1_250;
+
 /** Time for which selected relays are reused while the membership is unchanged, in milliseconds: short compared with the silence after which a peer counts as unreachable. */
 const selectionMilliseconds = 100;
 
@@ -61,7 +67,7 @@
 
     /** Returns whether this node is not a relay and exchanges digests with one, so that it knows within two exchanges what relays know. */
     isFollowingRelay(): boolean {
-        return this.hasRelays() && !this.isRelaying() && this.listReachableRelays().some(relay => relay.isDirect);
+        return this.hasRelays() && !this.isRelaying() && this.listReachableRelays().some(relay => this.isFollowable(relay));
     }
 
     /**
@@ -75,7 +81,12 @@
         const names = this.listReaders();
         const readers = names.map(name => this.table.findPeer(name));
         return !names.includes(this.table.identity.name)
-            && readers.some(reader => reader?.isDirect === true && reader.isStoreReachable);
+            && readers.some(reader => reader !== undefined && reader.isStoreReachable && this.isFollowable(reader));
+    }
+
+    /** Returns whether this node exchanged digests with a peer so lately that it would have received recent changes from it. */
+    private isFollowable(peer: GatewayPeer): boolean {
+        return peer.isDirect && this.table.getTime() - peer.lastSeenAt <= followedSilenceMilliseconds;
     }
 
     /**
--- a/src/gossip/relays.test.ts
+++ b/src/gossip/relays.test.ts
@@ -186,3 +186,26 @@
         assert.equal(withoutStore.length, 5 * Math.ceil(nodesPerDomain / 16));
     }
 });
+
+test("a node reads the store itself while an exchange with its relay is overdue", async () => {
+    const clock = VirtualClock.create();
+    const table = PeerTable.create({ name: "a-99", failureDomain: "a", address: "x:1", incarnation: 1 }, clock, silenceMilliseconds);
+    const plan = RelaySelector.create(table);
+    const receiveDigests = (isRelaySilent: boolean) => {
+        for (let index = 0; index < 20; index += 1) {
+            const member = { name: `a-${String(index).padStart(2, "0")}`, failureDomain: "a", address: "y:1", incarnation: 1n };
+            if (index >= 2 || !isRelaySilent) {
+                table.recordDigest(create(GatewayDigestSchema, { member, isStoreReachable: true }));
+            }
+        }
+    };
+    receiveDigests(false);
+    assert.equal(plan.isFollowingReader(), true);
+    await clock.runUntil(1_000);
+    receiveDigests(true);
+    assert.equal(plan.isFollowingReader(), true);
+    await clock.runUntil(1_400);
+    assert.equal(plan.isFollowingReader(), false);
+    receiveDigests(false);
+    assert.equal(plan.isFollowingReader(), true);
+});
