--- a/src/testing/gatewayProcess.ts
+++ b/src/testing/gatewayProcess.ts
@@ -2,6 +2,7 @@
 import { readFileSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { fileURLToPath } from "node:url";
+import { usualBounds } from "../standins/routed/platformBounds.js";
 import { pickLastingPort } from "./daemons.js";
 
 const root = fileURLToPath(new URL("../../..", import.meta.url));
@@ -10,21 +11,6 @@
 const pollMilliseconds = 20;
 const statusOk = 200;
 
-/** The platform's bounds as its settings give them, for the fields that the template uses. */
-const usualBounds = {
-    "bounds.retry-ratio": "0.2",
-    "bounds.retry-window-s": "10",
-    "bounds.retry-slack": "54",
-    "bounds.quota-slack": "140000",
-    "bounds.quota-window-s": "8",
-    "bounds.window-s": "1",
-    "bounds.drain-ms": "2000",
-    "bounds.usage-late-s": "10",
-    "bounds.canary-share": "0.1",
-    "bounds.canary-slack": "50",
-    "bounds.grace-s": "8",
-};
-
 /** Where a gateway is to find the platform, and where it keeps its settings. */
 export interface GatewayPlace {
     readonly name: string;
