--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -35,6 +35,8 @@
 
 /** Pause after a batch of changes of endpoints, as a share of the time in which a change must be in force: each batch is one call. */
 const batchPauseShareOfApplyLimit = 0.1;
+/** The same on a node that hears of most changes from a relay before. */
+const followerPauseShareOfApplyLimit = 0.5;
 /** Poll interval of the node entries; gossip distributes new nodes as well. */
 const nodeEntryPollMilliseconds = 1_000;
 /** Upper bound of the seed of the random source, which takes 31 bits. */
@@ -121,7 +123,9 @@
         endpointFollower.setOutageSource(() => endpoints.getOutageEndedAt());
         const plan = context.get(Keys.RelayPlan);
         const nodes = ObjectWatcher.create(store, nodePrefix, context.get(Keys.Registry), clock, log);
-        endpoints.setBatchPauseSource(() => settings.timing.applyLimit * batchPauseShareOfApplyLimit);
+        endpoints.setBatchPauseSource(() =>
+            settings.timing.applyLimit * (plan.isFollowingReader() ? followerPauseShareOfApplyLimit : batchPauseShareOfApplyLimit)
+        );
         nodes.setBatchPauseSource(() => nodeEntryPollMilliseconds);
         const watches = {
             configuration: ObjectWatcher.create(store, configurationPrefix, context.get(Keys.ConfigurationFollower), clock, log),
@@ -129,7 +133,10 @@
             nodes,
             versions: ObjectWatcher.create(store, context.get(Keys.VersionMoveDecoder).prefix, context.get(Keys.Versions), clock, log),
         };
-        Object.values(watches).forEach(watch => watch.setSuspensionSource(() => plan.isFollowingReader()));
+        // The endpoints' entries are read on every node: a busy relay may tell of a drained endpoint too late.
+        for (const watch of [watches.configuration, watches.nodes, watches.versions]) {
+            watch.setSuspensionSource(() => plan.isFollowingReader());
+        }
         return watches;
     });
 }
