Log each counted crash and each suspect request that may be sent

What callers saw: nothing changes for them.

The log of the incident could not tell whether a request was sent as a suspect, nor when and by which evidence a crash was counted. Two kinds of lines now say so: "crash recorded" with the endpoint, the evidence and the number of requests, and "suspect allowed" with the request, its fingerprint, its crashes and for how long this node has suspected it.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -80,6 +80,16 @@
         stateChangeLinesPerSecond,
         "A request ended several endpoints and is refused from now on.",
     ),
+    CrashRecorded: createWarning(
+        "crash recorded",
+        stateChangeLinesPerSecond,
+        "An endpoint crashed; the evidence, and how many requests it counts against.",
+    ),
+    SuspectAllowed: createInfo(
+        "suspect allowed",
+        stateChangeLinesPerSecond,
+        "A request with enough crashes to be quarantined may be sent once more; why.",
+    ),
     VersionMoveChanged: createInfo(
         "version move changed",
         stateChangeLinesPerSecond,
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -13,6 +13,13 @@
 /** Time that a suspect request has to be cleared by a success before it is refused; a call or a first event takes less. */
 const clearanceMilliseconds = 500;
 
+/** What shows that an endpoint crashed. */
+export enum CrashEvidence {
+    ConnectionRefused = "connection refused",
+    EntryRemoved = "entry removed",
+    Restarted = "restarted",
+}
+
 /** A request whose connection was lost, in monotonic milliseconds. */
 interface LostRequest {
     readonly fingerprint: string;
@@ -51,7 +58,12 @@
         const now = this.clock.getMonotonicTime();
         const since = this.suspectedSinceByFingerprint.get(fingerprint) ?? now;
         this.suspectedSinceByFingerprint.set(fingerprint, since);
-        return now - since >= clearanceMilliseconds;
+        const isRefused = now - since >= clearanceMilliseconds;
+        if (!isRefused) {
+            const crashes = this.ledger.countCrashes(fingerprint);
+            this.log.log(LogEvents.SuspectAllowed, { request: call.id, fingerprint, crashes, suspectedFor: Math.round(now - since) });
+        }
+        return isRefused;
     }
 
     /** Records that a request was served, which clears it: the endpoints that crashed while running it had another cause. */
@@ -77,15 +89,16 @@
     }
 
     /** Records evidence that an endpoint crashed: it refuses connections, or a new incarnation of it was seen. */
-    recordCrash(endpoint: FleetEndpoint): void {
-        const requests = this.lostRequestsByEndpoint.get(endpoint) ?? [];
-        this.lostRequestsByEndpoint.delete(endpoint);
+    recordCrash(endpoint: FleetEndpoint, evidence: CrashEvidence): void {
         const now = this.clock.getMonotonicTime();
+        const requests = (this.lostRequestsByEndpoint.get(endpoint) ?? []).filter(({ at }) => now - at < crashConfirmationMilliseconds);
+        this.lostRequestsByEndpoint.delete(endpoint);
+        if (requests.length === 0) {
+            return;
+        }
+        this.log.log(LogEvents.CrashRecorded, { endpoint: endpoint.entry.id, evidence, requests: requests.length });
         const incarnation = `${endpoint.entry.id}/${endpoint.entry.incarnation}`;
-        for (const { fingerprint, at } of requests) {
-            if (now - at >= crashConfirmationMilliseconds) {
-                continue;
-            }
+        for (const { fingerprint } of requests) {
             this.ledger.recordCrash(fingerprint, incarnation);
             if (this.ledger.countCrashes(fingerprint) === crashesUntilRefusal) {
                 this.suspectedSinceByFingerprint.set(fingerprint, now);
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -6,6 +6,7 @@
 import { NetworkAddress } from "../config/types.js";
 import { DirectoryChangeKind } from "../fleet/endpointDirectory.js";
 import { HopTracing, NoopTracing } from "../gateway/hopTracing.js";
+import { CrashEvidence } from "../gateway/poisonRequestDetector.js";
 import { GatewayPeerService } from "../generated/corianderward/gateway/v1/gateway_pb.js";
 import { PeerServer } from "../peers/peerServer.js";
 import { addGatewayBindings } from "./bindings/gatewayBindings.js";
@@ -157,7 +158,8 @@
         container.get(Keys.Directory).addListener(change => {
             const { entry } = change.endpoint;
             if (change.kind === DirectoryChangeKind.Restarted || change.kind === DirectoryChangeKind.Removed) {
-                container.get(Keys.PoisonRequestDetector).recordCrash(change.previous ?? change.endpoint);
+                const evidence = change.kind === DirectoryChangeKind.Restarted ? CrashEvidence.Restarted : CrashEvidence.EntryRemoved;
+                container.get(Keys.PoisonRequestDetector).recordCrash(change.previous ?? change.endpoint, evidence);
             }
             if (change.kind === DirectoryChangeKind.Removed || change.previous !== undefined) {
                 connections.removeEndpoint(change.previous ?? change.endpoint);
