Test that a poison request is retried at most three times by all nodes together

The routed stand-in's workers can crash: they reset their connections, refuse new ones and come back under a new incarnation.

--- /dev/null
+++ b/src/gateway/poisonRequests.test.ts
@@ -0,0 +1,61 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { RoutedWorker } from "../standins/routed/routedWorker.js";
+import { pickFreePort } from "../testing/daemons.js";
+import { RoutedGateway } from "../testing/routedGateway.js";
+
+/** Number of nodes; each could send a poison request once more. */
+const nodeCount = 5;
+/** Bounds of the users' rule: more retries than this, later than the time after the third crash, break it. */
+const allowedRetries = 3;
+const contactMilliseconds = 3_000;
+
+const platform = RoutedPlatform.create();
+const gateways: RoutedGateway[] = [];
+
+before(async () => {
+    await platform.start(4);
+    for (let index = 0; index < nodeCount; index += 1) {
+        gateways.push(
+            await RoutedGateway.start(platform, {
+                name: `node-${index}`,
+                peersPort: await pickFreePort(),
+                seeds: gateways[0]?.getPeerAddress() ?? "",
+            }),
+        );
+    }
+});
+
+after(async () => {
+    await Promise.all(gateways.map(gateway => gateway.stop()));
+    await platform.stop();
+});
+
+function countCrashes(workers: readonly RoutedWorker[]): number {
+    return workers.reduce((sum, worker) => sum + worker.crashes, 0);
+}
+
+function countArrivals(workers: readonly RoutedWorker[], target: string): number {
+    return workers.flatMap(worker => worker.runs).filter(run => run.target === target).length;
+}
+
+// Guards against a quarantine that each node delays by itself, so that every node sends the request to further endpoints.
+test("a request that crashed three endpoints is retried at most three times by all nodes together, wherever it comes", async () => {
+    const target = "/lookup/deadly";
+    platform.callWorkers.forEach(worker => (worker.isDeadly = run => run.target === target));
+    while (countCrashes(platform.callWorkers) < 3) {
+        await gateways[0]?.sendCall(target);
+    }
+    await sleep(contactMilliseconds);
+    const arrivalsBefore = countArrivals(platform.callWorkers, target);
+    for (let round = 0; round < 6; round += 1) {
+        for (const gateway of gateways) {
+            await gateway.sendCall(target);
+        }
+        await sleep(200);
+    }
+    const retries = countArrivals(platform.callWorkers, target) - arrivalsBefore;
+    assert.equal(retries <= allowedRetries, true, `${retries} retries`);
+});
--- a/src/standins/routed/routedPlatform.ts
+++ b/src/standins/routed/routedPlatform.ts
@@ -37,6 +37,7 @@
         }
         for (const worker of this.listWorkers()) {
             await worker.start();
+            worker.handleRestart = () => this.publishWorker(worker);
             this.publishWorker(worker);
         }
         this.publishManifest();
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -6,6 +6,8 @@
 const statusOk = 200;
 const statusMisdirected = 421;
 const statusUnavailable = 503;
+/** Time from a crash until the process listens again. */
+const restartMilliseconds = 300;
 
 /** What goes wrong with the next request of a worker. */
 export enum WorkerFault {
@@ -60,16 +62,25 @@
     workMilliseconds = 0;
     eventCount = 5;
     eventMilliseconds = 5;
+    /** Returns whether running a request crashes the process; an engine crashes after its first event. */
+    isDeadly: (run: RunRecord) => boolean = () => false;
+    /** Called when the process listens again after a crash, as a new incarnation. */
+    handleRestart: () => void = () => {};
+    crashes = 0;
     born = Date.now();
     version = "v1";
     private readonly server: Server;
+    private readonly sockets = new Set<Socket>();
     private address = "";
+    private isStopped = false;
 
     private constructor(readonly id: string, readonly service: string, readonly zone: string, readonly isEngine: boolean) {
         this.server = createServer({ keepAliveTimeout: 5_000 }, (request, response) => void this.serve(request, response));
         this.server.on("connection", (socket: Socket) => {
             this.connections += 1;
+            this.sockets.add(socket);
             socket.on("error", () => {});
+            socket.once("close", () => this.sockets.delete(socket));
         });
     }
 
@@ -82,9 +93,18 @@
     }
 
     async stop(): Promise<void> {
+        this.isStopped = true;
         await stopServer(this.server);
     }
 
+    /** Resets every connection and refuses new ones for a while, as a process that crashes and is started again. */
+    crash(): void {
+        this.crashes += 1;
+        this.server.close();
+        this.sockets.forEach(socket => socket.resetAndDestroy());
+        setTimeout(() => this.restart(), restartMilliseconds);
+    }
+
     getAddress(): string {
         return this.address;
     }
@@ -132,6 +152,10 @@
             run.isCancelled = !response.writableFinished;
         });
         await sleep(this.workMilliseconds);
+        if (!this.isEngine && this.isDeadly(run)) {
+            this.crash();
+            return;
+        }
         if (this.isEngine) {
             await this.sendStream(run, fault, response);
             return;
@@ -203,9 +227,22 @@
                 return;
             }
             response.write(`id: ${event}\ndata: piece ${event}\n\n`);
+            if (event === run.startedAfter + 1 && this.isDeadly(run)) {
+                await sleep(this.eventMilliseconds);
+                this.crash();
+                return;
+            }
         }
         response.end();
     }
+
+    private restart(): void {
+        if (this.isStopped) {
+            return;
+        }
+        this.born += 1;
+        this.server.listen(Number(this.address.split(":")[1]), "127.0.0.1", () => this.handleRestart());
+    }
 }
 
 function sleep(milliseconds: number): Promise<void> {
