Quarantine a poison request on every node at once, with one trial for all nodes

What callers saw: one lookup ended all endpoints of its service again and again for ten seconds after it had been quarantined; others' lookups and vouchers were refused or failed meanwhile.

Cause: a node gave a quarantined request half a second in which a success would clear it, and that time began on each node when the request first came there. With seven nodes, a request that comes at any of them had seven such times. Class: a grace that each observer measures from its own first sight, so that it multiplies with the number of observers.

Ruled out: other fingerprints of the repeats (the reproduction sends one fingerprint and breaks the bound); late counting of crashes (all nodes knew of the quarantine 0.7 s after the third crash, and the sends came three seconds later and more).

Change: a quarantine is in force on a node from the moment it learns of the third crash. A harmless request that ran on crashed endpoints by chance is cleared by a success that was under way, or by a trial: one request that all nodes together may send, a second after the latest crash at the earliest, claimed by a conditional write to the store. A node without the store sends nothing. The line "suspect allowed" gives way to "trial claimed".

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -85,10 +85,10 @@
         stateChangeLinesPerSecond,
         "An endpoint crashed; the evidence, and how many requests it counts against.",
     ),
-    SuspectAllowed: createInfo(
-        "suspect allowed",
+    TrialClaimed: createInfo(
+        "trial claimed",
         stateChangeLinesPerSecond,
-        "A request with enough crashes to be quarantined may be sent once more; why.",
+        "The store was asked for the one trial of a quarantined request; the result.",
     ),
     VersionMoveChanged: createInfo(
         "version move changed",
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -178,7 +178,7 @@
     private handleTruncatedResponse(): AttemptResult {
         if (!this.abortController.signal.aborted) {
             this.endpoint.recordMissingResponse(this.dependencies.clock.getMonotonicTime());
-            this.dependencies.poisonRequestDetector.recordLoss(this.endpoint, this.options.call.getFingerprint());
+            this.dependencies.poisonRequestDetector.recordLoss(this.endpoint, this.options.call);
         }
         return this.createResult(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
     }
@@ -220,7 +220,7 @@
             return;
         }
         if (code === Diagnostics.Connection_was_lost_after_the_request_was_sent_0.code && !this.abortController.signal.aborted) {
-            dependencies.poisonRequestDetector.recordLoss(this.endpoint, options.call.getFingerprint());
+            dependencies.poisonRequestDetector.recordLoss(this.endpoint, options.call);
         }
     }
 
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -13,6 +13,7 @@
 import { UsageCounter } from "../usage/usageCounter.js";
 import { CallAttempt } from "./callAttempt.js";
 import { CallerResponse } from "./callerResponse.js";
+import { Admission } from "./poisonRequestDetector.js";
 import { EventStreamRelay } from "./responseRelay.js";
 import { AttemptResult, CallAttemptDependencies, CallOutcome, IncomingCall } from "./types.js";
 
@@ -52,7 +53,12 @@
 
     /** Forwards a call until it is served or has failed. The caller of this method sends the failure of the report, if there is one. */
     async forwardCall(call: IncomingCall, caller: CallerResponse): Promise<CallReport> {
-        return ForwardedCall.create(this.dependencies, call, caller).runAttempts();
+        try {
+            return await ForwardedCall.create(this.dependencies, call, caller).runAttempts();
+        }
+        finally {
+            this.dependencies.poisonRequestDetector.endTrial(call);
+        }
     }
 }
 
@@ -93,17 +99,21 @@
             if (caller.isCallerDisconnected()) {
                 return this.createReport(CallOutcome.CallerDisconnected, undefined);
             }
-            if (dependencies.poisonRequestDetector.isRefused(call)) {
-                const deaths = dependencies.ledger.countCrashes(call.getFingerprint());
-                return this.createFailureReport(
-                    Failure.create(this.verdict, Diagnostics.Request_ended_0_endpoints_and_is_not_sent_again, deaths),
-                );
+            const admission = dependencies.poisonRequestDetector.getAdmission(call);
+            if (admission === Admission.Refused) {
+                return this.createQuarantineReport();
             }
             const placement = this.choosePlacement();
             if (placement.err) {
                 this.recordUnplacedDemand();
                 return this.createFailureReport(placement.val);
             }
+            if (admission === Admission.NeedsTrial) {
+                if (await dependencies.poisonRequestDetector.claimTrial(call)) {
+                    continue;
+                }
+                return this.createQuarantineReport();
+            }
             if (this.sends > 0 && !dependencies.retryBudget.takeRetry(call.service)) {
                 return this.createFailureReport(Failure.create(this.verdict, Diagnostics.Retry_budget_is_spent));
             }
@@ -208,6 +218,13 @@
         }
     }
 
+    private createQuarantineReport(): CallReport {
+        const crashes = this.dependencies.ledger.countCrashes(this.call.getFingerprint());
+        return this.createFailureReport(
+            Failure.create(this.verdict, Diagnostics.Request_ended_0_endpoints_and_is_not_sent_again, crashes),
+        );
+    }
+
     private createFailureReport(failure: Failure, isPastDeadline = false): CallReport {
         if (this.caller.hasStarted()) {
             return this.createReport(CallOutcome.Interrupted, failure);
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -3,15 +3,16 @@
 import { LogEvents } from "../common/logEvents.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
+import { QuarantineTrials } from "./quarantineTrials.js";
 import { IncomingCall } from "./types.js";
 
-/** Number of endpoints that a request must have crashed before it is refused; fewer would also refuse requests that ran beside it by chance. */
-export const crashesUntilRefusal = 3;
+/** Number of endpoints that a request must have crashed before it is quarantined; fewer would also refuse requests that ran beside it by chance. */
+export const crashesUntilQuarantine = 3;
 /** Longest time from the loss of a request to the evidence that its endpoint crashed: three missed heartbeats, plus a margin. */
 const crashConfirmationMilliseconds = 4_500;
 
-/** Time that a suspect request has to be cleared by a success before it is refused; a call or a first event takes less. */
-const clearanceMilliseconds = 500;
+/** Time after the latest crash before a trial, in milliseconds: requests that are running elsewhere end first, and a success clears the suspect. */
+const trialDelayMilliseconds = 1_000;
 
 /** What shows that an endpoint crashed. */
 export enum CrashEvidence {
@@ -20,6 +21,14 @@
     Restarted = "restarted",
 }
 
+/** Whether a request may be sent to an endpoint. */
+export enum Admission {
+    Allowed,
+    /** It is quarantined, and may run only under the quarantine's trial, which this node can claim. */
+    NeedsTrial,
+    Refused,
+}
+
 /** A request whose connection was lost, in monotonic milliseconds. */
 interface LostRequest {
     readonly fingerprint: string;
@@ -28,42 +37,46 @@
 
 /** Detects poison requests: requests that were lost several times at endpoints that turned out to have crashed. */
 export class PoisonRequestDetector {
-    /** Monotonic time at which a request was first seen with enough crashes to be refused, by fingerprint. */
-    private readonly suspectedSinceByFingerprint = new Map<string, number>();
     private readonly lostRequestsByEndpoint = new Map<FleetEndpoint, LostRequest[]>();
 
     private constructor(
         private readonly ledger: QuarantineLedger,
+        private readonly trials: QuarantineTrials,
         private readonly clock: Clock,
         private readonly log: EventLog,
     ) {}
 
-    static create(ledger: QuarantineLedger, clock: Clock, log: EventLog): PoisonRequestDetector {
-        return new PoisonRequestDetector(ledger, clock, log);
+    static create(ledger: QuarantineLedger, trials: QuarantineTrials, clock: Clock, log: EventLog): PoisonRequestDetector {
+        return new PoisonRequestDetector(ledger, trials, clock, log);
     }
 
     /**
-     * Returns whether a request has crashed too many endpoints to be sent again. Endpoints that crash together also lose harmless requests;
-     * such a request soon succeeds at another endpoint and is cleared.
+     * Returns whether a request may be sent. It is quarantined on every node as soon as the node knows of enough crashes: a time in
+     * which it could still run would begin on each node when the request first comes there.
      */
-    isRefused(call: IncomingCall): boolean {
+    getAdmission(call: IncomingCall): Admission {
         if (this.ledger.isEmpty()) {
-            return false;
+            return Admission.Allowed;
         }
         const fingerprint = call.getFingerprint();
-        if (this.ledger.countCrashes(fingerprint) < crashesUntilRefusal) {
-            this.suspectedSinceByFingerprint.delete(fingerprint);
-            return false;
+        if (!this.isQuarantined(fingerprint) || this.trials.isRunning(fingerprint, call.id)) {
+            return Admission.Allowed;
         }
-        const now = this.clock.getMonotonicTime();
-        const since = this.suspectedSinceByFingerprint.get(fingerprint) ?? now;
-        this.suspectedSinceByFingerprint.set(fingerprint, since);
-        const isRefused = now - since >= clearanceMilliseconds;
-        if (!isRefused) {
-            const crashes = this.ledger.countCrashes(fingerprint);
-            this.log.log(LogEvents.SuspectAllowed, { request: call.id, fingerprint, crashes, suspectedFor: Math.round(now - since) });
+        const isTrialDue = this.clock.getMonotonicTime() - this.ledger.getLatestCrashTime(fingerprint) >= trialDelayMilliseconds;
+        return isTrialDue && this.trials.isAvailable(fingerprint) ? Admission.NeedsTrial : Admission.Refused;
+    }
+
+    /** Claims the trial of a quarantined request; returns whether it may be sent. `endTrial` must follow. */
+    async claimTrial(call: IncomingCall): Promise<boolean> {
+        const record = this.ledger.findRecord(call.getFingerprint());
+        return record === undefined || this.trials.claimTrial(record, call.id);
+    }
+
+    /** Gives back the trial under which a request ran, if it was neither served nor lost. */
+    endTrial(call: IncomingCall): void {
+        if (!this.ledger.isEmpty()) {
+            this.trials.releaseTrial(call.getFingerprint(), call.id);
         }
-        return isRefused;
     }
 
     /** Records that a request was served, which clears it: the endpoints that crashed while running it had another cause. */
@@ -71,21 +84,25 @@
         if (this.ledger.isEmpty()) {
             return;
         }
-        const deaths = this.ledger.listCrashedEndpoints(call.getFingerprint());
-        if (deaths.length > 0) {
-            this.ledger.removeCrashes(call.getFingerprint(), deaths);
-            this.log.log(LogEvents.SuspicionRemoved, { request: call.id, fingerprint: call.getFingerprint(), deaths: deaths.length });
+        const fingerprint = call.getFingerprint();
+        const crashes = this.ledger.listCrashedEndpoints(fingerprint);
+        if (crashes.length > 0) {
+            this.ledger.removeCrashes(fingerprint, crashes);
+            this.trials.removeTrial(fingerprint);
+            this.log.log(LogEvents.SuspicionRemoved, { request: call.id, fingerprint, deaths: crashes.length });
         }
     }
 
     /** Records that the connection to an endpoint was lost while it ran a request. */
-    recordLoss(endpoint: FleetEndpoint, fingerprint: string): void {
+    recordLoss(endpoint: FleetEndpoint, call: IncomingCall): void {
         const now = this.clock.getMonotonicTime();
         const recent = (this.lostRequestsByEndpoint.get(endpoint) ?? []).filter(request =>
             now - request.at < crashConfirmationMilliseconds
         );
+        const fingerprint = call.getFingerprint();
         recent.push({ fingerprint, at: now });
         this.lostRequestsByEndpoint.set(endpoint, recent);
+        this.trials.recordFailure(fingerprint, call.id);
     }
 
     /** Records evidence that an endpoint crashed: it refuses connections, or a new incarnation of it was seen. */
@@ -99,11 +116,15 @@
         this.log.log(LogEvents.CrashRecorded, { endpoint: endpoint.entry.id, evidence, requests: requests.length });
         const incarnation = `${endpoint.entry.id}/${endpoint.entry.incarnation}`;
         for (const { fingerprint } of requests) {
+            const wasQuarantined = this.isQuarantined(fingerprint);
             this.ledger.recordCrash(fingerprint, incarnation);
-            if (this.ledger.countCrashes(fingerprint) === crashesUntilRefusal) {
-                this.suspectedSinceByFingerprint.set(fingerprint, now);
-                this.log.log(LogEvents.QuarantineAdded, { fingerprint, deaths: crashesUntilRefusal, endpoint: endpoint.entry.id });
+            if (!wasQuarantined && this.isQuarantined(fingerprint)) {
+                this.log.log(LogEvents.QuarantineAdded, { fingerprint, deaths: crashesUntilQuarantine, endpoint: endpoint.entry.id });
             }
         }
     }
+
+    private isQuarantined(fingerprint: string): boolean {
+        return this.ledger.countCrashes(fingerprint) >= crashesUntilQuarantine;
+    }
 }
--- a/src/gateway/poisonRequests.test.ts
+++ b/src/gateway/poisonRequests.test.ts
@@ -41,6 +41,11 @@
     return workers.flatMap(worker => worker.runs).filter(run => run.target === target).length;
 }
 
+/** Sends a call through every node; returns the statuses. */
+function sendThroughAll(target: string): Promise<number[]> {
+    return Promise.all(gateways.map(async gateway => (await gateway.sendCall(target)).status));
+}
+
 // Guards against a quarantine that each node delays by itself, so that every node sends the request to further endpoints.
 test("a request that crashed three endpoints is retried at most three times by all nodes together, wherever it comes", async () => {
     const target = "/lookup/deadly";
@@ -59,3 +64,20 @@
     const retries = countArrivals(platform.callWorkers, target) - arrivalsBefore;
     assert.equal(retries <= allowedRetries, true, `${retries} retries`);
 });
+
+// Guards against refusing a popular request for the whole term of a quarantine because it ran where endpoints crashed by chance.
+test("a harmless request that ran on three crashed endpoints is served by all nodes after one of them has tried it", async () => {
+    const target = "/lookup/unlucky";
+    const crashesBefore = countCrashes(platform.callWorkers);
+    platform.callWorkers.forEach(worker => (worker.isDeadly = run => run.target === target));
+    while (countCrashes(platform.callWorkers) < crashesBefore + 3) {
+        await gateways[0]?.sendCall(target);
+    }
+    platform.callWorkers.forEach(worker => (worker.isDeadly = () => false));
+    const isCleared = async () => (await sendThroughAll(target)).every(status => status === 200);
+    const endsAt = performance.now() + contactMilliseconds;
+    while (!(await isCleared())) {
+        assert.equal(performance.now() < endsAt, true, "still refused by a node");
+        await sleep(50);
+    }
+});
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -7,7 +7,7 @@
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../fleet/endpointFollower.js";
 import { endpointEntrySchema } from "../fleet/types.js";
-import { crashesUntilRefusal } from "../gateway/poisonRequestDetector.js";
+import { crashesUntilQuarantine } from "../gateway/poisonRequestDetector.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
 import { ServiceWorkTracker } from "../placement/serviceWorkTracker.js";
 import { ObjectStore } from "../provider/objectStore.js";
@@ -255,7 +255,7 @@
             return;
         }
         const isNew = ledger.mergeRecord({ fingerprint, endpoints, until: Number(suspect.untilMilliseconds) });
-        if (isNew && ledger.countCrashes(fingerprint) === crashesUntilRefusal) {
+        if (isNew && ledger.countCrashes(fingerprint) === crashesUntilQuarantine) {
             log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: endpoints.join(","), source });
         }
     }
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -13,8 +13,9 @@
 import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../../gateway/gatewayServer.js";
 import { PoisonRequestDetector } from "../../gateway/poisonRequestDetector.js";
+import { QuarantineTrials } from "../../gateway/quarantineTrials.js";
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
-import { PeerTable } from "../../gossip/peerTable.js";
+import { formatIncarnationKey, PeerTable } from "../../gossip/peerTable.js";
 import { WatchScheduler } from "../../gossip/watchScheduler.js";
 import { CallPlacementPolicy } from "../../placement/callPlacementPolicy.js";
 import { EndpointChooser } from "../../placement/endpointChooser.js";
@@ -175,8 +176,17 @@
     container.bind(Keys.FleetRetryBudget).toDynamicValue(context => FleetRetryBudget.create(context.get(Keys.Clock), settings.retries));
     container.bind(Keys.Ledger).toDynamicValue(context => QuarantineLedger.create(context.get(Keys.Clock), settings.timing.quarantineTerm));
     container.bind(Keys.PoisonRequestDetector).toDynamicValue(context =>
-        PoisonRequestDetector.create(context.get(Keys.Ledger), context.get(Keys.Clock), context.get(Keys.Log))
+        PoisonRequestDetector.create(
+            context.get(Keys.Ledger),
+            context.get(Keys.QuarantineTrials),
+            context.get(Keys.Clock),
+            context.get(Keys.Log),
+        )
     );
+    container.bind(Keys.QuarantineTrials).toDynamicValue(context => {
+        const holder = formatIncarnationKey(context.get(Keys.Peers).identity);
+        return QuarantineTrials.create(context.get(Keys.Store), context.get(Keys.Clock), context.get(Keys.Log), holder);
+    });
     container.bind(Keys.Connections).toDynamicValue(() => EndpointConnectionPool.create());
     container.bind(Keys.Forwarder).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -15,6 +15,7 @@
 import { GatewayServer } from "../gateway/gatewayServer.js";
 import { HopTracing } from "../gateway/hopTracing.js";
 import { PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
+import { QuarantineTrials } from "../gateway/quarantineTrials.js";
 import { FleetSummaryAggregator } from "../gossip/fleetSummaryAggregator.js";
 import { GossipClient } from "../gossip/gossipClient.js";
 import { GossipExchange } from "../gossip/gossipExchange.js";
@@ -95,6 +96,7 @@
     EnginePlacement: createKey<EnginePlacementPolicy>("EnginePlacement"),
     CallPlacement: createKey<CallPlacementPolicy>("CallPlacement"),
     Chooser: createKey<EndpointChooser>("Chooser"),
+    QuarantineTrials: createKey<QuarantineTrials>("QuarantineTrials"),
     PoisonRequestDetector: createKey<PoisonRequestDetector>("PoisonRequestDetector"),
     Connections: createKey<EndpointConnectionPool>("Connections"),
     Forwarder: createKey<CallForwarder>("Forwarder"),
--- a/src/requests/quarantineLedger.ts
+++ b/src/requests/quarantineLedger.ts
@@ -20,6 +20,8 @@
     /** Endpoints whose crashes the request was cleared of; merging a peer's record does not count them again. */
     readonly cleared: Set<string>;
     until: number;
+    /** Monotonic time in milliseconds at which the latest crash was counted here. */
+    latestCrashAt: number;
 }
 
 /**
@@ -54,6 +56,9 @@
         const entry = this.entries.get(record.fingerprint) ?? this.addEntry(record.fingerprint);
         const countBefore = entry.endpoints.size;
         record.endpoints.filter(endpoint => !entry.cleared.has(endpoint)).forEach(endpoint => entry.endpoints.add(endpoint));
+        if (entry.endpoints.size > countBefore) {
+            entry.latestCrashAt = this.clock.getMonotonicTime();
+        }
         entry.until = Math.max(entry.until, Math.min(record.until, this.clock.getWallTime() + this.retentionMilliseconds));
         return entry.endpoints.size > countBefore;
     }
@@ -97,6 +102,11 @@
         }
     }
 
+    /** Returns the monotonic time at which the latest crash was counted against a request on this node; -Infinity without one. */
+    getLatestCrashTime(fingerprint: string): number {
+        return this.findUnexpired(fingerprint)?.latestCrashAt ?? -Infinity;
+    }
+
     /** Returns the number of crashes counted against a request. */
     countCrashes(fingerprint: string): number {
         return this.findUnexpired(fingerprint)?.endpoints.size ?? 0;
@@ -117,6 +127,14 @@
         return entry.endpoints.size >= quarantineCrashCount || total >= quarantineTotalCrashCount;
     }
 
+    /** Returns the unexpired record of a fingerprint with counted crashes. */
+    findRecord(fingerprint: string): FingerprintRecord | undefined {
+        const entry = this.findUnexpired(fingerprint);
+        return entry === undefined || entry.endpoints.size === 0
+            ? undefined
+            : { fingerprint, endpoints: [...entry.endpoints], until: entry.until };
+    }
+
     /** Returns the unexpired records with counted crashes, the most recently added last. */
     listRecords(): FingerprintRecord[] {
         const records: FingerprintRecord[] = [];
@@ -144,7 +162,7 @@
         if (this.entries.size >= ledgerEntryLimit) {
             this.entries.delete(this.entries.keys().next().value as string);
         }
-        const entry: LedgerEntry = { endpoints: new Set(), cleared: new Set(), until: 0 };
+        const entry: LedgerEntry = { endpoints: new Set(), cleared: new Set(), until: 0, latestCrashAt: -Infinity };
         this.entries.set(fingerprint, entry);
         return entry;
     }
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -98,7 +98,7 @@
     }
 
     /** Resets every connection and refuses new ones for a while, as a process that crashes and is started again. */
-    crash(): void {
+    kill(): void {
         this.crashes += 1;
         this.server.close();
         this.sockets.forEach(socket => socket.resetAndDestroy());
@@ -153,7 +153,7 @@
         });
         await sleep(this.workMilliseconds);
         if (!this.isEngine && this.isDeadly(run)) {
-            this.crash();
+            this.kill();
             return;
         }
         if (this.isEngine) {
@@ -229,7 +229,7 @@
             response.write(`id: ${event}\ndata: piece ${event}\n\n`);
             if (event === run.startedAfter + 1 && this.isDeadly(run)) {
                 await sleep(this.eventMilliseconds);
-                this.crash();
+                this.kill();
                 return;
             }
         }
