Do not clear a stream of its crashes by the events it sends before the next one

Cause: the first event of a stream counted as its success and cleared it of every crash. Class: a sign of life taken as proof of health.

Change: a request is cleared by its complete answer, or by running on for a second after its first event; a stream that was lost after that is not counted as a possible cause.

--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -11,6 +11,8 @@
 
 const statusServerError = 500;
 const statusGatewayTimeout = 504;
+/** Time for which a stream runs on after its first event before it counts as harmless, in milliseconds; a poison request crashes its endpoint soon. */
+const harmlessRunMilliseconds = 1_000;
 /** Interval at which an attempt checks the silence limit of its endpoint. */
 const silenceCheckMilliseconds = 250;
 /** Lower bound of the expected time that a response time is compared with; shorter times are mostly network latency. */
@@ -27,6 +29,8 @@
     private readonly sentAt: number;
     private firstEventAt: number | undefined;
     private lastReceivedAt: number;
+    /** Whether the request has got past the point at which a poison request crashes its endpoint. */
+    private isHarmless = false;
     private hasExceededSilenceLimit = false;
     private isPastDeadline = false;
     private unprocessedPromptTokens: number;
@@ -148,6 +152,9 @@
             return this.handleTruncatedResponse();
         }
         this.recordCompleteResponse(status);
+        if (status < statusServerError) {
+            this.recordHarmless();
+        }
         return this.createResult(undefined);
     }
 
@@ -162,14 +169,25 @@
         }
     }
 
-    /** Records the first event of a stream, or a complete response, as a success of the endpoint, its version and the request. */
+    /** Records the first event of a stream, or a complete response, as a success of the endpoint and its version. */
     private recordServed(servedAt: number): void {
         const timeRatio = this.computeTimeRatio(servedAt);
         this.endpoint.recordSuccess(timeRatio);
         this.recordVersionAttempt(true, timeRatio);
+    }
+
+    private recordHarmless(): void {
+        this.isHarmless = true;
         this.dependencies.poisonRequestDetector.recordSuccess(this.options.call);
     }
 
+    /** Counts the loss of the connection against the request, unless it ran on for so long that it is not the cause. */
+    private recordLoss(): void {
+        if (!this.isHarmless) {
+            this.dependencies.poisonRequestDetector.recordLoss(this.endpoint, this.options.call);
+        }
+    }
+
     /** Returns the time since the attempt was sent as a multiple of the expected time. */
     private computeTimeRatio(at: number): number {
         return (at - this.sentAt) / Math.max(minimumExpectedMilliseconds, this.options.placement.expectedTime);
@@ -178,7 +196,7 @@
     private handleTruncatedResponse(): AttemptResult {
         if (!this.abortController.signal.aborted) {
             this.endpoint.recordMissingResponse(this.dependencies.clock.getMonotonicTime());
-            this.dependencies.poisonRequestDetector.recordLoss(this.endpoint, this.options.call);
+            this.recordLoss();
         }
         return this.createResult(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
     }
@@ -214,13 +232,13 @@
     }
 
     private recordCrashEvidence(code: number, exchange: EndpointExchange): void {
-        const { dependencies, options } = this;
+        const { dependencies } = this;
         if (!exchange.hasConnection()) {
             dependencies.poisonRequestDetector.recordCrash(this.endpoint, CrashEvidence.ConnectionRefused);
             return;
         }
         if (code === Diagnostics.Connection_was_lost_after_the_request_was_sent_0.code && !this.abortController.signal.aborted) {
-            dependencies.poisonRequestDetector.recordLoss(this.endpoint, options.call);
+            this.recordLoss();
         }
     }
 
@@ -245,6 +263,9 @@
     private recordActivity(): void {
         this.lastReceivedAt = this.dependencies.clock.getMonotonicTime();
         this.endpoint.lastReceivedAt = this.lastReceivedAt;
+        if (!this.isHarmless && this.firstEventAt !== undefined && this.lastReceivedAt - this.firstEventAt >= harmlessRunMilliseconds) {
+            this.recordHarmless();
+        }
     }
 
     /** Aborts the attempt when nothing has been received from the endpoint, on any of its connections, for the silence limit. */
--- a/src/gateway/poisonRequests.test.ts
+++ b/src/gateway/poisonRequests.test.ts
@@ -46,22 +46,33 @@
     return Promise.all(gateways.map(async gateway => (await gateway.sendCall(target)).status));
 }
 
-// Guards against a quarantine that each node delays by itself, so that every node sends the request to further endpoints.
-test("a request that crashed three endpoints is retried at most three times by all nodes together, wherever it comes", async () => {
-    const target = "/lookup/deadly";
-    platform.callWorkers.forEach(worker => (worker.isDeadly = run => run.target === target));
-    while (countCrashes(platform.callWorkers) < 3) {
+/** Lets a request crash three workers, then sends it through every node for a while; returns how often it still reached workers. */
+async function countRetriesAfterThreeCrashes(target: string, workers: readonly RoutedWorker[]): Promise<number> {
+    const crashesBefore = countCrashes(workers);
+    workers.forEach(worker => (worker.isDeadly = run => run.target === target));
+    while (countCrashes(workers) < crashesBefore + 3) {
         await gateways[0]?.sendCall(target);
     }
     await sleep(contactMilliseconds);
-    const arrivalsBefore = countArrivals(platform.callWorkers, target);
+    const arrivalsBefore = countArrivals(workers, target);
     for (let round = 0; round < 6; round += 1) {
         for (const gateway of gateways) {
             await gateway.sendCall(target);
         }
         await sleep(200);
     }
-    const retries = countArrivals(platform.callWorkers, target) - arrivalsBefore;
+    return countArrivals(workers, target) - arrivalsBefore;
+}
+
+// Guards against a quarantine that each node delays by itself, so that every node sends the request to further endpoints.
+test("a request that crashed three endpoints is retried at most three times by all nodes together, wherever it comes", async () => {
+    const retries = await countRetriesAfterThreeCrashes("/lookup/deadly", platform.callWorkers);
+    assert.equal(retries <= allowedRetries, true, `${retries} retries`);
+});
+
+// Guards against clearing a stream of its crashes by the events that it sends before it crashes the next endpoint.
+test("a stream that crashes endpoints after its first event is retried at most three times by all nodes together", async () => {
+    const retries = await countRetriesAfterThreeCrashes("/question/deadly", platform.engines);
     assert.equal(retries <= allowedRetries, true, `${retries} retries`);
 });
 
