Count a crash against a suspect request until it has passed its probation

A request that emitted a token or two before it crashed its engine was counted once and then never again; in the new test it ended all six engines, after which no node took the request.

Cause: of the requests that ran on a crashed engine, a suspect one counted as harmless if it had emitted any token, though its probation is eight tokens.

Change: a suspect request is left out only once it has passed its probation.

--- a/src/requests/commands/attemptRun.ts
+++ b/src/requests/commands/attemptRun.ts
@@ -10,11 +10,10 @@
 import { GenerationEnd } from "../../endpoints/types.js";
 import { ActiveAttempt, EndpointEntry } from "../endpointRegistry.js";
 import { RequestRecord } from "../requestRecord.js";
+import { probationTokenCount } from "../suspectLocks.js";
 import { AttemptOutcome, AttemptRecord } from "../types.js";
 import { charactersPerToken, exportTimeLimitMilliseconds, ModelRequestRunnerDependencies } from "./modelRequestDependencies.js";
 
-/** Tokens that an attempt of a suspect request must emit before the request is cleared of the earlier crash. */
-const probationTokenCount = 8;
 /** Target for the time between two tokens. */
 export const tokenIntervalTargetMilliseconds = 45;
 const priorityNumbers: Record<Priority, number> = { [Priority.Lookup]: 0, [Priority.Effect]: 1, [Priority.Draft]: 2 };
--- a/src/requests/commands/endpointProbe.ts
+++ b/src/requests/commands/endpointProbe.ts
@@ -4,6 +4,7 @@
 import { UrgentNotifier } from "../../peers/types.js";
 import { ActiveAttempt, EndpointEntry, EndpointRegistry } from "../endpointRegistry.js";
 import { QuarantineLedger } from "../quarantineLedger.js";
+import { probationTokenCount } from "../suspectLocks.js";
 
 /** Time limit of a probe. */
 const probeTimeLimitMilliseconds = 400;
@@ -69,9 +70,9 @@
 
     /** Counts the crash against the requests that may have caused it, and sends the counts to peers at once. */
     private async recordCrash(entry: EndpointEntry, attempts: readonly ActiveAttempt[]): Promise<void> {
-        // A suspect request that has emitted tokens got past the point of the earlier crash and is not the cause of this one.
+        // A suspect request that has passed its probation got past the point of the earlier crash and is not the cause of this one.
         const possibleCauses = attempts.filter(attempt =>
-            attempt.countEmittedTokens() === 0 || !this.ledger.isSuspect(attempt.fingerprint)
+            attempt.countEmittedTokens() < probationTokenCount || !this.ledger.isSuspect(attempt.fingerprint)
         );
         // A request that holds the suspect lock explains the crash, so the requests beside it are not counted.
         const lockHolders = possibleCauses.filter(attempt => attempt.holdsSuspectLock);
--- a/src/requests/suspectLocks.ts
+++ b/src/requests/suspectLocks.ts
@@ -1,3 +1,6 @@
+/** Tokens that an attempt of a suspect request must emit before the request is cleared of the earlier crash. */
+export const probationTokenCount = 8;
+
 /** Holds a lock per endpoint, so that only one suspect request at a time runs there and a second crash has one suspect. */
 export class SuspectLocks {
     private readonly lastReleaseByEndpoint = new Map<string, Promise<void>>();
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -134,9 +134,8 @@
             cache_handle?: string;
         };
         this.lastArrivalAt = Date.now();
-        if (body.prompt.includes(killerText)) {
-            this.diedOfRequest = true;
-            void this.kill();
+        if (body.prompt.includes(killerText) && this.options.tokensBeforeCrash === 0) {
+            this.crashOfRequest();
             return;
         }
         if (this.isLeaving) {
@@ -156,6 +155,11 @@
         this.addAttempt(String(request.headers["x-request-id"] ?? ""), body, behaviour, response);
     }
 
+    private crashOfRequest(): void {
+        this.diedOfRequest = true;
+        void this.kill();
+    }
+
     private findBehaviour(model: string, prompt: string): VersionBehaviour | undefined {
         const count = (this.requestsByModel.get(model) ?? 0) + 1;
         this.requestsByModel.set(model, count);
@@ -309,6 +313,10 @@
                     JSON.stringify(text)
                 },"finish_reason":null}]}\n\n`,
             );
+            if (attempt.prompt.includes(killerText) && attempt.record.emitted >= this.options.tokensBeforeCrash) {
+                this.crashOfRequest();
+                return;
+            }
         }
         if (attempt.next >= attempt.endsAt) {
             this.finishAttempt(attempt);
--- a/src/standins/engineTypes.ts
+++ b/src/standins/engineTypes.ts
@@ -15,6 +15,8 @@
     readonly modelLoadTime: number;
     readonly cacheBlocks: number;
     readonly seed: number;
+    /** Tokens that an attempt of a request with the killer text emits before the engine crashes; 0 for a crash at its arrival. */
+    readonly tokensBeforeCrash: number;
 }
 
 /** How a version is bad. */
@@ -63,6 +65,7 @@
     modelLoadTime: 300,
     cacheBlocks: 2_000,
     seed: 1,
+    tokensBeforeCrash: 0,
 };
 
 /** KV caches that engines exported; shared by the engines of one stand-in deployment. */
--- a/src/testing/failures/killer.test.ts
+++ b/src/testing/failures/killer.test.ts
@@ -63,6 +63,27 @@
     }
 });
 
+// Guards against taking the first tokens of a request as proof that it does not crash its endpoint.
+test("a request that ends endpoints after its first tokens ends at most 2, however often it is sent", async () => {
+    const deployment = await Deployment.create({
+        domains: ["xela"],
+        nodesPerDomain: 1,
+        enginesPerDomain: 6,
+        plainPerDomain: 0,
+        engine: { stepTime: 10, tokensBeforeCrash: 3 },
+    });
+    try {
+        for (let count = 0; count < resends; count += 1) {
+            await sendCompletion([deployment.getCallerUrl(0)], "lookup", `Lote ${killerText}`, 10);
+        }
+        const ended = deployment.engines.filter(engine => engine.diedOfRequest).length;
+        assert.ok(ended >= 1 && ended <= 2, `${ended} endpoints ended`);
+    }
+    finally {
+        await deployment.stop();
+    }
+});
+
 test("failure domains cut off from each other learn of a quarantine through the platform", async () => {
     const deployment = await Deployment.create({ domains: ["xela", "peten"], nodesPerDomain: 1, enginesPerDomain: 3, plainPerDomain: 0 });
     try {
