Check at once whether an endpoint that lost a request has crashed

What callers saw: more endpoints ended than needed before a poison request was refused.

Cause: the node that lost a request counted the crash only when a later request of its own was refused a connection, or when the endpoint's entry expired 3.6 s later; a connection that timed out counted as a crash too. Other nodes learned of a crash with the next exchange.

It lengthens a quarantine's start where a service gets few requests.

Change: after a lost connection the node opens one to the endpoint. A refused one is a crash; one without an answer is no evidence, since the network may be cut. Counted crashes are sent to peers within 50 ms, those of that time together.

Result: the new test (a crash is counted on every node within a second, without a further request) fails before and passes now.

--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -5,7 +5,6 @@
 import { formatAddress } from "../config/sectionReader.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
-import { CrashEvidence } from "./poisonRequestDetector.js";
 import { BufferingResponseRelay, RelayOutcome } from "./responseRelay.js";
 import { AttemptOptions, AttemptResult, CallAttemptDependencies, IncomingCall } from "./types.js";
 
@@ -234,7 +233,7 @@
     private recordCrashEvidence(code: number, exchange: EndpointExchange): void {
         const { dependencies } = this;
         if (!exchange.hasConnection()) {
-            dependencies.poisonRequestDetector.recordCrash(this.endpoint, CrashEvidence.ConnectionRefused);
+            void dependencies.poisonRequestDetector.checkEndpoint(this.endpoint);
             return;
         }
         if (code === Diagnostics.Connection_was_lost_after_the_request_was_sent_0.code && !this.abortController.signal.aborted) {
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -3,6 +3,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
+import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
 import { IncomingCall } from "./types.js";
 
@@ -14,6 +15,9 @@
 /** Time after the latest crash before a trial, in milliseconds: requests that are running elsewhere end first, and a success clears the suspect. */
 const trialDelayMilliseconds = 1_000;
 
+/** Time for which counted crashes are collected before peers are told, in milliseconds. */
+const crashReportDelayMilliseconds = 50;
+
 /** What shows that an endpoint crashed. */
 export enum CrashEvidence {
     ConnectionRefused = "connection refused",
@@ -38,16 +42,31 @@
 /** Detects poison requests: requests that were lost several times at endpoints that turned out to have crashed. */
 export class PoisonRequestDetector {
     private readonly lostRequestsByEndpoint = new Map<FleetEndpoint, LostRequest[]>();
+    private readonly probedEndpoints = new Set<FleetEndpoint>();
+    private handleNewCrash: () => void = () => {};
+    private isReporting = false;
 
     private constructor(
         private readonly ledger: QuarantineLedger,
         private readonly trials: QuarantineTrials,
+        private readonly probe: ConnectionProbe,
         private readonly clock: Clock,
         private readonly log: EventLog,
     ) {}
 
-    static create(ledger: QuarantineLedger, trials: QuarantineTrials, clock: Clock, log: EventLog): PoisonRequestDetector {
-        return new PoisonRequestDetector(ledger, trials, clock, log);
+    static create(
+        ledger: QuarantineLedger,
+        trials: QuarantineTrials,
+        probe: ConnectionProbe,
+        clock: Clock,
+        log: EventLog,
+    ): PoisonRequestDetector {
+        return new PoisonRequestDetector(ledger, trials, probe, clock, log);
+    }
+
+    /** Sets a function that is called soon after a crash was counted, so that peers learn of it at once. */
+    setCrashHandler(handleNewCrash: () => void): void {
+        this.handleNewCrash = handleNewCrash;
     }
 
     /**
@@ -103,6 +122,23 @@
         recent.push({ fingerprint, at: now });
         this.lostRequestsByEndpoint.set(endpoint, recent);
         this.trials.recordFailure(fingerprint, call.id);
+        void this.checkEndpoint(endpoint);
+    }
+
+    /**
+     * Checks whether an endpoint that lost requests has crashed: whether it refuses connections. A connection that is not answered
+     * is no evidence, since the network between may be cut.
+     */
+    async checkEndpoint(endpoint: FleetEndpoint): Promise<void> {
+        if (this.probedEndpoints.has(endpoint) || !this.lostRequestsByEndpoint.has(endpoint)) {
+            return;
+        }
+        this.probedEndpoints.add(endpoint);
+        const result = await this.probe.checkAddress(endpoint.entry.address);
+        this.probedEndpoints.delete(endpoint);
+        if (result === ProbeResult.Refused) {
+            this.recordCrash(endpoint, CrashEvidence.ConnectionRefused);
+        }
     }
 
     /** Records evidence that an endpoint crashed: it refuses connections, or a new incarnation of it was seen. */
@@ -122,6 +158,18 @@
                 this.log.log(LogEvents.QuarantineAdded, { fingerprint, deaths: crashesUntilQuarantine, endpoint: endpoint.entry.id });
             }
         }
+        void this.reportCrashes();
+    }
+
+    /** Reports counted crashes, those of a short time together: endpoints also crash in large groups. */
+    private async reportCrashes(): Promise<void> {
+        if (this.isReporting) {
+            return;
+        }
+        this.isReporting = true;
+        await this.clock.sleep(crashReportDelayMilliseconds);
+        this.isReporting = false;
+        this.handleNewCrash();
     }
 
     private isQuarantined(fingerprint: string): boolean {
--- a/src/gateway/poisonRequests.test.ts
+++ b/src/gateway/poisonRequests.test.ts
@@ -1,10 +1,11 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { RoutedWorker } from "../standins/routed/routedWorker.js";
 import { pickFreePort } from "../testing/daemons.js";
-import { RoutedGateway } from "../testing/routedGateway.js";
+import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
 
 /** Number of nodes; each could send a poison request once more. */
 const nodeCount = 5;
@@ -41,6 +42,12 @@
     return workers.flatMap(worker => worker.runs).filter(run => run.target === target).length;
 }
 
+/** Returns the most crashes that a node counts against one request. */
+function countCrashesOn(gateway: RoutedGateway | undefined): number {
+    const records = gateway?.node.container.get(Keys.Ledger).listRecords() ?? [];
+    return Math.max(0, ...records.map(record => record.endpoints.length));
+}
+
 /** Sends a call through every node; returns the statuses. */
 function sendThroughAll(target: string): Promise<number[]> {
     return Promise.all(gateways.map(async gateway => (await gateway.sendCall(target)).status));
@@ -64,6 +71,19 @@
     return countArrivals(workers, target) - arrivalsBefore;
 }
 
+// Guards against counting a crash only when a later request is refused a connection or the endpoint's entry has expired.
+test("a crash is counted on every node within a second, without a further request", async () => {
+    platform.callWorkers.forEach(worker => {
+        worker.restartMilliseconds = 2_000;
+        worker.isDeadly = run => run.target === "/voucher/deadly";
+    });
+    await gateways[0]?.sendCall("/voucher/deadly", { method: "POST", body: "{}" });
+    await sleep(1_000);
+    platform.callWorkers.forEach(worker => (worker.restartMilliseconds = 300));
+    assert.deepEqual(gateways.map(countCrashesOn), gateways.map(() => 1));
+    await waitUntil(() => platform.callWorkers.every(worker => worker.isListening()));
+});
+
 // Guards against a quarantine that each node delays by itself, so that every node sends the request to further endpoints.
 test("a request that crashed three endpoints is retried at most three times by all nodes together, wherever it comes", async () => {
     const retries = await countRetriesAfterThreeCrashes("/lookup/deadly", platform.callWorkers);
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -8,6 +8,7 @@
 import { EndpointFollower } from "../../fleet/endpointFollower.js";
 import { CallForwarder } from "../../gateway/callForwarder.js";
 import { CallReader } from "../../gateway/callReader.js";
+import { TcpConnectionProbe } from "../../gateway/connectionProbe.js";
 import { EndpointConnectionPool } from "../../gateway/endpointConnectionPool.js";
 import { HeaderForwarder } from "../../gateway/forwardedHeaders.js";
 import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
@@ -179,6 +180,7 @@
         PoisonRequestDetector.create(
             context.get(Keys.Ledger),
             context.get(Keys.QuarantineTrials),
+            TcpConnectionProbe.create(settings.timing.connectTimeout),
             context.get(Keys.Clock),
             context.get(Keys.Log),
         )
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -154,6 +154,7 @@
         const log = container.get(Keys.Log);
         const metrics = container.get(Keys.Metrics);
         const connections = container.get(Keys.Connections);
+        container.get(Keys.PoisonRequestDetector).setCrashHandler(() => void container.get(Keys.Gossip).publishNow());
         container.get(Keys.Configuration).addListener(table => metrics.configurationVersion.set(table.configuration.version));
         container.get(Keys.Directory).addListener(change => {
             const { entry } = change.endpoint;
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -6,8 +6,6 @@
 const statusOk = 200;
 const statusMisdirected = 421;
 const statusUnavailable = 503;
-/** Time from a crash until the process listens again. */
-const restartMilliseconds = 300;
 
 /** What goes wrong with the next request of a worker. */
 export enum WorkerFault {
@@ -66,6 +64,8 @@
     isDeadly: (run: RunRecord) => boolean = () => false;
     /** Called when the process listens again after a crash, as a new incarnation. */
     handleRestart: () => void = () => {};
+    /** Time from a crash until the process listens again. */
+    restartMilliseconds = 300;
     crashes = 0;
     born = Date.now();
     version = "v1";
@@ -102,7 +102,11 @@
         this.crashes += 1;
         this.server.close();
         this.sockets.forEach(socket => socket.resetAndDestroy());
-        setTimeout(() => this.restart(), restartMilliseconds);
+        setTimeout(() => this.restart(), this.restartMilliseconds);
+    }
+
+    isListening(): boolean {
+        return this.server.listening;
     }
 
     getAddress(): string {
