Keep quarantines in the store, for nodes that restart or cannot hear their peers

After a restart of all nodes, or on a node that hears no peer, a quarantined request was sent to three more endpoints before it was refused again.

Cause: the gateway's quarantines lived in the nodes' memories alone; the product's own nodes already keep theirs in the store.

Change: a node that has counted one of the crashes stores the quarantine under quarantines/, beside the claim of its trial. Every node that reads the store watches that prefix; followers of relays hear of it from them. A removed object clears the request, expired ones are removed by whoever reads them. Costs one more watch for each reader.

Result: the new test (a node that starts when no other node is left) fails before and passes now; 98 tests of gateway, gossip, duties and platform pass.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -90,6 +90,7 @@
         stateChangeLinesPerSecond,
         "The store was asked for the one trial of a quarantined request; the result.",
     ),
+    QuarantineFaulty: createWarning("quarantine faulty", stateChangeLinesPerSecond, "A quarantine in the store cannot be read."),
     VersionMoveChanged: createInfo(
         "version move changed",
         stateChangeLinesPerSecond,
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -2,13 +2,13 @@
 import { EventLog } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { QuarantineLedger } from "../requests/quarantineLedger.js";
+import { FingerprintRecord, QuarantineLedger } from "../requests/quarantineLedger.js";
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
 import { IncomingCall } from "./types.js";
 
 /** Number of endpoints that a request must have crashed before it is quarantined; fewer would also refuse requests that ran beside it by chance. */
-export const crashesUntilQuarantine = 3;
+const crashesUntilQuarantine = 3;
 /** Longest time from the loss of a request to the evidence that its endpoint crashed: three missed heartbeats, plus a margin. */
 const crashConfirmationMilliseconds = 4_500;
 
@@ -152,15 +152,30 @@
         this.log.log(LogEvents.CrashRecorded, { endpoint: endpoint.entry.id, evidence, requests: requests.length });
         const incarnation = `${endpoint.entry.id}/${endpoint.entry.incarnation}`;
         for (const { fingerprint } of requests) {
-            const wasQuarantined = this.isQuarantined(fingerprint);
-            this.ledger.recordCrash(fingerprint, incarnation);
-            if (!wasQuarantined && this.isQuarantined(fingerprint)) {
-                this.log.log(LogEvents.QuarantineAdded, { fingerprint, deaths: crashesUntilQuarantine, endpoint: endpoint.entry.id });
-            }
+            this.addCrashes(fingerprint, endpoint.entry.id, () => this.ledger.recordCrash(fingerprint, incarnation));
         }
         void this.reportCrashes();
     }
 
+    /** Merges crashes that a peer or the store counts against a request. */
+    mergeRecord(record: FingerprintRecord, source: string): void {
+        this.addCrashes(record.fingerprint, source, () => this.ledger.mergeRecord(record));
+    }
+
+    /** Runs a function that adds crashes to the ledger, and quarantines the request if it has enough of them now. */
+    private addCrashes(fingerprint: string, source: string, add: () => void): void {
+        const wasQuarantined = this.isQuarantined(fingerprint);
+        add();
+        const record = this.ledger.findRecord(fingerprint);
+        if (wasQuarantined || record === undefined || !this.isQuarantined(fingerprint)) {
+            return;
+        }
+        this.log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: record.endpoints.join(","), source });
+        if (this.ledger.hasOwnCrash(fingerprint)) {
+            void this.trials.storeQuarantine(record);
+        }
+    }
+
     /** Reports counted crashes, those of a short time together: endpoints also crash in large groups. */
     private async reportCrashes(): Promise<void> {
         if (this.isReporting) {
--- a/src/gateway/poisonRequests.test.ts
+++ b/src/gateway/poisonRequests.test.ts
@@ -53,13 +53,20 @@
     return Promise.all(gateways.map(async gateway => (await gateway.sendCall(target)).status));
 }
 
-/** Lets a request crash three workers, then sends it through every node for a while; returns how often it still reached workers. */
-async function countRetriesAfterThreeCrashes(target: string, workers: readonly RoutedWorker[]): Promise<number> {
+/** Sends a request through a node until it has crashed three workers. */
+async function killThree(gateway: RoutedGateway, target: string, workers: readonly RoutedWorker[]): Promise<void> {
     const crashesBefore = countCrashes(workers);
-    workers.forEach(worker => (worker.isDeadly = run => run.target === target));
+    const statuses: number[] = [];
     while (countCrashes(workers) < crashesBefore + 3) {
-        await gateways[0]?.sendCall(target);
+        statuses.push((await gateway.sendCall(target)).status);
+        assert.equal(statuses.length < 100, true, `too few crashes: ${statuses.slice(0, 10).join(" ")}`);
     }
+}
+
+/** Lets a request crash three workers, then sends it through every node for a while; returns how often it still reached workers. */
+async function countRetriesAfterThreeCrashes(target: string, workers: readonly RoutedWorker[]): Promise<number> {
+    workers.forEach(worker => (worker.isDeadly = run => run.target === target));
+    await killThree(gateways[0] as RoutedGateway, target, workers);
     await sleep(contactMilliseconds);
     const arrivalsBefore = countArrivals(workers, target);
     for (let round = 0; round < 6; round += 1) {
@@ -99,11 +106,8 @@
 // Guards against refusing a popular request for the whole term of a quarantine because it ran where endpoints crashed by chance.
 test("a harmless request that ran on three crashed endpoints is served by all nodes after one of them has tried it", async () => {
     const target = "/lookup/unlucky";
-    const crashesBefore = countCrashes(platform.callWorkers);
     platform.callWorkers.forEach(worker => (worker.isDeadly = run => run.target === target));
-    while (countCrashes(platform.callWorkers) < crashesBefore + 3) {
-        await gateways[0]?.sendCall(target);
-    }
+    await killThree(gateways[0] as RoutedGateway, target, platform.callWorkers);
     platform.callWorkers.forEach(worker => (worker.isDeadly = () => false));
     const isCleared = async () => (await sendThroughAll(target)).every(status => status === 200);
     const endsAt = performance.now() + contactMilliseconds;
@@ -112,3 +116,25 @@
         await sleep(50);
     }
 });
+
+// Guards against forgetting a quarantine when all nodes are restarted.
+test("a node that starts when no other node is left refuses a request that was quarantined before", async context => {
+    const target = "/lookup/remembered";
+    const lonePlatform = RoutedPlatform.create();
+    context.after(() => lonePlatform.stop());
+    await lonePlatform.start(4);
+    const first = await RoutedGateway.start(lonePlatform, { name: "first" });
+    lonePlatform.callWorkers.forEach(worker => (worker.isDeadly = run => run.target === target));
+    await killThree(first, target, lonePlatform.callWorkers);
+    await waitUntil(() => countCrashesOn(first) >= 3);
+    await first.stop();
+    const second = await RoutedGateway.start(lonePlatform, { name: "second" });
+    context.after(() => second.stop());
+    await waitUntil(() => lonePlatform.callWorkers.every(worker => worker.isListening()));
+    await sleep(500);
+    const arrivalsBefore = countArrivals(lonePlatform.callWorkers, target);
+    await second.sendCall(target);
+    await second.sendCall(target);
+    // The quarantine's one trial may run.
+    assert.equal(countArrivals(lonePlatform.callWorkers, target) - arrivalsBefore <= 1, true);
+});
--- /dev/null
+++ b/src/gateway/quarantineFollower.ts
@@ -0,0 +1,54 @@
+import { Clock } from "../common/clock.js";
+import { EventLog } from "../common/eventLog.js";
+import { LogEvents } from "../common/logEvents.js";
+import { ObjectChangeHandler } from "../provider/objectWatcher.js";
+import { ObjectList, StoredObject } from "../provider/types.js";
+import { QuarantineLedger } from "../requests/quarantineLedger.js";
+import { PoisonRequestDetector } from "./poisonRequestDetector.js";
+import { quarantinePrefix, quarantineSchema, QuarantineTrials } from "./quarantineTrials.js";
+
+/** Applies the quarantines in the store, for nodes that have restarted or that peers cannot reach. */
+export class QuarantineFollower implements ObjectChangeHandler {
+    private constructor(
+        private readonly detector: PoisonRequestDetector,
+        private readonly ledger: QuarantineLedger,
+        private readonly trials: QuarantineTrials,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+    ) {}
+
+    static create(
+        detector: PoisonRequestDetector,
+        ledger: QuarantineLedger,
+        trials: QuarantineTrials,
+        clock: Clock,
+        log: EventLog,
+    ): QuarantineFollower {
+        return new QuarantineFollower(detector, ledger, trials, clock, log);
+    }
+
+    handleListing(list: ObjectList): void {
+        list.objects.forEach(object => this.handleChange(object));
+    }
+
+    handleChange(object: StoredObject): void {
+        const fingerprint = object.name.slice(quarantinePrefix.length);
+        const parsed = quarantineSchema.safeParse(object.value);
+        if (!parsed.success) {
+            this.log.log(LogEvents.QuarantineFaulty, { fingerprint, fault: parsed.error.message });
+            return;
+        }
+        const { endpoints, until } = parsed.data;
+        if (until <= this.clock.getWallTime()) {
+            void this.trials.removeStored(fingerprint, object.revision);
+            return;
+        }
+        this.detector.mergeRecord({ fingerprint, endpoints, until }, "store");
+    }
+
+    /** Clears a request whose stored quarantine was removed: it was served under its trial. */
+    handleRemoval(name: string): void {
+        const fingerprint = name.slice(quarantinePrefix.length);
+        this.ledger.removeCrashes(fingerprint, this.ledger.listCrashedEndpoints(fingerprint));
+    }
+}
--- a/src/gateway/quarantineTrials.ts
+++ b/src/gateway/quarantineTrials.ts
@@ -4,7 +4,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { ObjectStore, writeObject } from "../provider/objectStore.js";
 import { Revision } from "../provider/revision.js";
-import { WriteOutcome } from "../provider/types.js";
+import { StoredObject, WriteOutcome } from "../provider/types.js";
 import { FingerprintRecord } from "../requests/quarantineLedger.js";
 
 /** Prefix of the store objects that hold quarantines, one for each fingerprint. */
@@ -17,7 +17,9 @@
 const maximumTrialRuns = 3;
 
 /** Stored quarantine. `trialBy` names the incarnation of the node that may try the request once; absent before the trial is claimed. */
-const quarantineSchema = z.object({ endpoints: z.array(z.string()), until: z.number(), trialBy: z.string().optional() });
+export const quarantineSchema = z.object({ endpoints: z.array(z.string()), until: z.number(), trialBy: z.string().optional() });
+
+type StoredQuarantine = z.infer<typeof quarantineSchema>;
 
 /** State of a quarantine's trial, as this node knows it. */
 enum TrialState {
@@ -52,6 +54,7 @@
  */
 export class QuarantineTrials {
     private readonly trials = new Map<string, Trial>();
+    private readonly stopping = new AbortController();
 
     private constructor(
         private readonly store: ObjectStore,
@@ -128,16 +131,51 @@
         }
     }
 
+    /** Stores a quarantine without a claim to its trial, with retries until it is stored or has expired. */
+    async storeQuarantine(record: FingerprintRecord): Promise<void> {
+        while (!this.stopping.signal.aborted && record.until > this.clock.getWallTime()) {
+            const found = await this.store.getObject(quarantinePrefix + record.fingerprint);
+            if (found.ok) {
+                if (this.findUnexpired(found.val) !== undefined) {
+                    return;
+                }
+                const value = { endpoints: record.endpoints, until: record.until };
+                const written = await writeObject(this.store, quarantinePrefix + record.fingerprint, value, found.val);
+                if (written.ok) {
+                    return;
+                }
+            }
+            await this.clock.sleep(claimRetryMilliseconds, this.stopping.signal);
+        }
+    }
+
+    /** Removes a stored quarantine. What cannot be removed expires. */
+    async removeStored(fingerprint: string, revision: Revision): Promise<void> {
+        const removed = await this.store.removeObject(quarantinePrefix + fingerprint, revision);
+        if (removed.err && removed.val.outcome !== WriteOutcome.Conflict) {
+            this.log.log(LogEvents.DependencyLost, { dependency: "store", cause: removed.val.failure.text });
+        }
+    }
+
+    stop(): void {
+        this.stopping.abort();
+    }
+
+    private findUnexpired(object: StoredObject | undefined): StoredQuarantine | undefined {
+        const stored = quarantineSchema.safeParse(object?.value);
+        return stored.success && stored.data.until > this.clock.getWallTime() ? stored.data : undefined;
+    }
+
     private async claimInStore(record: FingerprintRecord, trial: Trial): Promise<TrialState> {
         const name = quarantinePrefix + record.fingerprint;
         const found = await this.store.getObject(name);
         if (found.err) {
             return TrialState.Undecided;
         }
-        const stored = quarantineSchema.safeParse(found.val?.value);
-        if (stored.success && stored.data.trialBy !== undefined && stored.data.until > this.clock.getWallTime()) {
+        const trialBy = this.findUnexpired(found.val)?.trialBy;
+        if (trialBy !== undefined) {
             // The response to this node's own claim may have been lost.
-            trial.revision = stored.data.trialBy === this.holder ? found.val?.revision : undefined;
+            trial.revision = trialBy === this.holder ? found.val?.revision : undefined;
             return trial.revision === undefined ? TrialState.Spent : TrialState.Held;
         }
         const value = { endpoints: record.endpoints, until: record.until, trialBy: this.holder };
@@ -149,14 +187,6 @@
         return TrialState.Held;
     }
 
-    /** Removes a stored quarantine. What cannot be removed expires. */
-    private async removeStored(fingerprint: string, revision: Revision): Promise<void> {
-        const removed = await this.store.removeObject(quarantinePrefix + fingerprint, revision);
-        if (removed.err && removed.val.outcome !== WriteOutcome.Conflict) {
-            this.log.log(LogEvents.DependencyLost, { dependency: "store", cause: removed.val.failure.text });
-        }
-    }
-
     private findTrial(fingerprint: string): Trial | undefined {
         const trial = this.trials.get(fingerprint);
         if (trial !== undefined && trial.until <= this.clock.getWallTime()) {
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -1,13 +1,12 @@
 import { z } from "zod";
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
-import { LogEvents } from "../common/logEvents.js";
 import { createEmptyCounts } from "../control/moves/moveEvidence.js";
 import { DutyLease } from "../duties/dutyLease.js";
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../fleet/endpointFollower.js";
 import { endpointEntrySchema } from "../fleet/types.js";
-import { crashesUntilQuarantine } from "../gateway/poisonRequestDetector.js";
+import { PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
 import { ServiceWorkTracker } from "../placement/serviceWorkTracker.js";
 import { ObjectStore } from "../provider/objectStore.js";
@@ -57,6 +56,7 @@
     readonly work: ServiceWorkTracker;
     readonly lease: DutyLease;
     readonly ledger: QuarantineLedger;
+    readonly poisonRequestDetector: PoisonRequestDetector;
     readonly versions: VersionMoves;
     readonly plan: RelaySelector;
     readonly loads: PeerLoadTracker;
@@ -248,16 +248,13 @@
     }
 
     private applySuspect(suspect: GatewayDigest["suspects"][number], source: string): void {
-        const { ledger, log } = this.dependencies;
+        const { ledger, poisonRequestDetector } = this.dependencies;
         const { fingerprint, endpoints } = suspect;
         if (suspect.isCleared) {
             ledger.removeCrashes(fingerprint, endpoints);
             return;
         }
-        const isNew = ledger.mergeRecord({ fingerprint, endpoints, until: Number(suspect.untilMilliseconds) });
-        if (isNew && ledger.countCrashes(fingerprint) === crashesUntilQuarantine) {
-            log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: endpoints.join(","), source });
-        }
+        poisonRequestDetector.mergeRecord({ fingerprint, endpoints, until: Number(suspect.untilMilliseconds) }, source);
     }
 
     private listPlacements(peer: GatewayPeer | undefined) {
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -14,7 +14,8 @@
 import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../../gateway/gatewayServer.js";
 import { PoisonRequestDetector } from "../../gateway/poisonRequestDetector.js";
-import { QuarantineTrials } from "../../gateway/quarantineTrials.js";
+import { QuarantineFollower } from "../../gateway/quarantineFollower.js";
+import { quarantinePrefix, QuarantineTrials } from "../../gateway/quarantineTrials.js";
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
 import { formatIncarnationKey, PeerTable } from "../../gossip/peerTable.js";
 import { WatchScheduler } from "../../gossip/watchScheduler.js";
@@ -129,14 +130,22 @@
             settings.timing.applyLimit * (plan.isFollowingReader() ? followerPauseShareOfApplyLimit : batchPauseShareOfApplyLimit)
         );
         nodes.setBatchPauseSource(() => nodeEntryPollMilliseconds);
+        const quarantineFollower = QuarantineFollower.create(
+            context.get(Keys.PoisonRequestDetector),
+            context.get(Keys.Ledger),
+            context.get(Keys.QuarantineTrials),
+            clock,
+            log,
+        );
         const watches = {
             configuration: ObjectWatcher.create(store, configurationPrefix, context.get(Keys.ConfigurationFollower), clock, log),
             endpoints,
             nodes,
             versions: ObjectWatcher.create(store, context.get(Keys.VersionMoveDecoder).prefix, context.get(Keys.Versions), clock, log),
+            quarantines: ObjectWatcher.create(store, quarantinePrefix, quarantineFollower, clock, log),
         };
         // The endpoints' entries are read on every node: a busy relay may tell of a drained endpoint too late.
-        for (const watch of [watches.configuration, watches.nodes, watches.versions]) {
+        for (const watch of [watches.configuration, watches.nodes, watches.versions, watches.quarantines]) {
             watch.setSuspensionSource(() => plan.isFollowingReader());
         }
         return watches;
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -52,6 +52,7 @@
     readonly endpoints: ObjectWatcher;
     readonly nodes: ObjectWatcher;
     readonly versions: ObjectWatcher;
+    readonly quarantines: ObjectWatcher;
 }
 
 /** Dependency injection keys of a gateway. */
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -86,6 +86,7 @@
         void watches.endpoints.run();
         void watches.nodes.run();
         void watches.versions.run();
+        void watches.quarantines.run();
         void container.get(Keys.Registry).registerNode();
         container.get(Keys.Gossip).setSeeds(settings.seeds);
         void container.get(Keys.Gossip).runRounds();
@@ -143,6 +144,8 @@
         watches.endpoints.stop();
         watches.nodes.stop();
         watches.versions.stop();
+        watches.quarantines.stop();
+        container.get(Keys.QuarantineTrials).stop();
         container.get(Keys.Registry).stop();
         container.get(Keys.Gossip).stop();
         void this.peerServer.stop();
--- a/src/requests/quarantineLedger.ts
+++ b/src/requests/quarantineLedger.ts
@@ -22,6 +22,8 @@
     until: number;
     /** Monotonic time in milliseconds at which the latest crash was counted here. */
     latestCrashAt: number;
+    /** Whether this node counted one of the crashes itself. */
+    hasOwnCrash: boolean;
 }
 
 /**
@@ -46,6 +48,10 @@
     /** Counts the crash of an endpoint against a fingerprint. */
     recordCrash(fingerprint: string, endpoint: string): void {
         this.mergeRecord({ fingerprint, endpoints: [endpoint], until: this.clock.getWallTime() + this.retentionMilliseconds });
+        const entry = this.entries.get(fingerprint);
+        if (entry !== undefined) {
+            entry.hasOwnCrash = true;
+        }
     }
 
     /** Merges a record of a peer; returns whether it added a crash. */
@@ -107,6 +113,11 @@
         return this.findUnexpired(fingerprint)?.latestCrashAt ?? -Infinity;
     }
 
+    /** Returns whether this node counted one of a request's crashes itself. */
+    hasOwnCrash(fingerprint: string): boolean {
+        return this.findUnexpired(fingerprint)?.hasOwnCrash ?? false;
+    }
+
     /** Returns the number of crashes counted against a request. */
     countCrashes(fingerprint: string): number {
         return this.findUnexpired(fingerprint)?.endpoints.size ?? 0;
@@ -162,7 +173,7 @@
         if (this.entries.size >= ledgerEntryLimit) {
             this.entries.delete(this.entries.keys().next().value as string);
         }
-        const entry: LedgerEntry = { endpoints: new Set(), cleared: new Set(), until: 0, latestCrashAt: -Infinity };
+        const entry: LedgerEntry = { endpoints: new Set(), cleared: new Set(), until: 0, latestCrashAt: -Infinity, hasOwnCrash: false };
         this.entries.set(fingerprint, entry);
         return entry;
     }
