Count crashes against the parts of prompts too, and refuse requests with a part that crashes endpoints

Cause: a crash counted against whole requests only, so requests that share a part of their prompts each ended an engine of their own.

Change: a crash counts against the request and against each part of its prompt but the last, at its service. A served request clears them all, so a popular part that is often beside the cause is cleared at once. A lost trial is repeated once, ten seconds later. Digests name suspects for five seconds after their latest crash, quarantined ones until they expire: with parts there are several times as many.

--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -8,7 +8,6 @@
 import { EndpointChooser } from "../placement/endpointChooser.js";
 import { Placement } from "../placement/types.js";
 import { FleetRetryBudget } from "../quotas/fleetRetryBudget.js";
-import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { RouteKind } from "../routes/types.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { CallAttempt } from "./callAttempt.js";
@@ -28,7 +27,6 @@
     readonly chooser: EndpointChooser;
     readonly retryBudget: FleetRetryBudget;
     readonly usage: UsageCounter;
-    readonly ledger: QuarantineLedger;
 }
 
 /** Outcome of a call, for the response to the caller, metrics and the log. */
@@ -219,7 +217,7 @@
     }
 
     private createQuarantineReport(): CallReport {
-        const crashes = this.dependencies.ledger.countCrashes(this.call.getFingerprint());
+        const crashes = this.dependencies.poisonRequestDetector.countCrashes(this.call);
         return this.createFailureReport(
             Failure.create(this.verdict, Diagnostics.Request_ended_0_endpoints_and_is_not_sent_again, crashes),
         );
--- /dev/null
+++ b/src/gateway/poisonRequestDetector.test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { SilentEventLog } from "../common/eventLog.js";
+import { SeededRandom } from "../common/random.js";
+import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { QuarantineLedger } from "../requests/quarantineLedger.js";
+import { createEndpointEntry } from "../testing/gatewayParts.js";
+import { MemoryObjects, MemoryObjectStore } from "../testing/memoryObjectStore.js";
+import { VirtualClock } from "../testing/virtualClock.js";
+import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
+import { Admission, CrashEvidence, PoisonRequestDetector } from "./poisonRequestDetector.js";
+import { QuarantineTrials } from "./quarantineTrials.js";
+import { IncomingCall } from "./types.js";
+
+const termMilliseconds = 600_000;
+
+function createDetector(clock: VirtualClock, result: ProbeResult) {
+    const log = SilentEventLog.create();
+    const ledger = QuarantineLedger.create(clock, termMilliseconds);
+    const store = MemoryObjectStore.create(MemoryObjects.create(), clock, clock, SeededRandom.create(1));
+    const probe: ConnectionProbe = { checkAddress: () => Promise.resolve(result) };
+    const trials = QuarantineTrials.create(store, clock, log, "node/1");
+    return { ledger, detector: PoisonRequestDetector.create(ledger, trials, probe, clock, log) };
+}
+
+function createEndpoint(id: string): FleetEndpoint {
+    return FleetEndpoint.create(createEndpointEntry({ id }), 0);
+}
+
+/** Creates a call with the given prompt parts; the last one is its own. */
+function createCall(id: string, parts: readonly string[]): IncomingCall {
+    const prompt = { parts: parts.map(part => ({ id: part, tokens: 100 })), inputTokens: 100, maxOutputTokens: 20 };
+    return { id, service: "redactor", prompt, getFingerprint: () => `hash-of-${id}` } as unknown as IncomingCall;
+}
+
+/** Loses calls at an endpoint that turns out to have crashed. */
+function killWith(detector: PoisonRequestDetector, endpoint: string, calls: readonly IncomingCall[]): void {
+    const lost = createEndpoint(endpoint);
+    calls.forEach(call => detector.recordLoss(lost, call));
+    detector.recordCrash(lost, CrashEvidence.EntryRemoved);
+}
+
+// Guards against refusing a popular part of prompts because it was often beside the part that crashes endpoints.
+test("a popular part that is served between crashes stays allowed beside a quarantined one", () => {
+    const { detector } = createDetector(VirtualClock.create(), ProbeResult.Unanswered);
+    for (let crash = 0; crash < 4; crash += 1) {
+        const deadly = createCall(`deadly-${crash}`, ["popular", "deadly", `own-${crash}`]);
+        const bystander = createCall(`bystander-${crash}`, ["popular", "other", `own-b${crash}`]);
+        killWith(detector, `endpoint-${crash}`, [deadly, bystander]);
+        detector.recordSuccess(createCall(`sound-${crash}`, ["popular", "other", `own-s${crash}`]));
+    }
+    assert.equal(detector.getAdmission(createCall("next", ["popular", "deadly", "own"])), Admission.Refused);
+    assert.equal(detector.getAdmission(createCall("sound", ["popular", "other", "own"])), Admission.Allowed);
+});
+
+test("the last part of a prompt, a success at another service and a part of another service count for nothing", () => {
+    const { detector } = createDetector(VirtualClock.create(), ProbeResult.Unanswered);
+    for (let crash = 0; crash < 4; crash += 1) {
+        killWith(detector, `endpoint-${crash}`, [createCall(`lost-${crash}`, ["deadly", "session"])]);
+        detector.recordSuccess({ ...createCall(`other-${crash}`, ["deadly", "own"]), service: "elsewhere" });
+    }
+    assert.equal(detector.getAdmission(createCall("same-session", ["other", "session"])), Admission.Allowed);
+    assert.equal(detector.getAdmission(createCall("next", ["deadly", "own"])), Admission.Refused);
+    assert.equal(detector.getAdmission({ ...createCall("elsewhere", ["deadly", "own"]), service: "elsewhere" }), Admission.Allowed);
+});
+
+test("a loss at an endpoint that does not answer a connection is no crash, one that refuses it is", async () => {
+    for (const [result, crashes] of [[ProbeResult.Unanswered, 0], [ProbeResult.Accepted, 0], [ProbeResult.Refused, 1]] as const) {
+        const { detector, ledger } = createDetector(VirtualClock.create(), result);
+        const call = createCall("lost", ["own"]);
+        detector.recordLoss(createEndpoint("endpoint"), call);
+        await new Promise(resolve => setImmediate(resolve));
+        assert.equal(ledger.countCrashes(call.getFingerprint()), crashes, result);
+    }
+});
+
+// Guards against spending the trial of a sound part on a request that also has the part that crashes endpoints.
+test("a request with two quarantined parts is not tried, one with one of them is", async () => {
+    const clock = VirtualClock.create();
+    const { detector } = createDetector(clock, ProbeResult.Unanswered);
+    for (let crash = 0; crash < 3; crash += 1) {
+        killWith(detector, `endpoint-${crash}`, [createCall(`lost-${crash}`, ["popular", "deadly", `own-${crash}`])]);
+    }
+    await clock.runUntil(1_000);
+    assert.equal(detector.getAdmission(createCall("both", ["popular", "deadly", "own"])), Admission.Refused);
+    assert.equal(detector.getAdmission(createCall("one", ["popular", "other", "own"])), Admission.NeedsTrial);
+});
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -7,8 +7,11 @@
 import { QuarantineTrials } from "./quarantineTrials.js";
 import { IncomingCall } from "./types.js";
 
-/** Number of endpoints that a request must have crashed before it is quarantined; fewer would also refuse requests that ran beside it by chance. */
-const crashesUntilQuarantine = 3;
+/**
+ * Number of endpoints that a request, or a part of its prompt, must have crashed before it is quarantined; fewer would also refuse
+ * requests that ran beside the cause by chance.
+ */
+export const crashesUntilQuarantine = 3;
 /** Longest time from the loss of a request to the evidence that its endpoint crashed: three missed heartbeats, plus a margin. */
 const crashConfirmationMilliseconds = 4_500;
 
@@ -35,11 +38,11 @@
 
 /** A request whose connection was lost, in monotonic milliseconds. */
 interface LostRequest {
-    readonly fingerprint: string;
+    readonly fingerprints: readonly string[];
     readonly at: number;
 }
 
-/** Detects poison requests: requests that were lost several times at endpoints that turned out to have crashed. */
+/** Detects poison requests: requests, or requests with a part in their prompts, that were lost several times at endpoints that had crashed. */
 export class PoisonRequestDetector {
     private readonly lostRequestsByEndpoint = new Map<FleetEndpoint, LostRequest[]>();
     private readonly probedEndpoints = new Set<FleetEndpoint>();
@@ -77,38 +80,46 @@
         if (this.ledger.isEmpty()) {
             return Admission.Allowed;
         }
-        const fingerprint = call.getFingerprint();
-        if (!this.isQuarantined(fingerprint) || this.trials.isRunning(fingerprint, call.id)) {
+        const quarantined = this.listQuarantined(call).filter(fingerprint => !this.trials.isRunning(fingerprint, call.id));
+        if (quarantined.length === 0) {
             return Admission.Allowed;
         }
-        const isTrialDue = this.clock.getMonotonicTime() - this.ledger.getLatestCrashTime(fingerprint) >= trialDelayMilliseconds;
-        return isTrialDue && this.trials.isAvailable(fingerprint) ? Admission.NeedsTrial : Admission.Refused;
+        // With two of them, a sound part would be tried together with the one that crashes endpoints.
+        const isTrialAllowed = quarantined.length === 1 && quarantined.every(fingerprint => this.isTrialDue(fingerprint));
+        return isTrialAllowed ? Admission.NeedsTrial : Admission.Refused;
+    }
+
+    /** Returns the largest number of crashes that are counted against a request or a part of its prompt. */
+    countCrashes(call: IncomingCall): number {
+        return Math.max(...listFingerprints(call).map(fingerprint => this.ledger.countCrashes(fingerprint)));
     }
 
     /** Claims the trial of a quarantined request; returns whether it may be sent. `endTrial` must follow. */
     async claimTrial(call: IncomingCall): Promise<boolean> {
-        const record = this.ledger.findRecord(call.getFingerprint());
+        const [fingerprint] = this.listQuarantined(call);
+        const record = fingerprint === undefined ? undefined : this.ledger.findRecord(fingerprint);
         return record === undefined || this.trials.claimTrial(record, call.id);
     }
 
     /** Gives back the trial under which a request ran, if it was neither served nor lost. */
     endTrial(call: IncomingCall): void {
         if (!this.ledger.isEmpty()) {
-            this.trials.releaseTrial(call.getFingerprint(), call.id);
+            listFingerprints(call).forEach(fingerprint => this.trials.releaseTrial(fingerprint, call.id));
         }
     }
 
-    /** Records that a request was served, which clears it: the endpoints that crashed while running it had another cause. */
+    /** Records that a request was served, which clears it and the parts of its prompt: the endpoints that crashed had another cause. */
     recordSuccess(call: IncomingCall): void {
         if (this.ledger.isEmpty()) {
             return;
         }
-        const fingerprint = call.getFingerprint();
-        const crashes = this.ledger.listCrashedEndpoints(fingerprint);
-        if (crashes.length > 0) {
-            this.ledger.removeCrashes(fingerprint, crashes);
-            this.trials.removeTrial(fingerprint);
-            this.log.log(LogEvents.SuspicionRemoved, { request: call.id, fingerprint, deaths: crashes.length });
+        for (const fingerprint of listFingerprints(call)) {
+            const crashes = this.ledger.listCrashedEndpoints(fingerprint);
+            if (crashes.length > 0) {
+                this.ledger.removeCrashes(fingerprint, crashes);
+                this.trials.removeTrial(fingerprint);
+                this.log.log(LogEvents.SuspicionRemoved, { request: call.id, fingerprint, deaths: crashes.length });
+            }
         }
     }
 
@@ -118,10 +129,10 @@
         const recent = (this.lostRequestsByEndpoint.get(endpoint) ?? []).filter(request =>
             now - request.at < crashConfirmationMilliseconds
         );
-        const fingerprint = call.getFingerprint();
-        recent.push({ fingerprint, at: now });
+        const fingerprints = listFingerprints(call);
+        recent.push({ fingerprints, at: now });
         this.lostRequestsByEndpoint.set(endpoint, recent);
-        this.trials.recordFailure(fingerprint, call.id);
+        fingerprints.forEach(fingerprint => this.trials.recordFailure(fingerprint, call.id));
         void this.checkEndpoint(endpoint);
     }
 
@@ -151,7 +162,7 @@
         }
         this.log.log(LogEvents.CrashRecorded, { endpoint: endpoint.entry.id, evidence, requests: requests.length });
         const incarnation = `${endpoint.entry.id}/${endpoint.entry.incarnation}`;
-        for (const { fingerprint } of requests) {
+        for (const fingerprint of new Set(requests.flatMap(({ fingerprints }) => fingerprints))) {
             this.addCrashes(fingerprint, endpoint.entry.id, () => this.ledger.recordCrash(fingerprint, incarnation));
         }
         void this.reportCrashes();
@@ -187,7 +198,25 @@
         this.handleNewCrash();
     }
 
+    private listQuarantined(call: IncomingCall): string[] {
+        return listFingerprints(call).filter(fingerprint => this.isQuarantined(fingerprint));
+    }
+
     private isQuarantined(fingerprint: string): boolean {
         return this.ledger.countCrashes(fingerprint) >= crashesUntilQuarantine;
     }
+
+    private isTrialDue(fingerprint: string): boolean {
+        const sinceLatestCrash = this.clock.getMonotonicTime() - this.ledger.getLatestCrashTime(fingerprint);
+        return sinceLatestCrash >= trialDelayMilliseconds && this.trials.isAvailable(fingerprint);
+    }
+}
+
+/**
+ * Returns what a crash counts against: the request itself, and each part of its prompt that other requests may share, at its
+ * service. The last part belongs to the request or its session.
+ */
+function listFingerprints(call: IncomingCall): string[] {
+    const sharedParts = call.prompt?.parts.slice(0, -1) ?? [];
+    return [call.getFingerprint(), ...sharedParts.map(part => `part-${encodeURIComponent(call.service)}-${part.id}`)];
 }
--- a/src/gateway/poisonRequests.test.ts
+++ b/src/gateway/poisonRequests.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { HeaderNames } from "../../platform/wire.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { RoutedWorker } from "../standins/routed/routedWorker.js";
@@ -138,3 +139,50 @@
     // The quarantine's one trial may run.
     assert.equal(countArrivals(lonePlatform.callWorkers, target) - arrivalsBefore <= 1, true);
 });
+
+/** Sends a stream whose prompt has the given parts and one of its own; no two are alike. */
+async function sendPrompt(gateway: RoutedGateway, sharedParts: readonly string[]): Promise<number> {
+    promptCount += 1;
+    const parts = [...sharedParts, `ee${promptCount.toString(16)}`].map(id => `${id}:100`).join(",");
+    const headers = { [HeaderNames.tokenCounts]: "400,20", [HeaderNames.promptPrefix]: parts };
+    return (await gateway.sendCall(`/question/${promptCount}`, { method: "POST", body: `${promptCount}`, headers })).status;
+}
+
+let promptCount = 0;
+
+/** Bound of the users' rule for prompt parts: later than the time after the fifth crash, more requests than `allowedRetries` break it. */
+const crashesBeforeBound = 5;
+
+// Guards against counting crashes against whole requests only, while requests that share a part of their prompts crash one endpoint each.
+test("requests with a part that crashes endpoints are refused by all nodes, and sound ones with their other parts are served", async () => {
+    const crashesBefore = countCrashes(platform.engines);
+    const isDeadly = (run: { readonly headers: Readonly<Record<string, unknown>>; }) =>
+        String(run.headers[HeaderNames.promptPrefix]).includes("dead01");
+    platform.engines.forEach(engine => (engine.isDeadly = isDeadly));
+    const countDeadly = () => platform.engines.flatMap(engine => engine.runs).filter(isDeadly).length;
+    const sendRound = async () => {
+        for (const gateway of gateways) {
+            await Promise.all([sendPrompt(gateway, ["aa01", "dead01"]), sendPrompt(gateway, ["aa01", "bb01"])]);
+        }
+    };
+    for (let round = 0; round < 20 && countCrashes(platform.engines) < crashesBefore + crashesBeforeBound; round += 1) {
+        await sendRound();
+    }
+    await sleep(contactMilliseconds);
+    const arrivalsBefore = countDeadly();
+    for (let round = 0; round < 4; round += 1) {
+        await sendRound();
+        await sleep(100);
+    }
+    const arrivals = countDeadly() - arrivalsBefore;
+    assert.equal(arrivals <= allowedRetries, true, `${arrivals} arrivals`);
+    await waitUntil(() => platform.engines.every(engine => engine.isListening()));
+    const statuses = [];
+    for (const gateway of gateways) {
+        statuses.push(await sendPrompt(gateway, ["aa01", "bb01"]));
+    }
+    const records = gateways.map(gateway =>
+        gateway.node.container.get(Keys.Ledger).listRecords().filter(record => record.endpoints.length > 1)
+    );
+    assert.deepEqual(statuses, gateways.map(() => 200), JSON.stringify(records));
+});
--- a/src/gateway/quarantineTrials.ts
+++ b/src/gateway/quarantineTrials.ts
@@ -13,8 +13,12 @@
 /** Time after a claim that the store did not decide before the next one, in milliseconds: most outages of the store last seconds. */
 const claimRetryMilliseconds = 1_000;
 
-/** Largest number of requests that run under one trial, because callers leave or endpoints are full before there is a result. */
+/** Largest number of requests that run under one trial, because they are lost, callers leave or endpoints are full. */
 const maximumTrialRuns = 3;
+/** Largest number of requests that are lost under one trial; a second one tells bad luck from a poison request. */
+const maximumTrialLosses = 2;
+/** Time after a loss before the next request of the same trial, in milliseconds: crashed endpoints are back by then. */
+const nextTrialDelayMilliseconds = 10_000;
 
 /** Stored quarantine. `trialBy` names the incarnation of the node that may try the request once; absent before the trial is claimed. */
 export const quarantineSchema = z.object({ endpoints: z.array(z.string()), until: z.number(), trialBy: z.string().optional() });
@@ -39,7 +43,9 @@
     request: string | undefined;
     /** Number of requests that have run under it. */
     runs: number;
-    /** Monotonic time in milliseconds before which the store is not asked again. */
+    /** Number of requests that were lost under it. */
+    losses: number;
+    /** Monotonic time in milliseconds before which no request runs under it, and the store is not asked again. */
     claimableAt: number;
     /** Revision of the stored quarantine after this node's claim. */
     revision: Revision | undefined;
@@ -77,10 +83,11 @@
     /** Returns whether this node holds the trial of a fingerprint, or may claim it now. */
     isAvailable(fingerprint: string): boolean {
         const trial = this.findTrial(fingerprint);
-        if (trial === undefined || trial.state === TrialState.Held) {
+        if (trial === undefined) {
             return true;
         }
-        return trial.state === TrialState.Undecided && this.clock.getMonotonicTime() >= trial.claimableAt;
+        const isOpen = trial.state === TrialState.Held || trial.state === TrialState.Undecided;
+        return isOpen && this.clock.getMonotonicTime() >= trial.claimableAt;
     }
 
     /** Claims the trial of a quarantine for a request; returns whether the request may run. */
@@ -93,7 +100,7 @@
             // Only one request of this node asks the store; the others are refused meanwhile.
             trial.claimableAt = Infinity;
             trial.state = await this.claimInStore(record, trial);
-            trial.claimableAt = this.clock.getMonotonicTime() + claimRetryMilliseconds;
+            trial.claimableAt = trial.state === TrialState.Held ? -Infinity : this.clock.getMonotonicTime() + claimRetryMilliseconds;
             this.log.log(LogEvents.TrialClaimed, { fingerprint: record.fingerprint, request, state: TrialState[trial.state] });
         }
         if (trial.state !== TrialState.Held) {
@@ -105,11 +112,13 @@
         return true;
     }
 
-    /** Records that the request under trial was lost: the quarantine stands until it expires. */
+    /** Records that the request under trial was lost. After the second loss the quarantine stands until it expires. */
     recordFailure(fingerprint: string, request: string): void {
         const trial = this.findTrial(fingerprint);
         if (trial !== undefined && this.isRunning(fingerprint, request)) {
-            trial.state = TrialState.Spent;
+            trial.losses += 1;
+            trial.claimableAt = this.clock.getMonotonicTime() + nextTrialDelayMilliseconds;
+            this.closeRun(trial);
         }
     }
 
@@ -117,8 +126,7 @@
     releaseTrial(fingerprint: string, request: string): void {
         const trial = this.findTrial(fingerprint);
         if (trial !== undefined && this.isRunning(fingerprint, request)) {
-            trial.state = trial.runs < maximumTrialRuns ? TrialState.Held : TrialState.Spent;
-            trial.request = undefined;
+            this.closeRun(trial);
         }
     }
 
@@ -187,6 +195,11 @@
         return TrialState.Held;
     }
 
+    private closeRun(trial: Trial): void {
+        trial.state = trial.runs < maximumTrialRuns && trial.losses < maximumTrialLosses ? TrialState.Held : TrialState.Spent;
+        trial.request = undefined;
+    }
+
     private findTrial(fingerprint: string): Trial | undefined {
         const trial = this.trials.get(fingerprint);
         if (trial !== undefined && trial.until <= this.clock.getWallTime()) {
@@ -201,6 +214,7 @@
             state: TrialState.Undecided,
             request: undefined,
             runs: 0,
+            losses: 0,
             claimableAt: -Infinity,
             revision: undefined,
             until,
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -6,7 +6,7 @@
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../fleet/endpointFollower.js";
 import { endpointEntrySchema } from "../fleet/types.js";
-import { PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
+import { crashesUntilQuarantine, PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
 import { ServiceWorkTracker } from "../placement/serviceWorkTracker.js";
 import { ObjectStore } from "../provider/objectStore.js";
@@ -31,6 +31,11 @@
 /** Number of usage windows in a digest: the current one and earlier ones whose usage report may still be due. */
 const reportedWindowCount = 4;
 
+/** Time for which digests name a suspect after its latest crash, in milliseconds: some exchanges. Quarantined ones are named until they expire. */
+const suspectShareMilliseconds = 5_000;
+/** Largest number of suspects in a digest. */
+const sharedSuspectLimit = 500;
+
 const objectListSchema = z.object({
     revision: z.number(),
     objects: z.array(z.object({ name: z.string(), revision: z.number(), value: z.unknown(), status: z.unknown().optional() })),
@@ -233,13 +238,14 @@
     }
 
     private listSuspects() {
-        const { ledger } = this.dependencies;
-        const suspected = ledger.listRecords().map(record => ({
+        const { clock, ledger } = this.dependencies;
+        const since = clock.getMonotonicTime() - suspectShareMilliseconds;
+        const suspected = ledger.listRecordsToShare(crashesUntilQuarantine, since).slice(0, sharedSuspectLimit).map(record => ({
             fingerprint: record.fingerprint,
             endpoints: [...record.endpoints],
             untilMilliseconds: BigInt(Math.round(record.until)),
         }));
-        const cleared = ledger.listClearedCrashes().map(({ fingerprint, endpoints }) => ({
+        const cleared = ledger.listClearedCrashes(since).slice(-sharedSuspectLimit).map(({ fingerprint, endpoints }) => ({
             fingerprint,
             endpoints: [...endpoints],
             isCleared: true,
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -212,7 +212,6 @@
             chooser: context.get(Keys.Chooser),
             retryBudget: context.get(Keys.FleetRetryBudget),
             usage: context.get(Keys.Usage),
-            ledger: context.get(Keys.Ledger),
             poisonRequestDetector: context.get(Keys.PoisonRequestDetector),
             placementUpdates: context.get(Keys.PlacementUpdates),
             work: context.get(Keys.ServiceWorkTracker),
--- a/src/requests/quarantineLedger.ts
+++ b/src/requests/quarantineLedger.ts
@@ -22,6 +22,8 @@
     until: number;
     /** Monotonic time in milliseconds at which the latest crash was counted here. */
     latestCrashAt: number;
+    /** Monotonic time in milliseconds at which it was last cleared of a crash here. */
+    latestClearanceAt: number;
     /** Whether this node counted one of the crashes itself. */
     hasOwnCrash: boolean;
 }
@@ -84,15 +86,17 @@
         const entry = this.entries.get(fingerprint) ?? this.addEntry(fingerprint);
         entry.until = Math.max(entry.until, this.clock.getWallTime() + this.retentionMilliseconds);
         endpoints.forEach(endpoint => {
-            entry.endpoints.delete(endpoint);
+            if (entry.endpoints.delete(endpoint) || !entry.cleared.has(endpoint)) {
+                entry.latestClearanceAt = this.clock.getMonotonicTime();
+            }
             entry.cleared.add(endpoint);
         });
     }
 
-    /** Returns the crashes that requests were cleared of, for peers that still count them. */
-    listClearedCrashes(): Omit<FingerprintRecord, "until">[] {
+    /** Returns the crashes that requests were cleared of since a monotonic time, for peers that still count them. */
+    listClearedCrashes(since: number): Omit<FingerprintRecord, "until">[] {
         return [...this.entries]
-            .filter(([, entry]) => entry.cleared.size > 0 && entry.until > this.clock.getWallTime())
+            .filter(([, entry]) => entry.latestClearanceAt >= since && entry.until > this.clock.getWallTime())
             .map(([fingerprint, entry]) => ({ fingerprint, endpoints: [...entry.cleared] }));
     }
 
@@ -157,6 +161,15 @@
         return records;
     }
 
+    /** Returns the records that have enough crashes, or to which a crash was added since a monotonic time; most crashes first. */
+    listRecordsToShare(minimumCrashes: number, since: number): FingerprintRecord[] {
+        return this.listRecords()
+            .filter(({ fingerprint, endpoints }) =>
+                endpoints.length >= minimumCrashes || (this.entries.get(fingerprint)?.latestCrashAt ?? 0) >= since
+            )
+            .sort((left, right) => right.endpoints.length - left.endpoints.length);
+    }
+
     private findUnexpired(fingerprint: string): LedgerEntry | undefined {
         const entry = this.entries.get(fingerprint);
         if (entry === undefined) {
@@ -173,7 +186,14 @@
         if (this.entries.size >= ledgerEntryLimit) {
             this.entries.delete(this.entries.keys().next().value as string);
         }
-        const entry: LedgerEntry = { endpoints: new Set(), cleared: new Set(), until: 0, latestCrashAt: -Infinity, hasOwnCrash: false };
+        const entry: LedgerEntry = {
+            endpoints: new Set(),
+            cleared: new Set(),
+            until: 0,
+            latestCrashAt: -Infinity,
+            latestClearanceAt: -Infinity,
+            hasOwnCrash: false,
+        };
         this.entries.set(fingerprint, entry);
         return entry;
     }
