Count the crash of an endpoint whose restart is seen before the loss, and no planned end

What callers saw: nothing yet.

Cause: the watch told of the endpoint's new incarnation before the node read the loss of its connection; evidence that comes before the loss was not looked for again. The other way round, a leaving endpoint that ends with requests running counted as crashed by them.

Change: a loss at an endpoint that is already removed counts at once, a loss at a leaving or draining one not at all.

--- a/src/gateway/poisonRequestDetector.test.ts
+++ b/src/gateway/poisonRequestDetector.test.ts
@@ -85,3 +85,15 @@
     assert.equal(detector.getAdmission(createCall("both", ["popular", "deadly", "own"])), Admission.Refused);
     assert.equal(detector.getAdmission(createCall("one", ["popular", "other", "own"])), Admission.NeedsTrial);
 });
+
+test("a request that is lost after its endpoint's restart was seen counts as a crash, at a leaving endpoint it does not", () => {
+    const { detector, ledger } = createDetector(VirtualClock.create(), ProbeResult.Refused);
+    const restarted = createEndpoint("restarted");
+    restarted.isRemoved = true;
+    const leaving = createEndpoint("leaving");
+    leaving.isLeaving = true;
+    detector.recordLoss(restarted, createCall("late", ["own"]));
+    detector.recordLoss(leaving, createCall("cut-off", ["own"]));
+    detector.recordCrash(leaving, CrashEvidence.EntryRemoved);
+    assert.deepEqual([ledger.countCrashes("hash-of-late"), ledger.countCrashes("hash-of-cut-off")], [1, 0]);
+});
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -123,8 +123,12 @@
         }
     }
 
-    /** Records that the connection to an endpoint was lost while it ran a request. */
+    /** Records that the connection to an endpoint was lost while it ran a request. A planned end of the endpoint is no crash. */
     recordLoss(endpoint: FleetEndpoint, call: IncomingCall): void {
+        if (endpoint.entry.isDraining || endpoint.isLeaving) {
+            listFingerprints(call).forEach(fingerprint => this.trials.releaseTrial(fingerprint, call.id));
+            return;
+        }
         const now = this.clock.getMonotonicTime();
         const recent = (this.lostRequestsByEndpoint.get(endpoint) ?? []).filter(request =>
             now - request.at < crashConfirmationMilliseconds
@@ -133,6 +137,11 @@
         recent.push({ fingerprints, at: now });
         this.lostRequestsByEndpoint.set(endpoint, recent);
         fingerprints.forEach(fingerprint => this.trials.recordFailure(fingerprint, call.id));
+        if (endpoint.isRemoved) {
+            // Its removal or restart was seen before the loss, and will not be seen again.
+            this.recordCrash(endpoint, CrashEvidence.EntryRemoved);
+            return;
+        }
         void this.checkEndpoint(endpoint);
     }
 
