--- a/src/gateway/quarantineTrials.ts
+++ b/src/gateway/quarantineTrials.ts
@@ -20,7 +20,7 @@
 /** Time after a loss before the next request of the same trial, in milliseconds: crashed endpoints are back by then. */
 const nextTrialDelayMilliseconds = 10_000;
 
-/** Stored quarantine. `trialBy` names the incarnation of the node that may try the request once; absent before the trial is claimed. */
+/** Stored quarantine. `trialBy` names the incarnation of the node that holds the trial; absent before the trial is claimed. */
 export const quarantineSchema = z.object({ endpoints: z.array(z.string()), until: z.number(), trialBy: z.string().optional() });
 
 type StoredQuarantine = z.infer<typeof quarantineSchema>;
@@ -28,13 +28,13 @@
 /** State of a quarantine's trial, as this node knows it. */
 enum TrialState {
     /** This node is claiming it, or could not reach the store lately. */
-    Undecided,
+    Undecided = "undecided",
     /** This node has claimed it; no request runs under it. */
-    Held,
+    Held = "held",
     /** This node has claimed it, and a request runs under it. */
-    Running,
-    /** Another node has claimed it, or the request crashed once more. */
-    Spent,
+    Running = "running",
+    /** Another node has claimed it, or too many requests have run under it without success. */
+    Spent = "spent",
 }
 
 interface Trial {
@@ -54,9 +54,9 @@
 }
 
 /**
- * Grants one trial for each quarantine: a single request that all nodes together may still send, so that a harmless request that ran
- * on crashed endpoints by chance is cleared by its success. The trial is claimed with a conditional write to the store; a node that
- * does not reach the store sends nothing.
+ * Grants one trial for each quarantine, so that a harmless request that ran on crashed endpoints by chance is cleared by its success.
+ * The node that claims the trial with a conditional write to the store may send the request once, and a few times more if there is no
+ * result. No other node sends it, nor does one that cannot reach the store.
  */
 export class QuarantineTrials {
     private readonly trials = new Map<string, Trial>();
@@ -101,7 +101,7 @@
             trial.claimableAt = Infinity;
             trial.state = await this.claimInStore(record, trial);
             trial.claimableAt = trial.state === TrialState.Held ? -Infinity : this.clock.getMonotonicTime() + claimRetryMilliseconds;
-            this.log.log(LogEvents.TrialClaimed, { fingerprint: record.fingerprint, request, state: TrialState[trial.state] });
+            this.log.log(LogEvents.TrialClaimed, { fingerprint: record.fingerprint, request, state: trial.state });
         }
         if (trial.state !== TrialState.Held) {
             return false;
