Part the stored quarantines from their trials, and bound what the store is asked

Found on a second reading; callers have not been seen to suffer from it.

- A request that claims a trial waited for two calls to the store, each up to its timeout of a second.
It waits 250 ms now; a claim that is granted later serves the next request.
- A node kept one retry loop for each quarantine while the store was away, and stored quarantines whose requests had been cleared meanwhile.
There is one loop now, one call a second, and a cleared request's quarantine is withdrawn.
- Expired trials were kept until their fingerprint came again.
They are removed when the next one is added.
- QuarantineTrials did the reading and writing of the store too: that is StoredQuarantines now.
A failed removal no longer logs that the store is lost.

Tests: three new ones in quarantineTrials.test.ts (the wait, the known holder, the store's return); 18 of the files pass. They could not run on the code before, since the parts are new; the wait there was the store's timeout by reading.

--- a/src/gateway/poisonRequestDetector.test.ts
+++ b/src/gateway/poisonRequestDetector.test.ts
@@ -10,6 +10,7 @@
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { Admission, CrashEvidence, PoisonRequestDetector } from "./poisonRequestDetector.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
+import { StoredQuarantines } from "./storedQuarantines.js";
 import { IncomingCall } from "./types.js";
 
 const termMilliseconds = 600_000;
@@ -19,8 +20,9 @@
     const ledger = QuarantineLedger.create(clock, termMilliseconds);
     const store = MemoryObjectStore.create(MemoryObjects.create(), clock, clock, SeededRandom.create(1));
     const probe: ConnectionProbe = { checkAddress: () => Promise.resolve(result) };
-    const trials = QuarantineTrials.create(store, clock, log, "node/1");
-    return { ledger, detector: PoisonRequestDetector.create(ledger, trials, probe, clock, log) };
+    const stored = StoredQuarantines.create(store, clock, log, "node/1");
+    const trials = QuarantineTrials.create(stored, clock, log);
+    return { ledger, detector: PoisonRequestDetector.create(ledger, stored, trials, probe, clock, log) };
 }
 
 function createEndpoint(id: string): FleetEndpoint {
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -5,6 +5,7 @@
 import { FingerprintRecord, QuarantineLedger } from "../requests/quarantineLedger.js";
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
+import { StoredQuarantines } from "./storedQuarantines.js";
 import { IncomingCall } from "./types.js";
 
 /**
@@ -51,6 +52,7 @@
 
     private constructor(
         private readonly ledger: QuarantineLedger,
+        private readonly stored: StoredQuarantines,
         private readonly trials: QuarantineTrials,
         private readonly probe: ConnectionProbe,
         private readonly clock: Clock,
@@ -59,12 +61,13 @@
 
     static create(
         ledger: QuarantineLedger,
+        stored: StoredQuarantines,
         trials: QuarantineTrials,
         probe: ConnectionProbe,
         clock: Clock,
         log: EventLog,
     ): PoisonRequestDetector {
-        return new PoisonRequestDetector(ledger, trials, probe, clock, log);
+        return new PoisonRequestDetector(ledger, stored, trials, probe, clock, log);
     }
 
     /** Sets a function that is called soon after a crash was counted, so that peers learn of it at once. */
@@ -117,6 +120,7 @@
             const crashes = this.ledger.listCrashedEndpoints(fingerprint);
             if (crashes.length > 0) {
                 this.ledger.removeCrashes(fingerprint, crashes);
+                this.stored.cancelQuarantine(fingerprint);
                 this.trials.removeTrial(fingerprint);
                 this.log.log(LogEvents.SuspicionRemoved, { request: call.id, fingerprint, deaths: crashes.length });
             }
@@ -192,7 +196,7 @@
         }
         this.log.log(LogEvents.QuarantineAdded, { fingerprint, endpoints: record.endpoints.join(","), source });
         if (this.ledger.hasOwnCrash(fingerprint)) {
-            void this.trials.storeQuarantine(record);
+            this.stored.addQuarantine(record);
         }
     }
 
--- a/src/gateway/quarantineFollower.ts
+++ b/src/gateway/quarantineFollower.ts
@@ -5,13 +5,15 @@
 import { ObjectList, StoredObject } from "../provider/types.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { PoisonRequestDetector } from "./poisonRequestDetector.js";
-import { quarantinePrefix, quarantineSchema, QuarantineTrials } from "./quarantineTrials.js";
+import { QuarantineTrials } from "./quarantineTrials.js";
+import { parseStoredQuarantine, quarantinePrefix, StoredQuarantines } from "./storedQuarantines.js";
 
 /** Applies the quarantines in the store, for nodes that have restarted or that peers cannot reach. */
 export class QuarantineFollower implements ObjectChangeHandler {
     private constructor(
         private readonly detector: PoisonRequestDetector,
         private readonly ledger: QuarantineLedger,
+        private readonly stored: StoredQuarantines,
         private readonly trials: QuarantineTrials,
         private readonly clock: Clock,
         private readonly log: EventLog,
@@ -20,11 +22,12 @@
     static create(
         detector: PoisonRequestDetector,
         ledger: QuarantineLedger,
+        stored: StoredQuarantines,
         trials: QuarantineTrials,
         clock: Clock,
         log: EventLog,
     ): QuarantineFollower {
-        return new QuarantineFollower(detector, ledger, trials, clock, log);
+        return new QuarantineFollower(detector, ledger, stored, trials, clock, log);
     }
 
     handleListing(list: ObjectList): void {
@@ -33,17 +36,20 @@
 
     handleChange(object: StoredObject): void {
         const fingerprint = object.name.slice(quarantinePrefix.length);
-        const parsed = quarantineSchema.safeParse(object.value);
-        if (!parsed.success) {
-            this.log.log(LogEvents.QuarantineFaulty, { fingerprint, fault: parsed.error.message });
+        const quarantine = parseStoredQuarantine(object.value);
+        if (quarantine === undefined) {
+            this.log.log(LogEvents.QuarantineFaulty, { fingerprint, revision: object.revision });
             return;
         }
-        const { endpoints, until } = parsed.data;
+        const { endpoints, until } = quarantine;
         if (until <= this.clock.getWallTime()) {
-            void this.trials.removeStored(fingerprint, object.revision);
+            void this.stored.removeQuarantine(fingerprint, object.revision);
             return;
         }
         this.detector.mergeRecord({ fingerprint, endpoints, until }, "store");
+        if (this.stored.isTakenByOther(quarantine)) {
+            this.trials.recordOtherHolder({ fingerprint, endpoints, until });
+        }
     }
 
     /** Clears a request whose stored quarantine was removed: it was served under its trial. */
--- a/src/gateway/quarantineTrials.test.ts
+++ b/src/gateway/quarantineTrials.test.ts
@@ -5,13 +5,16 @@
 import { MemoryObjects, MemoryObjectStore } from "../testing/memoryObjectStore.js";
 import { VirtualClock } from "../testing/virtualClock.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
+import { quarantinePrefix, StoredQuarantines } from "./storedQuarantines.js";
 
 const clock = VirtualClock.create();
 
 /** Creates the trials of one node before a shared store. */
 function createNode(name: string, objects: MemoryObjects) {
     const store = MemoryObjectStore.create(objects, clock, clock, SeededRandom.create(1));
-    return { store, trials: QuarantineTrials.create(store, clock, SilentEventLog.create(), `${name}/1`) };
+    const log = SilentEventLog.create();
+    const stored = StoredQuarantines.create(store, clock, log, `${name}/1`);
+    return { store, stored, trials: QuarantineTrials.create(stored, clock, log) };
 }
 
 function createRecord(fingerprint: string) {
@@ -82,3 +85,39 @@
     await clock.runUntil(clock.getMonotonicTime() + 20_000);
     assert.equal(trials.isAvailable(failed.fingerprint), false);
 });
+
+// Guards against holding a request until the store times out, although the other nodes' requests are refused at once.
+test("a request waits a quarter of a second at most for a slow store, and the trial that is granted later serves the next one", async () => {
+    const { store, trials } = createNode("one", MemoryObjects.create());
+    const record = createRecord("slow-store");
+    store.faults.delay = 800;
+    const askedAt = clock.getMonotonicTime();
+    assert.equal(await waitInVirtualTime(trials.claimTrial(record, "first")), false);
+    assert.equal(clock.getMonotonicTime() - askedAt <= 260, true);
+    await clock.runUntil(askedAt + 4_000);
+    store.faults.delay = 10;
+    assert.equal(await waitInVirtualTime(trials.claimTrial(record, "second")), true);
+});
+
+test("a node that knows of another holder does not ask the store", async () => {
+    const { trials } = createNode("one", MemoryObjects.create());
+    const record = createRecord("known-holder");
+    trials.recordOtherHolder(record);
+    assert.equal(trials.isAvailable(record.fingerprint), false);
+    assert.equal(await trials.claimTrial(record, "request"), false);
+});
+
+// Guards against storing the quarantine of a request that was cleared while the store was away.
+test("quarantines are stored once the store is back, but not those that were withdrawn meanwhile", async () => {
+    const objects = MemoryObjects.create();
+    const { store, stored } = createNode("one", objects);
+    store.faults.isDown = true;
+    stored.addQuarantine(createRecord("stands"));
+    stored.addQuarantine(createRecord("withdrawn"));
+    await clock.runUntil(clock.getMonotonicTime() + 2_500);
+    stored.cancelQuarantine("withdrawn");
+    store.faults.isDown = false;
+    await clock.runUntil(clock.getMonotonicTime() + 2_500);
+    assert.deepEqual([...objects.objects.keys()], [`${quarantinePrefix}stands`]);
+    stored.stop();
+});
--- a/src/gateway/quarantineTrials.ts
+++ b/src/gateway/quarantineTrials.ts
@@ -1,17 +1,14 @@
-import { z } from "zod";
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
-import { ObjectStore, writeObject } from "../provider/objectStore.js";
 import { Revision } from "../provider/revision.js";
-import { StoredObject, WriteOutcome } from "../provider/types.js";
 import { FingerprintRecord } from "../requests/quarantineLedger.js";
+import { ClaimOutcome, StoredQuarantines } from "./storedQuarantines.js";
 
-/** Prefix of the store objects that hold quarantines, one for each fingerprint. */
-export const quarantinePrefix = "quarantines/";
-
-/** Time after a claim that the store did not decide before the next one, in milliseconds: most outages of the store last seconds. */
+/** Time after an undecided claim before the next one, in milliseconds: most outages of the store last seconds. */
 const claimRetryMilliseconds = 1_000;
+/** Longest time for which a request waits for the store's decision, in milliseconds; a claim that is granted later serves the next request. */
+const claimWaitMilliseconds = 250;
 
 /** Largest number of requests that run under one trial, because they are lost, callers leave or endpoints are full. */
 const maximumTrialRuns = 3;
@@ -20,21 +17,16 @@
 /** Time after a loss before the next request of the same trial, in milliseconds: crashed endpoints are back by then. */
 const nextTrialDelayMilliseconds = 10_000;
 
-/** Stored quarantine. `trialBy` names the incarnation of the node that holds the trial; absent before the trial is claimed. */
-export const quarantineSchema = z.object({ endpoints: z.array(z.string()), until: z.number(), trialBy: z.string().optional() });
-
-type StoredQuarantine = z.infer<typeof quarantineSchema>;
-
 /** State of a quarantine's trial, as this node knows it. */
 enum TrialState {
-    /** This node is claiming it, or could not reach the store lately. */
-    Undecided = "undecided",
-    /** This node has claimed it; no request runs under it. */
-    Held = "held",
-    /** This node has claimed it, and a request runs under it. */
-    Running = "running",
-    /** Another node has claimed it, or too many requests have run under it without success. */
-    Spent = "spent",
+    /** This node is claiming it, or the store has not decided its claim. */
+    Undecided,
+    /** This node holds it; no request runs under it. */
+    Held,
+    /** This node holds it, and a request runs under it. */
+    Running,
+    /** Another node holds it, or too many requests have run under it without success. */
+    Closed,
 }
 
 interface Trial {
@@ -55,23 +47,20 @@
 
 /**
  * Grants one trial for each quarantine, so that a harmless request that ran on crashed endpoints by chance is cleared by its success.
- * The node that claims the trial with a conditional write to the store may send the request once, and a few times more if there is no
- * result. No other node sends it, nor does one that cannot reach the store.
+ * The node that claims the trial in the store may send the request once, and a few times more if there is no result. No other node
+ * sends it, nor does one that cannot reach the store.
  */
 export class QuarantineTrials {
     private readonly trials = new Map<string, Trial>();
-    private readonly stopping = new AbortController();
 
     private constructor(
-        private readonly store: ObjectStore,
+        private readonly stored: StoredQuarantines,
         private readonly clock: Clock,
         private readonly log: EventLog,
-        private readonly holder: string,
     ) {}
 
-    /** `holder` names this incarnation of the node. */
-    static create(store: ObjectStore, clock: Clock, log: EventLog, holder: string): QuarantineTrials {
-        return new QuarantineTrials(store, clock, log, holder);
+    static create(stored: StoredQuarantines, clock: Clock, log: EventLog): QuarantineTrials {
+        return new QuarantineTrials(stored, clock, log);
     }
 
     /** Returns whether a request runs under the trial of a fingerprint. */
@@ -90,6 +79,12 @@
         return isOpen && this.clock.getMonotonicTime() >= trial.claimableAt;
     }
 
+    /** Returns whether a node is known to hold the trial of a fingerprint, or to have held it. */
+    isClaimed(fingerprint: string): boolean {
+        const trial = this.findTrial(fingerprint);
+        return trial !== undefined && trial.state !== TrialState.Undecided;
+    }
+
     /** Claims the trial of a quarantine for a request; returns whether the request may run. */
     async claimTrial(record: FingerprintRecord, request: string): Promise<boolean> {
         if (!this.isAvailable(record.fingerprint)) {
@@ -97,13 +92,9 @@
         }
         const trial = this.findTrial(record.fingerprint) ?? this.addTrial(record);
         if (trial.state !== TrialState.Held) {
-            // Only one request of this node asks the store; the others are refused meanwhile.
-            trial.claimableAt = Infinity;
-            trial.state = await this.claimInStore(record, trial);
-            trial.claimableAt = trial.state === TrialState.Held ? -Infinity : this.clock.getMonotonicTime() + claimRetryMilliseconds;
-            this.log.log(LogEvents.TrialClaimed, { fingerprint: record.fingerprint, request, state: trial.state });
+            await Promise.race([this.resolveClaim(trial, record), this.clock.sleep(claimWaitMilliseconds)]);
         }
-        if (trial.state !== TrialState.Held) {
+        if (!this.isHeld(trial)) {
             return false;
         }
         trial.state = TrialState.Running;
@@ -112,13 +103,21 @@
         return true;
     }
 
+    /** Records that another node has claimed the trial of a quarantine, so that this node need not ask the store. */
+    recordOtherHolder(record: FingerprintRecord): void {
+        const trial = this.findTrial(record.fingerprint) ?? this.addTrial(record);
+        if (trial.state === TrialState.Undecided) {
+            trial.state = TrialState.Closed;
+        }
+    }
+
     /** Records that the request under trial was lost. After the second loss the quarantine stands until it expires. */
     recordFailure(fingerprint: string, request: string): void {
         const trial = this.findTrial(fingerprint);
         if (trial !== undefined && this.isRunning(fingerprint, request)) {
             trial.losses += 1;
             trial.claimableAt = this.clock.getMonotonicTime() + nextTrialDelayMilliseconds;
-            this.closeRun(trial);
+            this.endRun(trial);
         }
     }
 
@@ -126,90 +125,52 @@
     releaseTrial(fingerprint: string, request: string): void {
         const trial = this.findTrial(fingerprint);
         if (trial !== undefined && this.isRunning(fingerprint, request)) {
-            this.closeRun(trial);
+            this.endRun(trial);
         }
     }
 
-    /** Removes the trial of a request that was cleared, and its stored quarantine if this node has claimed it. */
+    /** Removes the trial of a request that was cleared, and its stored quarantine if this node holds the trial. */
     removeTrial(fingerprint: string): void {
         const trial = this.trials.get(fingerprint);
         this.trials.delete(fingerprint);
         if (trial?.revision !== undefined) {
-            void this.removeStored(fingerprint, trial.revision);
+            void this.stored.removeQuarantine(fingerprint, trial.revision);
         }
     }
 
-    /** Stores a quarantine without a claim to its trial, with retries until it is stored or has expired. */
-    async storeQuarantine(record: FingerprintRecord): Promise<void> {
-        while (!this.stopping.signal.aborted && record.until > this.clock.getWallTime()) {
-            const found = await this.store.getObject(quarantinePrefix + record.fingerprint);
-            if (found.ok) {
-                if (this.findUnexpired(found.val) !== undefined) {
-                    return;
-                }
-                const value = { endpoints: record.endpoints, until: record.until };
-                const written = await writeObject(this.store, quarantinePrefix + record.fingerprint, value, found.val);
-                if (written.ok) {
-                    return;
-                }
-            }
-            await this.clock.sleep(claimRetryMilliseconds, this.stopping.signal);
+    /** Claims a trial in the store and records the decision, which may come after the request has stopped waiting for it. */
+    private async resolveClaim(trial: Trial, record: FingerprintRecord): Promise<void> {
+        // Only one request of this node asks the store; the others are refused meanwhile.
+        trial.claimableAt = Infinity;
+        const { outcome, revision } = await this.stored.claimTrial(record);
+        if (revision !== undefined && this.trials.get(record.fingerprint) !== trial) {
+            // The request was cleared while the store decided.
+            void this.stored.removeQuarantine(record.fingerprint, revision);
         }
-    }
-
-    /** Removes a stored quarantine. What cannot be removed expires. */
-    async removeStored(fingerprint: string, revision: Revision): Promise<void> {
-        const removed = await this.store.removeObject(quarantinePrefix + fingerprint, revision);
-        if (removed.err && removed.val.outcome !== WriteOutcome.Conflict) {
-            this.log.log(LogEvents.DependencyLost, { dependency: "store", cause: removed.val.failure.text });
+        trial.revision = revision;
+        trial.claimableAt = this.clock.getMonotonicTime() + (outcome === ClaimOutcome.Undecided ? claimRetryMilliseconds : 0);
+        if (outcome !== ClaimOutcome.Undecided) {
+            trial.state = outcome === ClaimOutcome.Granted ? TrialState.Held : TrialState.Closed;
         }
+        this.log.log(LogEvents.TrialClaimed, { fingerprint: record.fingerprint, outcome });
     }
 
-    stop(): void {
-        this.stopping.abort();
+    private isHeld(trial: Trial): boolean {
+        return trial.state === TrialState.Held;
     }
 
-    private findUnexpired(object: StoredObject | undefined): StoredQuarantine | undefined {
-        const stored = quarantineSchema.safeParse(object?.value);
-        return stored.success && stored.data.until > this.clock.getWallTime() ? stored.data : undefined;
-    }
-
-    private async claimInStore(record: FingerprintRecord, trial: Trial): Promise<TrialState> {
-        const name = quarantinePrefix + record.fingerprint;
-        const found = await this.store.getObject(name);
-        if (found.err) {
-            return TrialState.Undecided;
-        }
-        const trialBy = this.findUnexpired(found.val)?.trialBy;
-        if (trialBy !== undefined) {
-            // The response to this node's own claim may have been lost.
-            trial.revision = trialBy === this.holder ? found.val?.revision : undefined;
-            return trial.revision === undefined ? TrialState.Spent : TrialState.Held;
-        }
-        const value = { endpoints: record.endpoints, until: record.until, trialBy: this.holder };
-        const written = await writeObject(this.store, name, value, found.val);
-        if (written.err) {
-            return TrialState.Undecided;
-        }
-        trial.revision = written.val;
-        return TrialState.Held;
-    }
-
-    private closeRun(trial: Trial): void {
-        trial.state = trial.runs < maximumTrialRuns && trial.losses < maximumTrialLosses ? TrialState.Held : TrialState.Spent;
+    private endRun(trial: Trial): void {
+        trial.state = trial.runs < maximumTrialRuns && trial.losses < maximumTrialLosses ? TrialState.Held : TrialState.Closed;
         trial.request = undefined;
     }
 
     private findTrial(fingerprint: string): Trial | undefined {
         const trial = this.trials.get(fingerprint);
-        if (trial !== undefined && trial.until <= this.clock.getWallTime()) {
-            this.trials.delete(fingerprint);
-            return undefined;
-        }
-        return trial;
+        return trial !== undefined && trial.until > this.clock.getWallTime() ? trial : undefined;
     }
 
     private addTrial({ fingerprint, until }: FingerprintRecord): Trial {
+        this.removeExpired();
         const trial: Trial = {
             state: TrialState.Undecided,
             request: undefined,
@@ -222,4 +183,13 @@
         this.trials.set(fingerprint, trial);
         return trial;
     }
+
+    private removeExpired(): void {
+        const now = this.clock.getWallTime();
+        for (const [fingerprint, { until }] of this.trials) {
+            if (until <= now) {
+                this.trials.delete(fingerprint);
+            }
+        }
+    }
 }
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -15,7 +15,8 @@
 import { GatewayServer } from "../../gateway/gatewayServer.js";
 import { PoisonRequestDetector } from "../../gateway/poisonRequestDetector.js";
 import { QuarantineFollower } from "../../gateway/quarantineFollower.js";
-import { quarantinePrefix, QuarantineTrials } from "../../gateway/quarantineTrials.js";
+import { QuarantineTrials } from "../../gateway/quarantineTrials.js";
+import { quarantinePrefix, StoredQuarantines } from "../../gateway/storedQuarantines.js";
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
 import { formatIncarnationKey, PeerTable } from "../../gossip/peerTable.js";
 import { WatchScheduler } from "../../gossip/watchScheduler.js";
@@ -133,6 +134,7 @@
         const quarantineFollower = QuarantineFollower.create(
             context.get(Keys.PoisonRequestDetector),
             context.get(Keys.Ledger),
+            context.get(Keys.StoredQuarantines),
             context.get(Keys.QuarantineTrials),
             clock,
             log,
@@ -188,16 +190,20 @@
     container.bind(Keys.PoisonRequestDetector).toDynamicValue(context =>
         PoisonRequestDetector.create(
             context.get(Keys.Ledger),
+            context.get(Keys.StoredQuarantines),
             context.get(Keys.QuarantineTrials),
             TcpConnectionProbe.create(settings.timing.connectTimeout),
             context.get(Keys.Clock),
             context.get(Keys.Log),
         )
     );
-    container.bind(Keys.QuarantineTrials).toDynamicValue(context => {
+    container.bind(Keys.StoredQuarantines).toDynamicValue(context => {
         const holder = formatIncarnationKey(context.get(Keys.Peers).identity);
-        return QuarantineTrials.create(context.get(Keys.Store), context.get(Keys.Clock), context.get(Keys.Log), holder);
+        return StoredQuarantines.create(context.get(Keys.Store), context.get(Keys.Clock), context.get(Keys.Log), holder);
     });
+    container.bind(Keys.QuarantineTrials).toDynamicValue(context =>
+        QuarantineTrials.create(context.get(Keys.StoredQuarantines), context.get(Keys.Clock), context.get(Keys.Log))
+    );
     container.bind(Keys.Connections).toDynamicValue(() => EndpointConnectionPool.create());
     container.bind(Keys.Forwarder).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -16,6 +16,7 @@
 import { HopTracing } from "../gateway/hopTracing.js";
 import { PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
 import { QuarantineTrials } from "../gateway/quarantineTrials.js";
+import { StoredQuarantines } from "../gateway/storedQuarantines.js";
 import { FleetSummaryAggregator } from "../gossip/fleetSummaryAggregator.js";
 import { GossipClient } from "../gossip/gossipClient.js";
 import { GossipExchange } from "../gossip/gossipExchange.js";
@@ -97,6 +98,7 @@
     EnginePlacement: createKey<EnginePlacementPolicy>("EnginePlacement"),
     CallPlacement: createKey<CallPlacementPolicy>("CallPlacement"),
     Chooser: createKey<EndpointChooser>("Chooser"),
+    StoredQuarantines: createKey<StoredQuarantines>("StoredQuarantines"),
     QuarantineTrials: createKey<QuarantineTrials>("QuarantineTrials"),
     PoisonRequestDetector: createKey<PoisonRequestDetector>("PoisonRequestDetector"),
     Connections: createKey<EndpointConnectionPool>("Connections"),
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -145,7 +145,7 @@
         watches.nodes.stop();
         watches.versions.stop();
         watches.quarantines.stop();
-        container.get(Keys.QuarantineTrials).stop();
+        container.get(Keys.StoredQuarantines).stop();
         container.get(Keys.Registry).stop();
         container.get(Keys.Gossip).stop();
         void this.peerServer.stop();
