Send quarantines to peers once instead of with every digest

No caller suffered; it grows with quarantines times peers.

Change: digests name suspects for five seconds after their latest crash. A peer is sent every quarantine at its first contact, after its restart, after a failed exchange and when it was silent. They also say whether a trial is claimed, so that followers of relays, which do not watch the store's quarantines, need not ask the store one by one.

Not covered: a response that is lost on its way to a peer counts as sent; the peer has the suspects of the last five seconds again, and older quarantines from the store.

--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -7,6 +7,7 @@
 import { EndpointFollower } from "../fleet/endpointFollower.js";
 import { endpointEntrySchema } from "../fleet/types.js";
 import { crashesUntilQuarantine, PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
+import { QuarantineTrials } from "../gateway/quarantineTrials.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
 import { ServiceWorkTracker } from "../placement/serviceWorkTracker.js";
 import { ObjectStore } from "../provider/objectStore.js";
@@ -31,7 +32,7 @@
 /** Number of usage windows in a digest: the current one and earlier ones whose usage report may still be due. */
 const reportedWindowCount = 4;
 
-/** Time for which digests name a suspect after its latest crash, in milliseconds: some exchanges. Quarantined ones are named until they expire. */
+/** Time for which digests name a suspect after its latest crash, in milliseconds: some exchanges, of which one or two may be lost. */
 const suspectShareMilliseconds = 5_000;
 /** Largest number of suspects in a digest. */
 const sharedSuspectLimit = 500;
@@ -62,6 +63,7 @@
     readonly lease: DutyLease;
     readonly ledger: QuarantineLedger;
     readonly poisonRequestDetector: PoisonRequestDetector;
+    readonly trials: QuarantineTrials;
     readonly versions: VersionMoves;
     readonly plan: RelaySelector;
     readonly loads: PeerLoadTracker;
@@ -100,7 +102,7 @@
                 fencing: BigInt(dependencies.lease.getFencing()),
                 isHeldBySender: dependencies.lease.getCredentials() !== undefined,
             },
-            suspects: this.listSuspects(),
+            suspects: this.listSuspects(peer),
             works: dependencies.work.listLocalWork().map(({ service, work }) => ({ service, work })),
             evidence: this.listEvidence(peer),
             versionMovesRevision: BigInt(dependencies.versions.listObjects().revision),
@@ -237,13 +239,19 @@
         }
     }
 
-    private listSuspects() {
-        const { clock, ledger } = this.dependencies;
+    /** Returns the suspects with recent crashes, and every quarantined one for a peer that may lack some. */
+    private listSuspects(peer: GatewayPeer | undefined) {
+        const { clock, ledger, trials } = this.dependencies;
         const since = clock.getMonotonicTime() - suspectShareMilliseconds;
-        const suspected = ledger.listRecordsToShare(crashesUntilQuarantine, since).slice(0, sharedSuspectLimit).map(record => ({
+        const alwaysSharedCrashes = peer?.hasAllQuarantines === true ? Infinity : crashesUntilQuarantine;
+        if (peer !== undefined) {
+            peer.hasAllQuarantines = true;
+        }
+        const suspected = ledger.listRecordsToShare(alwaysSharedCrashes, since).slice(0, sharedSuspectLimit).map(record => ({
             fingerprint: record.fingerprint,
             endpoints: [...record.endpoints],
             untilMilliseconds: BigInt(Math.round(record.until)),
+            isTrialClaimed: trials.isClaimed(record.fingerprint),
         }));
         const cleared = ledger.listClearedCrashes(since).slice(-sharedSuspectLimit).map(({ fingerprint, endpoints }) => ({
             fingerprint,
@@ -254,13 +262,17 @@
     }
 
     private applySuspect(suspect: GatewayDigest["suspects"][number], source: string): void {
-        const { ledger, poisonRequestDetector } = this.dependencies;
+        const { ledger, poisonRequestDetector, trials } = this.dependencies;
         const { fingerprint, endpoints } = suspect;
         if (suspect.isCleared) {
             ledger.removeCrashes(fingerprint, endpoints);
             return;
         }
-        poisonRequestDetector.mergeRecord({ fingerprint, endpoints, until: Number(suspect.untilMilliseconds) }, source);
+        const record = { fingerprint, endpoints, until: Number(suspect.untilMilliseconds) };
+        poisonRequestDetector.mergeRecord(record, source);
+        if (suspect.isTrialClaimed) {
+            trials.recordOtherHolder(record);
+        }
     }
 
     private listPlacements(peer: GatewayPeer | undefined) {
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -1,10 +1,14 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
+import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { RoutedWorker } from "../standins/routed/routedWorker.js";
 import { pickFreePort } from "../testing/daemons.js";
 import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
+import { VirtualClock } from "../testing/virtualClock.js";
+import { PeerTable } from "./peerTable.js";
+import { GatewayPeer } from "./types.js";
 
 const platform = RoutedPlatform.create();
 let first: RoutedGateway;
@@ -92,6 +96,42 @@
     assert.equal(storelessGateway.node.container.get(Keys.Lease).getCredentials(), undefined);
 });
 
+test("a node that joins without the store learns of an older quarantine, and that its trial is claimed", async () => {
+    const record = { fingerprint: "quarantined-before", endpoints: ["a/1", "b/1", "c/1"], until: Date.now() + 60_000 };
+    first.node.container.get(Keys.PoisonRequestDetector).mergeRecord(record, "test");
+    first.node.container.get(Keys.QuarantineTrials).recordOtherHolder(record);
+    const joining = await RoutedGateway.start(platform, {
+        name: "joining",
+        storeAddress: "127.0.0.1:9",
+        peersPort: await pickFreePort(),
+        seeds: first.getPeerAddress(),
+    });
+    await waitUntil(() => joining.node.container.get(Keys.Ledger).countCrashes(record.fingerprint) === 3);
+    assert.equal(joining.node.container.get(Keys.QuarantineTrials).isAvailable(record.fingerprint), false);
+    await joining.stop();
+});
+
+// Guards against sending every quarantine with each digest until it expires.
+test("a peer that has all quarantines is sent only those with recent crashes, until an exchange with it fails", async () => {
+    const clock = VirtualClock.create();
+    const ledger = QuarantineLedger.create(clock, 600_000);
+    ["a/1", "b/1", "c/1"].forEach(endpoint => ledger.recordCrash("old", endpoint));
+    await clock.runUntil(10_000);
+    ledger.recordCrash("recent", "d/1");
+    const list = (minimumCrashes: number) => ledger.listRecordsToShare(minimumCrashes, 5_000).map(record => record.fingerprint);
+    assert.deepEqual(list(Infinity), ["recent"]);
+    assert.deepEqual(list(3), ["old", "recent"]);
+    const table = PeerTable.create({ name: "self", failureDomain: "xela", address: "127.0.0.1:1", incarnation: 1 }, clock, 2_000);
+    table.addPeer({ name: "peer", failureDomain: "xela", address: "127.0.0.1:2", incarnation: 1 });
+    const peer = table.findPeer("peer") as GatewayPeer;
+    peer.hasAllQuarantines = true;
+    table.recordFailure(peer);
+    assert.equal(peer.hasAllQuarantines, false);
+    peer.hasAllQuarantines = true;
+    table.addPeer({ name: "peer", failureDomain: "xela", address: "127.0.0.1:2", incarnation: 2 });
+    assert.equal(peer.hasAllQuarantines, false);
+});
+
 test("a node stops although its last exchange with peers never completes", async () => {
     const stopping = await RoutedGateway.start(platform, { name: "stopping" });
     stopping.node.container.get(Keys.Gossip).publishNow = () => new Promise(() => {});
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -54,6 +54,7 @@
                 isDirect: true,
                 digest: undefined,
                 sentPlacementSequence: 0,
+                hasAllQuarantines: false,
                 sentNodesAt: -Infinity,
                 sentMembershipVersion: 0,
             });
@@ -68,6 +69,7 @@
             known.failureDomain = identity.failureDomain;
             known.failuresInRow = 0;
             known.sentPlacementSequence = 0;
+            known.hasAllQuarantines = false;
             known.sentNodesAt = -Infinity;
         }
     }
@@ -93,6 +95,7 @@
             return false;
         }
         const wasUnreachable = !this.isReachable(peer);
+        peer.hasAllQuarantines &&= !wasUnreachable;
         this.membershipVersion += wasUnreachable || peer.isLeaving !== digest.isLeaving ? 1 : 0;
         peer.lastSeenAt = this.clock.getMonotonicTime();
         peer.failuresInRow = 0;
@@ -112,6 +115,7 @@
         this.membershipVersion += 1;
         peer.lastFailedAt = this.clock.getMonotonicTime();
         peer.failuresInRow += 1;
+        peer.hasAllQuarantines = false;
     }
 
     /** Records the state of a node that a relay last saw `age` milliseconds ago; ignored if this node has a newer record. */
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -45,6 +45,8 @@
     digest: GatewayDigest | undefined;
     /** Sequence number of the last placement update that this node has sent to it. */
     sentPlacementSequence: number;
+    /** Whether this node has sent it every quarantine since its last failed exchange; later digests name recent suspects only. */
+    hasAllQuarantines: boolean;
     /** Time of the last list of all nodes that this node, as a relay, has sent to it; -Infinity before the first. */
     sentNodesAt: number;
     /** Membership version of that list. */
--- a/src/node/bindings/gatewayPeerBindings.ts
+++ b/src/node/bindings/gatewayPeerBindings.ts
@@ -54,6 +54,7 @@
             work: context.get(Keys.ServiceWorkTracker),
             lease: context.get(Keys.Lease),
             ledger: context.get(Keys.Ledger),
+            trials: context.get(Keys.QuarantineTrials),
             poisonRequestDetector: context.get(Keys.PoisonRequestDetector),
             versions: context.get(Keys.Versions),
             plan: context.get(Keys.RelayPlan),
