Apply the sound parts of a peer's state beside a malformed one, and log it

Found on a second reading of how a node takes the configuration, endpoints and version moves that a peer sends. A text that is no JSON threw out of the whole exchange, so the parts after it were lost; one that is JSON of another shape was dropped without a line in the log.

Change: each part is parsed by itself; a malformed one gets a line and the others apply.

--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -1,6 +1,8 @@
 import { z } from "zod";
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
+import { parseJson } from "../common/json.js";
+import { LogEvents } from "../common/logEvents.js";
 import { createEmptyCounts } from "../control/moves/moveEvidence.js";
 import { DutyLease } from "../duties/dutyLease.js";
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
@@ -162,24 +164,36 @@
 
     applyState(state: SharedState, source: string): void {
         const { dependencies } = this;
-        if (state.configurationJson !== "") {
-            const parsed = routeConfigurationSchema.safeParse(JSON.parse(state.configurationJson));
-            if (parsed.success) {
-                dependencies.configurationFollower.applyConfiguration(parsed.data, source);
-            }
+        const configuration = this.parseState(state.configurationJson, routeConfigurationSchema, "configuration", source);
+        if (configuration !== undefined) {
+            dependencies.configurationFollower.applyConfiguration(configuration, source);
         }
-        if (state.endpointsJson !== "") {
-            const parsed = revisedEntriesSchema.safeParse(JSON.parse(state.endpointsJson));
-            if (parsed.success) {
-                this.applyEntries(parsed.data, state, source);
-            }
+        const entries = this.parseState(state.endpointsJson, revisedEntriesSchema, "endpoints", source);
+        if (entries !== undefined) {
+            this.applyEntries(entries, state, source);
         }
-        if (state.versionMovesJson !== "") {
-            const parsed = objectListSchema.safeParse(JSON.parse(state.versionMovesJson));
-            if (parsed.success) {
-                dependencies.versions.applyObjects(parsed.data);
-            }
+        const moves = this.parseState(state.versionMovesJson, objectListSchema, "version moves", source);
+        if (moves !== undefined) {
+            dependencies.versions.applyObjects(moves);
+        }
+    }
+
+    /** Parses a part of a peer's state; undefined if it is absent or malformed. The other parts still apply. */
+    private parseState<Schema extends z.ZodType>(
+        json: string,
+        schema: Schema,
+        part: string,
+        peer: string,
+    ): z.infer<Schema> | undefined {
+        if (json === "") {
+            return undefined;
+        }
+        const parsed = schema.safeParse(parseJson(json));
+        if (!parsed.success) {
+            this.dependencies.log.log(LogEvents.TaskFailed, { task: "apply a peer's state", part, peer, cause: parsed.error.message });
+            return undefined;
         }
+        return parsed.data;
     }
 
     /** Applies a peer's newer entries and removals. Endpoints missing from a complete list had been removed by the revision that it reports. */
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -1,5 +1,7 @@
+import { create } from "@bufbuild/protobuf";
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
+import { SharedStateSchema } from "../generated/corianderward/gateway/v1/gateway_pb.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
@@ -132,6 +134,21 @@
     assert.equal(peer.hasAllQuarantines, false);
 });
 
+// Guards against dropping all of a peer's state, without a line in the log, because one part of it is malformed.
+test("a malformed part of a peer's state leaves the other parts in force", () => {
+    const configuration = first.node.container.get(Keys.Configuration).getTable()?.configuration;
+    const version = (configuration?.version ?? 0) + 1;
+    const state = create(SharedStateSchema, {
+        endpointsJson: "{",
+        versionMovesJson: "[]",
+        configurationJson: JSON.stringify({ ...configuration, version }),
+    });
+    first.node.container.get(Keys.Gossip).applyState(state, "peer");
+    assert.equal(first.node.container.get(Keys.Configuration).getVersion(), version);
+    const broken = create(SharedStateSchema, { configurationJson: "{", endpointsJson: "", versionMovesJson: "" });
+    assert.doesNotThrow(() => first.node.container.get(Keys.Gossip).applyState(broken, "peer"));
+});
+
 test("a node stops although its last exchange with peers never completes", async () => {
     const stopping = await RoutedGateway.start(platform, { name: "stopping" });
     stopping.node.container.get(Keys.Gossip).publishNow = () => new Promise(() => {});
