Probe an endpoint again that lost the connection of a probe, before it counts as running

Cause, from a trace of the demo: the probe that follows a loss reached the engine while it was ending; the connection was accepted and then lost. That was taken for a broken network, so the crash was not counted against the request: of four crashes two were. Class: a single look at a state that is changing.

Ruled out: late news between nodes (the resends came to a node of another failure domain that knew of every counted crash).

Change: a probe whose connection is lost before its time limit is repeated within that limit, three times at most, 20 ms apart. The gateway repeats one that is accepted, unless the endpoint has sent something since, after 30 and 60 ms.

--- a/src/gateway/poisonRequestDetector.test.ts
+++ b/src/gateway/poisonRequestDetector.test.ts
@@ -15,11 +15,13 @@
 
 const termMilliseconds = 600_000;
 
-function createDetector(clock: VirtualClock, result: ProbeResult) {
+function createDetector(clock: VirtualClock, ...results: ProbeResult[]) {
     const log = SilentEventLog.create();
     const ledger = QuarantineLedger.create(clock, termMilliseconds);
     const store = MemoryObjectStore.create(MemoryObjects.create(), clock, clock, SeededRandom.create(1));
-    const probe: ConnectionProbe = { checkAddress: () => Promise.resolve(result) };
+    const probe: ConnectionProbe = {
+        checkAddress: () => Promise.resolve((results.length > 1 ? results.shift() : results[0]) ?? ProbeResult.Unanswered),
+    };
     const stored = StoredQuarantines.create(store, clock, log, "node/1");
     const trials = QuarantineTrials.create(stored, clock, log);
     return { ledger, detector: PoisonRequestDetector.create(ledger, stored, trials, probe, clock, log) };
@@ -99,3 +101,16 @@
     detector.recordCrash(leaving, CrashEvidence.EntryRemoved);
     assert.deepEqual([ledger.countCrashes("hash-of-late"), ledger.countCrashes("hash-of-cut-off")], [1, 0]);
 });
+
+// Guards against taking an endpoint that is ending for one that runs, since it accepted one more connection.
+test("an endpoint that refuses connections a moment after it accepted one counts as crashed, one that sends something does not", async () => {
+    const clock = VirtualClock.create();
+    const ending = createDetector(clock, ProbeResult.Accepted, ProbeResult.Refused);
+    ending.detector.recordLoss(createEndpoint("ending"), createCall("lost", ["own"]));
+    const running = createDetector(clock, ProbeResult.Accepted, ProbeResult.Refused);
+    const endpoint = createEndpoint("running");
+    running.detector.recordLoss(endpoint, createCall("lost", ["own"]));
+    endpoint.lastReceivedAt = clock.getMonotonicTime() + 1;
+    await clock.runUntil(500);
+    assert.deepEqual([ending.ledger.countCrashes("hash-of-lost"), running.ledger.countCrashes("hash-of-lost")], [1, 0]);
+});
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -19,6 +19,11 @@
 /** Time after the latest crash before a trial, in milliseconds: requests that are running elsewhere end first, and a success clears the suspect. */
 const trialDelayMilliseconds = 1_000;
 
+/** Number of probes after which an endpoint that accepts connections is taken to run: one that is ending still accepts them for a moment. */
+const maximumProbes = 3;
+/** Pause before the second probe, in milliseconds; it doubles with each further one. */
+const probePauseMilliseconds = 30;
+
 /** Time for which counted crashes are collected before peers are told, in milliseconds. */
 const crashReportDelayMilliseconds = 50;
 
@@ -158,13 +163,26 @@
             return;
         }
         this.probedEndpoints.add(endpoint);
-        const result = await this.probe.checkAddress(endpoint.entry.address);
+        const hasCrashed = await this.isRefusingConnections(endpoint);
         this.probedEndpoints.delete(endpoint);
-        if (result === ProbeResult.Refused) {
+        if (hasCrashed) {
             this.recordCrash(endpoint, CrashEvidence.ConnectionRefused);
         }
     }
 
+    /** Probes an endpoint, several times while it accepts connections without sending anything. */
+    private async isRefusingConnections(endpoint: FleetEndpoint): Promise<boolean> {
+        const startedAt = this.clock.getMonotonicTime();
+        for (let probes = 0; probes < maximumProbes; probes += 1) {
+            const result = await this.probe.checkAddress(endpoint.entry.address);
+            if (result !== ProbeResult.Accepted || endpoint.lastReceivedAt > startedAt) {
+                return result === ProbeResult.Refused;
+            }
+            await this.clock.sleep(probePauseMilliseconds * 2 ** probes);
+        }
+        return false;
+    }
+
     /** Records evidence that an endpoint crashed: it refuses connections, or a new incarnation of it was seen. */
     recordCrash(endpoint: FleetEndpoint, evidence: CrashEvidence): void {
         const now = this.clock.getMonotonicTime();
--- a/src/node/bindings/requestBindings.ts
+++ b/src/node/bindings/requestBindings.ts
@@ -48,7 +48,13 @@
     );
     container.bind(Keys.Probe).toDynamicValue(context => {
         const notifier: UrgentNotifier = { sendUrgentDigest: () => context.get(Keys.Exchange).sendUrgentDigest() };
-        return EndpointProbe.create(context.get(Keys.ModelClient), context.get(Keys.Registry), context.get(Keys.Ledger), notifier);
+        return EndpointProbe.create(
+            context.get(Keys.ModelClient),
+            context.get(Keys.Registry),
+            context.get(Keys.Ledger),
+            notifier,
+            context.get(Keys.Clock),
+        );
     });
     container.bind(Keys.Budget).toDynamicValue(() => RetryBudget.create());
     container.bind(Keys.Claims).toDynamicValue(context =>
--- a/src/requests/commands/endpointProbe.ts
+++ b/src/requests/commands/endpointProbe.ts
@@ -1,6 +1,9 @@
+import { Clock } from "../../common/clock.js";
+import { Failure } from "../../common/failure.js";
+import { Result } from "../../common/results.js";
 import { Verdict } from "../../common/verdict.js";
 import { ModelEndpointClient } from "../../endpoints/modelEndpoint.js";
-import { EndpointEvidence, EndpointState } from "../../endpoints/types.js";
+import { EndpointEvidence, EndpointState, LoadReport } from "../../endpoints/types.js";
 import { UrgentNotifier } from "../../peers/types.js";
 import { ActiveAttempt, EndpointEntry, EndpointRegistry } from "../endpointRegistry.js";
 import { QuarantineLedger } from "../quarantineLedger.js";
@@ -8,6 +11,10 @@
 
 /** Time limit of a probe. */
 const probeTimeLimitMilliseconds = 400;
+/** Number of probes whose connections may be lost before the result stands: a process that is ending still accepts connections. */
+const maximumProbes = 4;
+/** Pause before a probe is repeated, in milliseconds: the kernel closes the sockets of an ended process within that time. */
+const probePauseMilliseconds = 20;
 
 /** Result of a probe over a new connection. */
 export enum ProbeResult {
@@ -28,6 +35,7 @@
         private readonly registry: EndpointRegistry,
         private readonly ledger: QuarantineLedger,
         private readonly notifier: UrgentNotifier,
+        private readonly clock: Clock,
     ) {}
 
     static create(
@@ -35,8 +43,9 @@
         registry: EndpointRegistry,
         ledger: QuarantineLedger,
         notifier: UrgentNotifier,
+        clock: Clock,
     ): EndpointProbe {
-        return new EndpointProbe(client, registry, ledger, notifier);
+        return new EndpointProbe(client, registry, ledger, notifier, clock);
     }
 
     /** Probes an endpoint. Concurrent calls for the same endpoint share one probe. */
@@ -52,7 +61,7 @@
 
     private async runProbe(entry: EndpointEntry): Promise<ProbeResult> {
         const attempts = [...entry.attempts];
-        const load = await this.client.fetchLoad(entry.description.address, probeTimeLimitMilliseconds);
+        const load = await this.fetchLoad(entry);
         if (load.ok) {
             this.registry.recordLoad(entry.name, load.val, 0);
             return ProbeResult.Reachable;
@@ -68,6 +77,21 @@
         return ProbeResult.Crashed;
     }
 
+    /** Fetches the endpoint's load, again where the connection was lost before the time limit. */
+    private async fetchLoad(entry: EndpointEntry): Promise<Result<LoadReport, Failure>> {
+        const { address } = entry.description;
+        const endsAt = this.clock.getMonotonicTime() + probeTimeLimitMilliseconds;
+        let load = await this.client.fetchLoad(address, probeTimeLimitMilliseconds);
+        for (let probes = 1; probes < maximumProbes && load.err && load.val.verdict !== Verdict.NotRun; probes += 1) {
+            if (this.clock.getMonotonicTime() + probePauseMilliseconds >= endsAt) {
+                break;
+            }
+            await this.clock.sleep(probePauseMilliseconds);
+            load = await this.client.fetchLoad(address, Math.max(1, endsAt - this.clock.getMonotonicTime()));
+        }
+        return load;
+    }
+
     /** Counts the crash against the requests that may have caused it, and sends the counts to peers at once. */
     private async recordCrash(entry: EndpointEntry, attempts: readonly ActiveAttempt[]): Promise<void> {
         // A suspect request that has passed its probation got past the point of the earlier crash and is not the cause of this one.
