Name the file that a command cannot write, instead of a raw error or none

Found by trying every command with bad input: emulate into a directory that cannot be made printed the runtime's raw error after it had started the stand-ins, and below /proc nothing at all, since the runtime's recursive mkdir never returns there. trace generate and the keys commands printed raw errors too. They end with exit code 2 and CW1018 now, emulate before it starts anything.

The other commands named their fault clearly.

--- a/src/cli/baseCommand.ts
+++ b/src/cli/baseCommand.ts
@@ -1,7 +1,9 @@
 import { Command, Flags, ux } from "@oclif/core";
 import Table from "cli-table3";
-import { readFileSync } from "node:fs";
-import { Diagnostic, DiagnosticCategory, formatDiagnostic } from "../common/diagnostics.js";
+import { existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { dirname, resolve } from "node:path";
+import { createDiagnostic, Diagnostic, DiagnosticCategory, Diagnostics, formatDiagnostic } from "../common/diagnostics.js";
+import { describeError } from "../common/failure.js";
 import { Metrics } from "../common/metrics.js";
 import { HttpObjectStore } from "../provider/httpObjectStore.js";
 import { ExitCode } from "./exitCodes.js";
@@ -78,6 +80,32 @@
         this.log(table.toString());
     }
 
+    /** Creates a directory with its parents; ends the command if it cannot be created. */
+    protected createDirectory(directory: string): void {
+        this.runWrite(directory, () => {
+            // The runtime's recursive form never returns for a file system that refuses directories, such as /proc.
+            const missing: string[] = [];
+            for (let parent = resolve(directory); !existsSync(parent); parent = dirname(parent)) {
+                missing.unshift(parent);
+            }
+            missing.forEach(parent => mkdirSync(parent));
+        });
+    }
+
+    /** Writes a file; ends the command if it cannot be written. */
+    protected writeOutput(file: string, text: string, mode?: number): void {
+        this.runWrite(file, () => writeFileSync(file, text, { mode }));
+    }
+
+    private runWrite(file: string, write: () => void): void {
+        try {
+            write();
+        }
+        catch (error) {
+            this.failWith(ExitCode.BadInput, [createDiagnostic(Diagnostics.File_0_cannot_be_written_1, file, describeError(error))]);
+        }
+    }
+
     /** Shows on standard error that something goes on, for work that may take more than a moment. */
     protected startProgress(text: string): void {
         if (!this.jsonEnabled()) {
--- a/src/cli/commandLine.test.ts
+++ b/src/cli/commandLine.test.ts
@@ -188,3 +188,20 @@
         3,
     );
 });
+
+// Guards against a raw error of the runtime, or none at all, where a command cannot write its output.
+test("commands name the file that they cannot write", async () => {
+    const file = writeFile("plain-file", "");
+    for (
+        const args of [
+            ["emulate", "--directory", join(file, "demo")],
+            ["emulate", "--directory", "/proc/no-directory"],
+            ["trace", "generate", "recall-desk", "--services", "services", "--out", join(file, "trace.jsonl")],
+            ["keys", "authority", join(file, "keys")],
+        ]
+    ) {
+        const ran = await run("corianderward.js", args);
+        assert.equal(ran.code, 2, ran.output);
+        assert.match(ran.output, /error CW1018: File '.*' cannot be written: E[A-Z]+: /, args.join(" "));
+    }
+});
--- a/src/cli/commands/emulate.ts
+++ b/src/cli/commands/emulate.ts
@@ -1,5 +1,4 @@
 import { Flags } from "@oclif/core";
-import { mkdirSync, writeFileSync } from "node:fs";
 import { join } from "node:path";
 import { millisecondsPerMinute } from "../../common/units.js";
 import { RoutedPlatform } from "../../standins/routed/routedPlatform.js";
@@ -28,11 +27,13 @@
 
     async run(): Promise<unknown> {
         const { flags } = await this.parse(EmulateCommand);
+        const settings = join(flags.directory, "gateway.ini");
+        this.createDirectory(flags.directory);
+        // Checked before the platform starts, whose addresses the settings hold.
+        this.writeOutput(settings, "");
         const platform = RoutedPlatform.create();
         await platform.start(flags.workers);
-        mkdirSync(flags.directory, { recursive: true });
-        const settings = join(flags.directory, "gateway.ini");
-        writeFileSync(settings, createSettings(platform));
+        this.writeOutput(settings, createSettings(platform));
         this.log(`The platform's store is at ${platform.storeAddress}, its cloud API at ${platform.cloudAddress}.`);
         this.log(`Start a gateway:  node target/gateway/gateway.mjs --settings ${settings}`);
         this.log(
--- a/src/cli/commands/keys.ts
+++ b/src/cli/commands/keys.ts
@@ -1,5 +1,5 @@
 import { Args, Flags } from "@oclif/core";
-import { existsSync, mkdirSync, readFileSync, writeFileSync } from "node:fs";
+import { existsSync, readFileSync } from "node:fs";
 import { join } from "node:path";
 import { createDiagnostic, Diagnostics } from "../../common/diagnostics.js";
 import { describeError } from "../../common/failure.js";
@@ -32,13 +32,13 @@
         files: CertificateKeyPair,
         mayReplace: boolean,
     ): void {
-        mkdirSync(directory, { recursive: true });
+        this.createDirectory(directory);
         const certificateFile = join(directory, certificateName);
         if (!mayReplace && existsSync(certificateFile)) {
             this.failWith(ExitCode.Conflict, [createDiagnostic(Diagnostics.File_0_exists, certificateFile)]);
         }
-        writeFileSync(join(directory, keyName), files.key, { mode: privateMode });
-        writeFileSync(certificateFile, files.certificate);
+        this.writeOutput(join(directory, keyName), files.key, privateMode);
+        this.writeOutput(certificateFile, files.certificate);
         this.log(certificateFile);
     }
 }
@@ -87,7 +87,7 @@
         };
         const files = createNodeCertificate(authority, args.node, flags.days, Date.now());
         this.writeFiles(flags.out, "node.pem", "node-key.pem", files, true);
-        writeFileSync(join(flags.out, authorityCertificate), authority.certificate);
+        this.writeOutput(join(flags.out, authorityCertificate), authority.certificate);
         return { node: args.node, directory: flags.out };
     }
 }
--- a/src/cli/commands/traceGenerate.ts
+++ b/src/cli/commands/traceGenerate.ts
@@ -1,5 +1,4 @@
 import { Args, Flags } from "@oclif/core";
-import { writeFileSync } from "node:fs";
 import { createRecallDeskRecipe, createRegisterRecipe, generateTrace } from "../../replay/traceGenerator.js";
 import { BaseCommand } from "../baseCommand.js";
 
@@ -21,7 +20,7 @@
         const { args, flags } = await this.parse(TraceGenerateCommand);
         const createRecipe = args.deployment === "recall-desk" ? createRecallDeskRecipe : createRegisterRecipe;
         const text = generateTrace(createRecipe(flags.seconds, flags.services), flags.seed);
-        writeFileSync(flags.out, text);
+        this.writeOutput(flags.out, text);
         const lines = text.split("\n").length - 1;
         this.log(`${flags.out}: ${lines} lines`);
         return { file: flags.out, lines };
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -58,6 +58,7 @@
     ),
     Version_0_of_service_1_is_not_declared: createError(1015, "Version '{0}' of service '{1}' is not declared."),
     Service_0_is_declared_in_two_teams_1_and_2: createError(1016, "Service '{0}' is declared by two teams: '{1}' and '{2}'."),
+    File_0_cannot_be_written_1: createError(1018, "File '{0}' cannot be written: {1}."),
     Section_0_names_service_1_which_is_not_declared: createError(1017, "Section '{0}' names service '{1}', which is not declared."),
     Deadline_0_of_move_1_leaves_too_few_requests_2: createWarning(
         1018,
