--- a/src/cli/baseCommand.ts
+++ b/src/cli/baseCommand.ts
@@ -80,6 +80,16 @@
         this.log(table.toString());
     }
 
+    /** Reads a file; ends the command if it cannot be read. */
+    protected readInput(file: string): string {
+        try {
+            return readFileSync(file, "utf8");
+        }
+        catch (error) {
+            return this.failWith(ExitCode.BadInput, [createDiagnostic(Diagnostics.File_0_cannot_be_read_1, file, describeError(error))]);
+        }
+    }
+
     /** Creates a directory with its parents; ends the command if it cannot be created. */
     protected createDirectory(directory: string): void {
         this.runWrite(directory, () => {
@@ -121,13 +131,13 @@
 
     /** Creates the client of a node from the operator flags. */
     protected createOperatorClient(flags: { readonly node: string; readonly "token-file"?: string; }): OperatorClient {
-        const fromFile = flags["token-file"] === undefined ? undefined : readFileSync(flags["token-file"], "utf8").trim();
+        const fromFile = flags["token-file"] === undefined ? undefined : this.readInput(flags["token-file"]).trim();
         return OperatorClient.create(flags.node, fromFile ?? process.env["CORIANDERWARD_OPERATOR_TOKEN"]);
     }
 
     /** Creates the client of the platform from the platform flags. */
     protected createObjectStore(flags: { readonly platform: string; readonly "platform-token-file"?: string; }): HttpObjectStore {
-        const token = flags["platform-token-file"] === undefined ? undefined : readFileSync(flags["platform-token-file"], "utf8").trim();
+        const token = flags["platform-token-file"] === undefined ? undefined : this.readInput(flags["platform-token-file"]).trim();
         return HttpObjectStore.create(
             { url: flags.platform, token, timeout: platformTimeoutMilliseconds, watchSilence: platformTimeoutMilliseconds },
             Metrics.create(),
--- a/src/cli/commandLine.test.ts
+++ b/src/cli/commandLine.test.ts
@@ -205,3 +205,14 @@
         assert.match(ran.output, /error CW1018: File '.*' cannot be written: E[A-Z]+: /, args.join(" "));
     }
 });
+
+test("commands name the token file that they cannot read", async () => {
+    const missing = join(directory, "no-token");
+    for (
+        const args of [["status", "--token-file", missing], ["publish", "examples/recall-desk/services", "--platform-token-file", missing]]
+    ) {
+        const ran = await run("corianderward.js", args);
+        assert.equal(ran.code, 2, ran.output);
+        assert.match(ran.output, /error CW1001: File 'DIRECTORY\/no-token' cannot be read: ENOENT/, args.join(" "));
+    }
+});
--- a/src/cli/commands/keys.ts
+++ b/src/cli/commands/keys.ts
@@ -1,8 +1,7 @@
 import { Args, Flags } from "@oclif/core";
-import { existsSync, readFileSync } from "node:fs";
+import { existsSync } from "node:fs";
 import { join } from "node:path";
 import { createDiagnostic, Diagnostics } from "../../common/diagnostics.js";
-import { describeError } from "../../common/failure.js";
 import { CertificateKeyPair, checkCertificate, createAuthority, createNodeCertificate } from "../../keys/certificates.js";
 import { BaseCommand } from "../baseCommand.js";
 import { ExitCode } from "../exitCodes.js";
@@ -15,15 +14,6 @@
 
 /** What the commands about keys share. */
 abstract class KeysCommand extends BaseCommand {
-    protected readRequired(file: string): string {
-        try {
-            return readFileSync(file, "utf8");
-        }
-        catch (error) {
-            return this.failWith(ExitCode.BadInput, [createDiagnostic(Diagnostics.File_0_cannot_be_read_1, file, describeError(error))]);
-        }
-    }
-
     /** Writes a certificate and its key; refuses to replace files unless told to. */
     protected writeFiles(
         directory: string,
@@ -82,8 +72,8 @@
     async run(): Promise<unknown> {
         const { args, flags } = await this.parse(KeysIssueCommand);
         const authority = {
-            certificate: this.readRequired(join(flags.authority, authorityCertificate)),
-            key: this.readRequired(join(flags.authority, authorityKey)),
+            certificate: this.readInput(join(flags.authority, authorityCertificate)),
+            key: this.readInput(join(flags.authority, authorityKey)),
         };
         const files = createNodeCertificate(authority, args.node, flags.days, Date.now());
         this.writeFiles(flags.out, "node.pem", "node-key.pem", files, true);
@@ -101,7 +91,7 @@
 
     async run(): Promise<unknown> {
         const { args, flags } = await this.parse(KeysCheckCommand);
-        const checked = checkCertificate(this.readRequired(args.certificate), this.readRequired(flags.authority), Date.now());
+        const checked = checkCertificate(this.readInput(args.certificate), this.readInput(flags.authority), Date.now());
         if (checked.err) {
             this.failWith(ExitCode.Failed, [createDiagnostic(Diagnostics.Certificate_0_is_not_valid_1, args.certificate, checked.val)]);
         }
