Log how an endpoint's response marked its end

Callers got truncated streams as complete (ORDER); the lines of such a request looked like those of any served one, so the log could not tell a response that ended with its connection from one with a length or chunks. The lines of failed attempts and of finished requests now say so. The observer of a connection's end moves to the endpoints' folder, beside the request that both products send.

--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -3,6 +3,7 @@
 import { observeInterimResponses } from "../common/interimResponses.js";
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
+import { ResponseEndObserver } from "./responseEnd.js";
 
 /** Contents, target and limits of a request to an endpoint. Times are in milliseconds. */
 export interface EndpointRequestOptions {
@@ -37,6 +38,7 @@
 export class EndpointRequest {
     readonly connection = ConnectionTracker.create();
     private readonly request: ClientRequest;
+    private readonly endObserver = ResponseEndObserver.create();
     private response: IncomingMessage | undefined;
     private connectTimer: NodeJS.Timeout | undefined;
 
@@ -66,6 +68,7 @@
         return new Promise((resolve, reject) => {
             this.request.once("response", response => {
                 this.response = response;
+                this.endObserver.start(response.socket);
                 resolve(response);
             });
             this.request.once("error", reject);
@@ -81,9 +84,15 @@
         return this.request.reusedSocket;
     }
 
+    /** Returns whether the response has ended and is complete by its framing. */
+    isResponseComplete(): boolean {
+        return this.response !== undefined && this.endObserver.isComplete(this.response);
+    }
+
     /** Ends the request; closes its connection if the response is still incomplete. */
     close(): void {
         clearTimeout(this.connectTimer);
+        this.endObserver.stop();
         if (!this.request.destroyed && this.response?.complete !== true) {
             this.request.destroy();
         }
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -3,6 +3,7 @@
 import { Failure } from "../common/failure.js";
 import { Verdict } from "../common/verdict.js";
 import { formatAddress } from "../config/sectionReader.js";
+import { readFraming, ResponseFraming } from "../endpoints/responseEnd.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
 import { BufferingResponseRelay, RelayOutcome } from "./responseRelay.js";
@@ -32,6 +33,7 @@
     private isHarmless = false;
     private hasExceededSilenceLimit = false;
     private isPastDeadline = false;
+    private framing: ResponseFraming | undefined;
     private unprocessedPromptTokens: number;
 
     private constructor(private readonly dependencies: CallAttemptDependencies, private readonly options: AttemptOptions) {
@@ -129,6 +131,7 @@
     private async relayResponse(response: IncomingMessage, exchange: EndpointExchange): Promise<AttemptResult> {
         const { options } = this;
         this.recordActivity();
+        this.framing = readFraming(response);
         const load = exchange.readLoad(response);
         if (load !== undefined) {
             this.endpoint.recordLoad(load, this.lastReceivedAt);
@@ -256,7 +259,7 @@
     }
 
     private createResult(failure: Failure | undefined, mayHaveArrived = true): AttemptResult {
-        return { failure, mayHaveArrived, isPastDeadline: this.isPastDeadline, sentAt: this.sentAt };
+        return { failure, mayHaveArrived, isPastDeadline: this.isPastDeadline, framing: this.framing, sentAt: this.sentAt };
     }
 
     private recordActivity(): void {
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -4,6 +4,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { Result } from "../common/results.js";
 import { raiseVerdict, Verdict } from "../common/verdict.js";
+import { ResponseFraming } from "../endpoints/responseEnd.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { EndpointChooser } from "../placement/endpointChooser.js";
 import { Placement } from "../placement/types.js";
@@ -37,6 +38,8 @@
     readonly sends: number;
     /** The endpoint of the last attempt; undefined when there was none. */
     readonly endpoint: string | undefined;
+    /** How the response of the last attempt marked its end; undefined when there was none. */
+    readonly framing: ResponseFraming | undefined;
     /** Time of the first event of a stream, in monotonic milliseconds; undefined for other calls. */
     readonly firstByteAt: number | undefined;
 }
@@ -74,6 +77,7 @@
     private firstByteAt: number | undefined;
     private attempt: CallAttempt | undefined;
     private lastEndpoint: string | undefined;
+    private framing: ResponseFraming | undefined;
 
     private constructor(
         private readonly dependencies: CallForwarderDependencies,
@@ -164,6 +168,7 @@
     /** Records the result of an attempt; returns the report when the call has ended, or undefined when it is to be retried. */
     private finishAttempt(placement: Placement, result: AttemptResult): CallReport | undefined {
         const { call, caller, dependencies } = this;
+        this.framing = result.framing;
         if (result.failure === undefined) {
             this.recordCallRun(result);
             return this.createReport(CallOutcome.Completed, undefined);
@@ -183,6 +188,7 @@
             endpoint: placement.endpoint.entry.id,
             verdict: result.failure.verdict,
             cause: result.failure.text,
+            framing: result.framing,
             expectedTime: Math.round(placement.expectedTime),
             timeLeft: Math.round(this.deadline - dependencies.clock.getMonotonicTime()),
             sends: this.sends,
@@ -245,6 +251,7 @@
     }
 
     private createReport(outcome: CallOutcome, failure: Failure | undefined): CallReport {
-        return { outcome, failure, sends: this.sends, endpoint: this.lastEndpoint, firstByteAt: this.firstByteAt };
+        const { sends, lastEndpoint: endpoint, framing, firstByteAt } = this;
+        return { outcome, failure, sends, endpoint, framing, firstByteAt };
     }
 }
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -1,5 +1,4 @@
 import { Agent, IncomingMessage } from "node:http";
-import { Socket } from "node:net";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { Err, Ok, Result } from "../common/results.js";
@@ -44,44 +43,9 @@
     readonly signal: AbortSignal;
 }
 
-/** Observes how a connection ends while a response is read from it; needed to recognize a complete response without a length. */
-class ConnectionObserver {
-    /** Whether the endpoint closed its side in an orderly way, which marks the end of a response without a length. */
-    isClosedByEndpoint = false;
-    hasError = false;
-    private socket: Socket | undefined;
-    private readonly handleEnd = () => {
-        // A reset that arrives together with data is reported as an end, but then the socket has no remote address any more.
-        this.isClosedByEndpoint = this.socket?.remoteAddress !== undefined;
-    };
-    private readonly handleError = () => {
-        this.hasError = true;
-    };
-
-    private constructor() {}
-
-    static create(): ConnectionObserver {
-        return new ConnectionObserver();
-    }
-
-    start(socket: Socket): void {
-        this.socket = socket;
-        // Must run before the runtime's own handlers, which end the response synchronously.
-        socket.prependListener("end", this.handleEnd);
-        socket.prependListener("error", this.handleError);
-    }
-
-    /** Removes the listeners; a pooled connection carries many responses and would accumulate them. */
-    stop(): void {
-        this.socket?.off("end", this.handleEnd);
-        this.socket?.off("error", this.handleError);
-    }
-}
-
 /** Sends the request of one attempt to its endpoint and validates the status and headers of the response. */
 export class EndpointExchange {
     private readonly request: EndpointRequest;
-    private readonly observer = ConnectionObserver.create();
     private notice = emptyNotice;
 
     private constructor(private readonly options: ExchangeOptions, private readonly protocol: CallProtocol) {
@@ -112,7 +76,6 @@
         catch (error) {
             return Err(this.request.connection.createFailure(error));
         }
-        this.observer.start(response.socket);
         if (this.isFromEndpoint(response)) {
             this.notice = this.readNotice(response);
         }
@@ -136,17 +99,12 @@
 
     /** Ends the exchange; closes the connection if the response is still incomplete. */
     close(): void {
-        this.observer.stop();
         this.request.close();
     }
 
-    /** Returns whether a response that has ended is complete. One without a length is complete only if the endpoint closed the connection in an orderly way. */
-    isComplete(response: IncomingMessage): boolean {
-        if (!response.complete || this.observer.hasError) {
-            return false;
-        }
-        const hasLength = response.headers["content-length"] !== undefined || response.headers["transfer-encoding"] !== undefined;
-        return hasLength || this.observer.isClosedByEndpoint;
+    /** Returns whether the response has ended and is complete. One without a length is complete only if the endpoint closed the connection in an orderly way. */
+    isComplete(): boolean {
+        return this.request.isResponseComplete();
     }
 
     /** Reads the load from the response headers; returns undefined when the header is missing or invalid. */
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -137,6 +137,7 @@
                 failure: capRefusal,
                 sends: 0,
                 endpoint: undefined,
+                framing: undefined,
                 firstByteAt: undefined,
             });
             return;
@@ -241,6 +242,7 @@
             cause: failure?.text,
             endpoint: report.endpoint,
             sends: report.sends,
+            framing: report.framing,
             milliseconds: Math.round(time),
             firstByte: Math.round(firstByte),
             timeLeft: Math.round(call.deadline - call.arrivedAt),
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -54,7 +54,7 @@
         if (caller.isCallerDisconnected()) {
             return RelayOutcome.CallerDisconnected;
         }
-        if (!exchange.isComplete(response)) {
+        if (!exchange.isComplete()) {
             return RelayOutcome.Truncated;
         }
         if (caller.hasStarted()) {
@@ -137,7 +137,7 @@
                 }
             });
             response.once("end", () => {
-                if (caller.isCallerDisconnected() || !exchange.isComplete(response)) {
+                if (caller.isCallerDisconnected() || !exchange.isComplete()) {
                     finishEarly();
                     return;
                 }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -1,5 +1,6 @@
 import { Clock } from "../common/clock.js";
 import { Failure } from "../common/failure.js";
+import { ResponseFraming } from "../endpoints/responseEnd.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { PromptShape } from "../fleet/types.js";
 import { CallPlacementPolicy } from "../placement/callPlacementPolicy.js";
@@ -101,5 +102,7 @@
     readonly isPastDeadline: boolean;
     /** Whether the request may have reached the endpoint. */
     readonly mayHaveArrived: boolean;
+    /** How the endpoint's response marked its end; undefined when there was none. */
+    readonly framing: ResponseFraming | undefined;
     readonly sentAt: number;
 }
