--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -34,8 +34,22 @@
     Unpromised = "unpromised",
     /** A stream stops in the middle of an event. */
     BreakStream = "break-stream",
+    /** A stream without a length or chunks is complete and ends with its connection. */
+    UnframedStream = "unframed-stream",
+    /** A stream without a length or chunks is closed in order in the middle of an event. */
+    EndUnframedInsideEvent = "end-unframed-inside-event",
+    /** A stream in chunks has its last chunk in the middle of an event. */
+    EndChunkedInsideEvent = "end-chunked-inside-event",
+    /** The process ends after some events of a stream without a length or chunks; its connections are closed in order. */
+    CrashUnframed = "crash-unframed",
 }
 
+const unframedFaults: ReadonlySet<WorkerFault> = new Set([
+    WorkerFault.UnframedStream,
+    WorkerFault.EndUnframedInsideEvent,
+    WorkerFault.CrashUnframed,
+]);
+
 /** A request that a worker ran. */
 export interface RunRecord {
     readonly attemptId: string;
@@ -97,11 +111,14 @@
         await stopServer(this.server);
     }
 
-    /** Resets every connection and refuses new ones for a while, as a process that crashes and is started again. */
-    kill(): void {
+    /**
+     * Ends every connection and refuses new ones for a while, as a process that crashes and is started again. The system resets
+     * connections on which bytes are unread, and closes the others in order.
+     */
+    kill(end: (socket: Socket) => void = socket => socket.resetAndDestroy()): void {
         this.crashes += 1;
         this.server.close();
-        this.sockets.forEach(socket => socket.resetAndDestroy());
+        this.sockets.forEach(end);
         setTimeout(() => this.restart(), this.restartMilliseconds);
     }
 
@@ -220,16 +237,28 @@
     }
 
     private async sendStream(run: RunRecord, fault: WorkerFault, response: ServerResponse): Promise<void> {
+        if (fault === WorkerFault.Fail) {
+            this.sendAnswer(run, fault, response);
+            return;
+        }
+        if (unframedFaults.has(fault)) {
+            await this.sendUnframedStream(run, fault, response);
+            return;
+        }
         response.writeHead(statusOk, { "content-type": "text/event-stream", [HeaderNames.seal]: `seal-${run.attemptId}` });
         for (let event = run.startedAfter + 1; event <= this.eventCount; event += 1) {
             await sleep(this.eventMilliseconds);
             if (response.destroyed) {
                 return;
             }
-            if (fault === WorkerFault.BreakStream && event === Math.ceil(this.eventCount / 2) + 1) {
+            if (fault === WorkerFault.BreakStream && event === this.getBrokenEvent()) {
                 response.write(`id: ${event}\nda`, () => response.socket?.resetAndDestroy());
                 return;
             }
+            if (fault === WorkerFault.EndChunkedInsideEvent && event === this.getBrokenEvent()) {
+                response.end(`id: ${event}\nda`);
+                return;
+            }
             response.write(`id: ${event}\ndata: piece ${event}\n\n`);
             if (event === run.startedAfter + 1 && this.isDeadly(run)) {
                 await sleep(this.eventMilliseconds);
@@ -240,6 +269,36 @@
         response.end();
     }
 
+    private async sendUnframedStream(run: RunRecord, fault: WorkerFault, response: ServerResponse): Promise<void> {
+        const { socket } = response;
+        if (!socket) {
+            return;
+        }
+        const head = `HTTP/1.1 200 OK\r\n${HeaderNames.attemptId}: ${run.attemptId}\r\n${HeaderNames.seal}: seal-${run.attemptId}\r\n`;
+        socket.write(`${head}content-type: text/event-stream\r\nconnection: close\r\n\r\n`);
+        for (let event = run.startedAfter + 1; event <= this.eventCount; event += 1) {
+            await sleep(this.eventMilliseconds);
+            if (socket.destroyed) {
+                return;
+            }
+            if (fault === WorkerFault.EndUnframedInsideEvent && event === this.getBrokenEvent()) {
+                socket.end(`id: ${event}\nda`);
+                return;
+            }
+            if (fault === WorkerFault.CrashUnframed && event === this.getBrokenEvent()) {
+                this.kill(open => open.end());
+                return;
+            }
+            socket.write(`id: ${event}\ndata: piece ${event}\n\n`);
+        }
+        socket.end();
+    }
+
+    /** Returns the event at which a stream breaks off. */
+    private getBrokenEvent(): number {
+        return Math.ceil(this.eventCount / 2) + 1;
+    }
+
     private restart(): void {
         if (this.isStopped) {
             return;
