Treat a stream that ends inside an event as truncated

Cause: the relay took the orderly end of the connection for the end of the answer, wrote the incomplete last event and ended the response. A process that crashes closes its connections in the same way unless bytes are unread on them. Change: a stream is complete only if its framing says so and it ends after a whole event; otherwise it is resumed elsewhere where the route allows it, or its caller's response is broken off. Responses on routes of streams that are no streams, such as a 400, are no longer split into events.

--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -9,8 +9,11 @@
 import { BufferingResponseRelay, RelayOutcome } from "./responseRelay.js";
 import { AttemptOptions, AttemptResult, CallAttemptDependencies, IncomingCall } from "./types.js";
 
+const statusOk = 200;
+const statusRedirect = 300;
 const statusServerError = 500;
 const statusGatewayTimeout = 504;
+const eventStreamContentType = "text/event-stream";
 /** Time for which a stream runs on after its first event before it counts as harmless, in milliseconds; a poison request crashes its endpoint soon. */
 const harmlessRunMilliseconds = 1_000;
 /** Interval at which an attempt checks the silence limit of its endpoint. */
@@ -147,9 +150,8 @@
             }
         }
         response.on("data", () => this.recordActivity());
-        const isStream = options.stream !== undefined && status < statusServerError;
-        const relay = isStream ? options.stream : BufferingResponseRelay.create(options.caller);
-        const outcome = await relay.forwardResponse(response, exchange);
+        const relay = isEventStream(response) ? options.stream : undefined;
+        const outcome = await (relay ?? BufferingResponseRelay.create(options.caller)).forwardResponse(response, exchange);
         if (outcome !== RelayOutcome.Complete) {
             return this.handleTruncatedResponse();
         }
@@ -302,6 +304,13 @@
     }
 }
 
+/** Returns whether a response on a route of streams is one; failures come as plain documents. */
+function isEventStream(response: IncomingMessage): boolean {
+    const status = response.statusCode ?? 0;
+    const contentType = response.headers["content-type"] ?? eventStreamContentType;
+    return status >= statusOk && status < statusRedirect && contentType.toLowerCase().startsWith(eventStreamContentType);
+}
+
 /** Returns the urgency of a generation. One that is expected to miss its objective anyway yields to those that can still meet theirs. */
 function computeUrgency(call: IncomingCall, expectedTime: number): number {
     if (expectedTime > call.route.objective) {
--- a/src/gateway/eventSplitter.ts
+++ b/src/gateway/eventSplitter.ts
@@ -26,6 +26,11 @@
         return events;
     }
 
+    /** Returns whether the stream stands inside an event. Line ends after a complete event belong to none. */
+    hasIncompleteEvent(): boolean {
+        return this.incompleteEvent.some(byte => byte !== lineFeed && byte !== carriageReturn);
+    }
+
     /** Returns the bytes of the last event, which is incomplete; empty if there is none. */
     getIncompleteEvent(): Buffer {
         return this.incompleteEvent;
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -103,27 +103,40 @@
         return this.splitter.getLastEventId();
     }
 
-    forwardResponse(response: IncomingMessage, exchange: EndpointExchange): Promise<RelayOutcome> {
+    async forwardResponse(response: IncomingMessage, exchange: EndpointExchange): Promise<RelayOutcome> {
         const { caller, splitter } = this;
         splitter.removeIncompleteEvent();
+        const hasEnded = await this.relayEvents(response, exchange);
+        if (caller.isCallerDisconnected()) {
+            return RelayOutcome.CallerDisconnected;
+        }
+        // A connection that is closed in order proves nothing by itself: a process that crashes may close its connections so.
+        if (!hasEnded || !exchange.isComplete() || splitter.hasIncompleteEvent()) {
+            return RelayOutcome.Truncated;
+        }
+        this.startResponse(response);
+        caller.finishResponse();
+        return RelayOutcome.Complete;
+    }
+
+    /** Relays events until the response ends; returns false if it was truncated or given up. */
+    private relayEvents(response: IncomingMessage, exchange: EndpointExchange): Promise<boolean> {
+        const { caller, splitter } = this;
         return new Promise(resolve => {
-            let isResolved = false;
             let hasEvent = false;
-            const finish = (end: RelayOutcome) => {
-                if (!isResolved) {
-                    isResolved = true;
-                    resolve(end);
-                }
+            let isFinished = false;
+            const finish = (hasEnded: boolean) => {
+                isFinished = true;
+                resolve(hasEnded);
             };
-            const finishEarly = () => finish(caller.isCallerDisconnected() ? RelayOutcome.CallerDisconnected : RelayOutcome.Truncated);
             response.on("data", (chunk: Buffer) => {
                 const events = splitter.addBytes(chunk);
                 if (splitter.getIncompleteEvent().length > maximumEventBytes) {
                     exchange.close();
-                    finishEarly();
+                    finish(false);
                     return;
                 }
-                if (events.length === 0 || isResolved) {
+                if (events.length === 0 || isFinished) {
                     return;
                 }
                 if (!hasEvent) {
@@ -136,17 +149,9 @@
                     void caller.waitForDrain().then(() => response.resume());
                 }
             });
-            response.once("end", () => {
-                if (caller.isCallerDisconnected() || !exchange.isComplete()) {
-                    finishEarly();
-                    return;
-                }
-                this.startResponse(response);
-                caller.finishResponse(splitter.getIncompleteEvent());
-                finish(RelayOutcome.Complete);
-            });
-            response.once("error", finishEarly);
-            response.once("close", finishEarly);
+            response.once("end", () => finish(true));
+            response.once("error", () => finish(false));
+            response.once("close", () => finish(false));
         });
     }
 
--- a/src/gateway/truncatedStreams.test.ts
+++ b/src/gateway/truncatedStreams.test.ts
@@ -74,3 +74,10 @@
     assert.equal(response.isWhole, true);
     assert.equal(response.body, whole);
 });
+
+test("a response on a route of streams that is no stream is passed on whole", async () => {
+    const response = await sendStream("/notice/1", WorkerFault.Reject);
+    assert.equal(response.status, 400);
+    assert.equal(response.isWhole, true);
+    assert.equal(response.body, "{\"error\":\"no prompt\"}");
+});
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -16,6 +16,8 @@
     ResetAfterRun = "reset-after-run",
     /** It runs the request and answers a failure. */
     Fail = "fail",
+    /** It answers 400: the request cannot be served anywhere. */
+    Reject = "reject",
     /** It answers without a length and resets the connection in the middle. */
     ResetUnframed = "reset-unframed",
     /** It does so at once, so that data and reset arrive together. */
@@ -209,6 +211,10 @@
                 response.writeHead(500, { [HeaderNames.seal]: seal });
                 response.end("failed");
                 return;
+            case WorkerFault.Reject:
+                response.writeHead(400, { [HeaderNames.seal]: seal, "content-type": "application/json" });
+                response.end("{\"error\":\"no prompt\"}");
+                return;
             case WorkerFault.Unframed:
                 socket.end(`${head}connection: close\r\n\r\n${text}`);
                 return;
@@ -237,7 +243,7 @@
     }
 
     private async sendStream(run: RunRecord, fault: WorkerFault, response: ServerResponse): Promise<void> {
-        if (fault === WorkerFault.Fail) {
+        if (fault === WorkerFault.Fail || fault === WorkerFault.Reject) {
             this.sendAnswer(run, fault, response);
             return;
         }
