Do not end a stream with the document of a failure at the next endpoint

Ruled out: responses that have not started, which are passed on whole as before. Change: once a part of a stream is sent, a response that is no stream is discarded and the attempt counts as failed; the call is retried where its route allows it, or broken off.

--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -144,13 +144,15 @@
             this.endpoint.recordErrorResponse();
             this.recordVersionAttempt(false, undefined);
             if (options.mayRetry && !options.caller.hasStarted()) {
-                response.on("error", () => exchange.close());
-                response.resume();
-                return this.createResult(Failure.create(Verdict.Ran, Diagnostics.Endpoint_failed_with_status_0, status));
+                return this.discardFailure(response, exchange);
             }
         }
-        response.on("data", () => this.recordActivity());
         const relay = isEventStream(response) ? options.stream : undefined;
+        if (relay === undefined && options.caller.hasStarted()) {
+            // The caller has a part of a stream; the document of a failure cannot continue it.
+            return this.discardFailure(response, exchange);
+        }
+        response.on("data", () => this.recordActivity());
         const outcome = await (relay ?? BufferingResponseRelay.create(options.caller)).forwardResponse(response, exchange);
         if (outcome !== RelayOutcome.Complete) {
             return this.handleTruncatedResponse();
@@ -162,6 +164,13 @@
         return this.createResult(undefined);
     }
 
+    /** Discards a failure's document, so that its connection can be reused. */
+    private discardFailure(response: IncomingMessage, exchange: EndpointExchange): AttemptResult {
+        response.on("error", () => exchange.close());
+        response.resume();
+        return this.createResult(Failure.create(Verdict.Ran, Diagnostics.Endpoint_failed_with_status_0, response.statusCode ?? 0));
+    }
+
     private recordCompleteResponse(status: number): void {
         if (status >= statusServerError || this.options.stream !== undefined) {
             return;
--- a/src/gateway/truncatedStreams.test.ts
+++ b/src/gateway/truncatedStreams.test.ts
@@ -81,3 +81,12 @@
     assert.equal(response.isWhole, true);
     assert.equal(response.body, "{\"error\":\"no prompt\"}");
 });
+
+for (const fault of [WorkerFault.FailResumed, WorkerFault.RejectResumed]) {
+    // Guards against an error document that is appended to the events which the caller already has, and ends them as complete.
+    test(`a stream that breaks off and cannot go on elsewhere (${fault}) is not ended with the body of the failure`, async () => {
+        const response = await sendStream("/question/1", fault);
+        assert.equal(response.isWhole, false, JSON.stringify(response.body));
+        assert.equal(response.body, events.slice(0, 3).join(""));
+    });
+}
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -36,6 +36,10 @@
     Unpromised = "unpromised",
     /** A stream stops in the middle of an event. */
     BreakStream = "break-stream",
+    /** A stream stops in the middle of an event; a request to resume one fails. */
+    FailResumed = "fail-resumed",
+    /** The same, but the request to resume one is answered 400. */
+    RejectResumed = "reject-resumed",
     /** A stream without a length or chunks is complete and ends with its connection. */
     UnframedStream = "unframed-stream",
     /** A stream without a length or chunks is closed in order in the middle of an event. */
@@ -242,7 +246,8 @@
         }
     }
 
-    private async sendStream(run: RunRecord, fault: WorkerFault, response: ServerResponse): Promise<void> {
+    private async sendStream(run: RunRecord, requestedFault: WorkerFault, response: ServerResponse): Promise<void> {
+        const fault = resolveResumeFault(requestedFault, run);
         if (fault === WorkerFault.Fail || fault === WorkerFault.Reject) {
             this.sendAnswer(run, fault, response);
             return;
@@ -314,6 +319,15 @@
     }
 }
 
+/** Returns what goes wrong with a run, for faults that differ between a stream's start and its continuation. */
+function resolveResumeFault(fault: WorkerFault, run: RunRecord): WorkerFault {
+    const whenResumed = fault === WorkerFault.FailResumed ? WorkerFault.Fail : WorkerFault.Reject;
+    if (fault !== WorkerFault.FailResumed && fault !== WorkerFault.RejectResumed) {
+        return fault;
+    }
+    return run.startedAfter > 0 ? whenResumed : WorkerFault.BreakStream;
+}
+
 function sleep(milliseconds: number): Promise<void> {
     return milliseconds <= 0 ? Promise.resolve() : new Promise(resolve => setTimeout(resolve, milliseconds));
 }
