Reset broken-off responses whose callers take the connection's end for theirs

Change: such a response is broken off with a reset. Others are closed as before, since a reset could take events from the caller that were sent already. The end of a node breaks its open responses off in the same way.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -6,6 +6,8 @@
 /** Writes the response to one caller and detects when the caller disconnects. */
 export class CallerResponse {
     private readonly disconnectController = new AbortController();
+    /** Whether the sent headers give the response neither a length nor chunks, so that the connection's end marks its end. */
+    private endsWithConnection = false;
 
     private constructor(private readonly response: ServerResponse, private readonly isServerStopping: () => boolean) {
         response.once("close", () => {
@@ -40,6 +42,7 @@
     startResponse(status: number, headers: string[]): void {
         this.addCloseHeader(headers);
         this.response.writeHead(status, headers as unknown as never);
+        this.endsWithConnection = !this.response.chunkedEncoding && !headers.includes("content-length");
     }
 
     /** Writes bytes of the body; returns false when the caller reads too slowly and the writer must wait for `waitForDrain`. */
@@ -68,8 +71,15 @@
         this.response.end(lastBytes);
     }
 
-    /** Closes the connection without ending the response, so that the caller detects that it is truncated. */
+    /**
+     * Closes the connection without ending the response, so that the caller detects that it is truncated. An orderly end would
+     * complete a response without a length or chunks.
+     */
     abortResponse(): void {
+        if (this.endsWithConnection && !this.response.writableFinished) {
+            this.response.socket?.resetAndDestroy();
+            return;
+        }
         this.response.destroy();
     }
 
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -46,7 +46,7 @@
 export class GatewayServer {
     private readonly server: Server;
     private limits = initialLimits;
-    private openCalls = 0;
+    private readonly openResponses = new Set<CallerResponse>();
     private isStopping = false;
 
     private constructor(private readonly dependencies: GatewayServerDependencies) {
@@ -72,7 +72,7 @@
 
     /** Returns the number of calls that have not ended. */
     countOpenCalls(): number {
-        return this.openCalls;
+        return this.openResponses.size;
     }
 
     /** Adds `connection: close` to all further responses. New connections are still accepted. */
@@ -88,6 +88,7 @@
 
     /** Closes all connections, including those that carry requests. */
     closeAll(): void {
+        this.openResponses.forEach(caller => caller.abortResponse());
         this.server.closeAllConnections();
     }
 
@@ -103,10 +104,8 @@
         const { clock, configuration } = this.dependencies;
         const arrivedAt = clock.getMonotonicTime();
         const caller = CallerResponse.create(response, () => this.isStopping);
-        this.openCalls += 1;
-        response.once("close", () => {
-            this.openCalls -= 1;
-        });
+        this.openResponses.add(caller);
+        response.once("close", () => this.openResponses.delete(caller));
         const body = await this.readBody(request);
         if (body instanceof Failure) {
             response.shouldKeepAlive = false;
--- a/src/gateway/truncatedStreams.test.ts
+++ b/src/gateway/truncatedStreams.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
+import { createConnection } from "node:net";
 import { after, before, beforeEach, test } from "node:test";
+import { HeaderNames } from "../../platform/wire.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
-import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { RoutedWorker, WorkerFault } from "../standins/routed/routedWorker.js";
 import { CallerView, RoutedGateway, waitUntil } from "../testing/routedGateway.js";
 
@@ -90,3 +92,47 @@
         assert.equal(response.body, events.slice(0, 3).join(""));
     });
 }
+
+/** Sends a call as an HTTP/1.0 client, whose responses end with the connection; returns the bytes and whether that end was orderly. */
+function sendOldCall(path: string, target = gateway): Promise<{ readonly text: string; readonly isOrderly: boolean; }> {
+    return new Promise(resolve => {
+        const socket = createConnection({ host: "127.0.0.1", port: target.getPort() });
+        let text = "";
+        let hasError = false;
+        socket.on("data", chunk => (text += chunk.toString()));
+        socket.on("error", () => (hasError = true));
+        socket.on("close", () => resolve({ text, isOrderly: !hasError }));
+        socket.write([
+            `POST ${path} HTTP/1.0`,
+            `host: ${routedNames.host}`,
+            `authorization: Bearer ${routedNames.key}`,
+            `${HeaderNames.attemptId}: ${gateway.createAttemptId()}`,
+            `${HeaderNames.deadline}: 2000`,
+            "content-length: 2",
+            "",
+            "{}",
+        ].join("\r\n"));
+    });
+}
+
+// Guards against a response without a length or chunks, on the caller's side, that is broken off by an orderly end.
+test("a stream that breaks off is reset for a caller whose responses end with the connection", async () => {
+    platform.engines.forEach(engine => engine.faults.push(WorkerFault.BreakStream));
+    const truncated = await sendOldCall("/notice/1");
+    assert.equal(truncated.text.includes("data: piece 3"), true, truncated.text);
+    assert.equal(truncated.isOrderly, false);
+    platform.engines.forEach(engine => engine.faults.splice(0));
+    const complete = await sendOldCall("/notice/1");
+    assert.equal(complete.text.endsWith(whole), true, complete.text);
+    assert.equal(complete.isOrderly, true);
+});
+
+test("a stream that is cut off by the end of the node is reset for a caller whose responses end with the connection", async context => {
+    const ending = await RoutedGateway.start(platform, { name: "ending" });
+    context.after(() => ending.stop());
+    platform.engines.forEach(engine => (engine.eventCount = 1_000));
+    const sent = sendOldCall("/notice/1", ending);
+    await waitUntil(() => platform.engines.some(engine => engine.runs.length > 0));
+    ending.node.container.get(Keys.Server).closeAll();
+    assert.equal((await sent).isOrderly, false);
+});
