Take no response that ends with its connection for complete when its endpoint has crashed

What callers saw, by a test: a stream without a length or chunks whose endpoint crashed between two events came as complete; the system closes a crashed process's connections as in an orderly end. Change: after such a response the endpoint is probed, as after a lost request; if it refuses connections and had not planned its end, the response is truncated. The probing moves from the detector of poison requests into a class of its own. Cost: one connection for each such response.

--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -3,7 +3,7 @@
 import { observeInterimResponses } from "../common/interimResponses.js";
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
-import { ResponseEndObserver } from "./responseEnd.js";
+import { readFraming, ResponseEndObserver, ResponseFraming } from "./responseEnd.js";
 
 /** Contents, target and limits of a request to an endpoint. Times are in milliseconds. */
 export interface EndpointRequestOptions {
@@ -89,6 +89,11 @@
         return this.response !== undefined && this.endObserver.isComplete(this.response);
     }
 
+    /** Returns whether the response has neither a length nor chunks, so that only the end of its connection marks its own. */
+    isResponseEndedByClose(): boolean {
+        return this.response !== undefined && readFraming(this.response) === ResponseFraming.UntilClose;
+    }
+
     /** Ends the request; closes its connection if the response is still incomplete. */
     close(): void {
         clearTimeout(this.connectTimer);
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -88,22 +88,26 @@
         const { call } = options;
         const timeLeft = options.deadline - this.sentAt;
         const hop = call.span.startHop(this.endpoint.entry.id);
-        const exchange = EndpointExchange.create({
-            call,
-            endpoint: this.endpoint,
-            headers: dependencies.headers.createHeaders(call, {
-                endpointId: this.endpoint.entry.id,
-                timeLeft,
-                lastEventId: options.lastEventId,
-                urgency: call.prompt === undefined ? undefined : computeUrgency(call, options.placement.expectedTime),
-                cacheSource: this.getCacheSource(),
-                traceHeaders: hop.createHeaders(),
-            }),
-            agent: dependencies.connections.getAgent(this.endpoint),
-            connectTimeout: Math.min(dependencies.timing.connectTimeout, timeLeft),
-            silenceLimit: timeLeft,
-            signal: this.abortController.signal,
-        }, dependencies.protocol);
+        const exchange = EndpointExchange.create(
+            {
+                call,
+                endpoint: this.endpoint,
+                headers: dependencies.headers.createHeaders(call, {
+                    endpointId: this.endpoint.entry.id,
+                    timeLeft,
+                    lastEventId: options.lastEventId,
+                    urgency: call.prompt === undefined ? undefined : computeUrgency(call, options.placement.expectedTime),
+                    cacheSource: this.getCacheSource(),
+                    traceHeaders: hop.createHeaders(),
+                }),
+                agent: dependencies.connections.getAgent(this.endpoint),
+                connectTimeout: Math.min(dependencies.timing.connectTimeout, timeLeft),
+                silenceLimit: timeLeft,
+                signal: this.abortController.signal,
+            },
+            dependencies.protocol,
+            dependencies.crashCheck,
+        );
         try {
             const sent = await exchange.sendRequest();
             this.applyNotice(exchange.getNotice());
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -8,6 +8,7 @@
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { ReportedLoad } from "../fleet/types.js";
 import { CallProtocol } from "./callProtocol.js";
+import { EndpointCrashCheck } from "./endpointCrashCheck.js";
 import { IncomingCall } from "./types.js";
 
 const statusMisdirected = 421;
@@ -29,6 +30,9 @@
     readonly requestedPause: number | undefined;
 }
 
+/** Number of probes by which an endpoint is found to be there still after a response that ended with its connection. */
+const maximumProbesAtEnd = 2;
+
 const emptyNotice: EndpointNotice = { isLeaving: false, requestedPause: undefined };
 
 /** Target, headers and limits of one attempt. Times are in milliseconds. */
@@ -48,7 +52,11 @@
     private readonly request: EndpointRequest;
     private notice = emptyNotice;
 
-    private constructor(private readonly options: ExchangeOptions, private readonly protocol: CallProtocol) {
+    private constructor(
+        private readonly options: ExchangeOptions,
+        private readonly protocol: CallProtocol,
+        private readonly crashCheck: EndpointCrashCheck,
+    ) {
         const { call, endpoint } = options;
         this.request = EndpointRequest.create({
             address: endpoint.entry.address,
@@ -63,8 +71,8 @@
         });
     }
 
-    static create(options: ExchangeOptions, protocol: CallProtocol): EndpointExchange {
-        return new EndpointExchange(options, protocol);
+    static create(options: ExchangeOptions, protocol: CallProtocol, crashCheck: EndpointCrashCheck): EndpointExchange {
+        return new EndpointExchange(options, protocol, crashCheck);
     }
 
     /** Sends the request; returns the response once its headers prove valid for this request, or a failure with its verdict. */
@@ -102,9 +110,20 @@
         this.request.close();
     }
 
-    /** Returns whether the response has ended and is complete. One without a length is complete only if the endpoint closed the connection in an orderly way. */
-    isComplete(): boolean {
-        return this.request.isResponseComplete();
+    /**
+     * Returns whether the response has ended and is complete. One without a length or chunks is complete only if its endpoint
+     * closed the connection in an orderly way and is still there, or had planned its end: the connections of a process that
+     * crashes may be closed in the same way.
+     */
+    async isComplete(): Promise<boolean> {
+        if (!this.request.isResponseComplete()) {
+            return false;
+        }
+        const { endpoint } = this.options;
+        if (!this.request.isResponseEndedByClose() || !endpoint.isUsable()) {
+            return true;
+        }
+        return !await this.crashCheck.hasCrashed(endpoint, maximumProbesAtEnd);
     }
 
     /** Reads the load from the response headers; returns undefined when the header is missing or invalid. */
--- a/src/gateway/poisonRequestDetector.test.ts
+++ b/src/gateway/poisonRequestDetector.test.ts
@@ -8,6 +8,7 @@
 import { MemoryObjects, MemoryObjectStore } from "../testing/memoryObjectStore.js";
 import { VirtualClock } from "../testing/virtualClock.js";
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
+import { EndpointCrashCheck } from "./endpointCrashCheck.js";
 import { Admission, CrashEvidence, PoisonRequestDetector } from "./poisonRequestDetector.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
 import { StoredQuarantines } from "./storedQuarantines.js";
@@ -24,7 +25,7 @@
     };
     const stored = StoredQuarantines.create(store, clock, log, "node/1");
     const trials = QuarantineTrials.create(stored, clock, log);
-    return { ledger, detector: PoisonRequestDetector.create(ledger, stored, trials, probe, clock, log) };
+    return { ledger, detector: PoisonRequestDetector.create(ledger, stored, trials, EndpointCrashCheck.create(probe, clock), clock, log) };
 }
 
 function createEndpoint(id: string): FleetEndpoint {
--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -3,7 +3,7 @@
 import { LogEvents } from "../common/logEvents.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { FingerprintRecord, QuarantineLedger } from "../requests/quarantineLedger.js";
-import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
+import { EndpointCrashCheck } from "./endpointCrashCheck.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
 import { StoredQuarantines } from "./storedQuarantines.js";
 import { IncomingCall } from "./types.js";
@@ -21,9 +21,6 @@
 
 /** Number of probes after which an endpoint that accepts connections is taken to run: one that is ending still accepts them for a moment. */
 const maximumProbes = 3;
-/** Pause before the second probe, in milliseconds; it doubles with each further one. */
-const probePauseMilliseconds = 30;
-
 /** Time for which counted crashes are collected before peers are told, in milliseconds. */
 const crashReportDelayMilliseconds = 50;
 
@@ -59,7 +56,7 @@
         private readonly ledger: QuarantineLedger,
         private readonly stored: StoredQuarantines,
         private readonly trials: QuarantineTrials,
-        private readonly probe: ConnectionProbe,
+        private readonly crashCheck: EndpointCrashCheck,
         private readonly clock: Clock,
         private readonly log: EventLog,
     ) {}
@@ -68,11 +65,11 @@
         ledger: QuarantineLedger,
         stored: StoredQuarantines,
         trials: QuarantineTrials,
-        probe: ConnectionProbe,
+        crashCheck: EndpointCrashCheck,
         clock: Clock,
         log: EventLog,
     ): PoisonRequestDetector {
-        return new PoisonRequestDetector(ledger, stored, trials, probe, clock, log);
+        return new PoisonRequestDetector(ledger, stored, trials, crashCheck, clock, log);
     }
 
     /** Sets a function that is called soon after a crash was counted, so that peers learn of it at once. */
@@ -154,35 +151,19 @@
         void this.checkEndpoint(endpoint);
     }
 
-    /**
-     * Checks whether an endpoint that lost requests has crashed: whether it refuses connections. A connection that is not answered
-     * is no evidence, since the network between may be cut.
-     */
+    /** Checks whether an endpoint that lost requests has crashed. */
     async checkEndpoint(endpoint: FleetEndpoint): Promise<void> {
         if (this.probedEndpoints.has(endpoint) || !this.lostRequestsByEndpoint.has(endpoint)) {
             return;
         }
         this.probedEndpoints.add(endpoint);
-        const hasCrashed = await this.isRefusingConnections(endpoint);
+        const hasCrashed = await this.crashCheck.hasCrashed(endpoint, maximumProbes);
         this.probedEndpoints.delete(endpoint);
         if (hasCrashed) {
             this.recordCrash(endpoint, CrashEvidence.ConnectionRefused);
         }
     }
 
-    /** Probes an endpoint, several times while it accepts connections without sending anything. */
-    private async isRefusingConnections(endpoint: FleetEndpoint): Promise<boolean> {
-        const startedAt = this.clock.getMonotonicTime();
-        for (let probes = 0; probes < maximumProbes; probes += 1) {
-            const result = await this.probe.checkAddress(endpoint.entry.address);
-            if (result !== ProbeResult.Accepted || endpoint.lastReceivedAt > startedAt) {
-                return result === ProbeResult.Refused;
-            }
-            await this.clock.sleep(probePauseMilliseconds * 2 ** probes);
-        }
-        return false;
-    }
-
     /** Records evidence that an endpoint crashed: it refuses connections, or a new incarnation of it was seen. */
     recordCrash(endpoint: FleetEndpoint, evidence: CrashEvidence): void {
         const now = this.clock.getMonotonicTime();
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -54,7 +54,7 @@
         if (caller.isCallerDisconnected()) {
             return RelayOutcome.CallerDisconnected;
         }
-        if (!exchange.isComplete()) {
+        if (!await exchange.isComplete()) {
             return RelayOutcome.Truncated;
         }
         if (caller.hasStarted()) {
@@ -111,7 +111,7 @@
             return RelayOutcome.CallerDisconnected;
         }
         // A connection that is closed in order proves nothing by itself: a process that crashes may close its connections so.
-        if (!hasEnded || !exchange.isComplete() || splitter.hasIncompleteEvent()) {
+        if (!hasEnded || splitter.hasIncompleteEvent() || !await exchange.isComplete()) {
             return RelayOutcome.Truncated;
         }
         this.startResponse(response);
--- a/src/gateway/truncatedStreams.test.ts
+++ b/src/gateway/truncatedStreams.test.ts
@@ -36,10 +36,15 @@
 const events = [1, 2, 3, 4, 5].map(id => `id: ${id}\ndata: piece ${id}\n\n`);
 const whole = events.join("");
 
+/** Sends a call of its own: one that several tests shared would be quarantined for the crashes of all of them. */
+function sendCall(path: string): Promise<CallerView> {
+    return gateway.sendCall(path, { method: "POST", body: gateway.createAttemptId() });
+}
+
 /** Sends a stream that every engine breaks off with the given fault. */
 function sendStream(path: string, fault: WorkerFault): Promise<CallerView> {
     platform.engines.forEach(engine => engine.faults.push(fault));
-    return gateway.sendCall(path, { method: "POST", body: "{}" });
+    return sendCall(path);
 }
 
 /** Sends resumable streams until one engine has broken off one of them; returns their responses. */
@@ -48,7 +53,7 @@
     faulty.faults.push(fault);
     const responses: CallerView[] = [];
     while (faulty.faults.length > 0 && responses.length < 50) {
-        responses.push(await gateway.sendCall("/question/1", { method: "POST", body: "{}" }));
+        responses.push(await sendCall("/question/1"));
     }
     assert.equal(faulty.faults.length, 0, "the engine with the fault was not chosen in 50 calls");
     return responses;
@@ -77,6 +82,44 @@
     assert.equal(response.body, whole);
 });
 
+// Guards against a crash between two events: the system closes the connections of a crashed process as in an orderly end.
+test("a stream without a length or chunks whose endpoint has crashed is not passed on as complete", async () => {
+    const response = await sendStream("/notice/1", WorkerFault.CrashUnframed);
+    assert.equal(response.isWhole, false, JSON.stringify(response.body));
+    platform.engines.forEach(engine => engine.faults.splice(0));
+});
+
+test("a resumable stream without a length or chunks whose endpoint has crashed goes on at another endpoint", async () => {
+    for (const response of await sendUntilBroken(WorkerFault.CrashUnframed)) {
+        assert.equal(response.isWhole, true);
+        assert.equal(response.body, whole);
+    }
+});
+
+/** Publishes whether an engine is draining, and waits until the gateway knows. */
+async function publishDraining(engine: RoutedWorker, isDraining: boolean): Promise<void> {
+    engine.isDraining = isDraining;
+    platform.publishWorker(engine);
+    await waitUntil(() => gateway.node.container.get(Keys.Directory).findEndpoint(engine.id)?.isUsable() === !isDraining);
+}
+
+test("the last answer of a leaving endpoint is complete, though the process has ended", async () => {
+    const [leaving, other] = platform.engines as [RoutedWorker, RoutedWorker];
+    await publishDraining(other, true);
+    leaving.eventMilliseconds = 100;
+    leaving.faults.push(WorkerFault.EndAfterUnframed);
+    const sent = sendCall("/notice/1");
+    await waitUntil(() => leaving.runs.length === 1);
+    await publishDraining(leaving, true);
+    const response = await sent;
+    leaving.eventMilliseconds = 5;
+    await waitUntil(() => leaving.isListening());
+    await publishDraining(leaving, false);
+    await publishDraining(other, false);
+    assert.equal(response.isWhole, true);
+    assert.equal(response.body, whole);
+});
+
 test("a response on a route of streams that is no stream is passed on whole", async () => {
     const response = await sendStream("/notice/1", WorkerFault.Reject);
     assert.equal(response.status, 400);
@@ -94,12 +137,20 @@
 }
 
 /** Sends a call as an HTTP/1.0 client, whose responses end with the connection; returns the bytes and whether that end was orderly. */
-function sendOldCall(path: string, target = gateway): Promise<{ readonly text: string; readonly isOrderly: boolean; }> {
+function sendOldCall(
+    path: string,
+    target = gateway,
+    handleData = () => {},
+): Promise<{ readonly text: string; readonly isOrderly: boolean; }> {
     return new Promise(resolve => {
+        const body = target.createAttemptId();
         const socket = createConnection({ host: "127.0.0.1", port: target.getPort() });
         let text = "";
         let hasError = false;
-        socket.on("data", chunk => (text += chunk.toString()));
+        socket.on("data", chunk => {
+            text += chunk.toString();
+            handleData();
+        });
         socket.on("error", () => (hasError = true));
         socket.on("close", () => resolve({ text, isOrderly: !hasError }));
         socket.write([
@@ -108,9 +159,9 @@
             `authorization: Bearer ${routedNames.key}`,
             `${HeaderNames.attemptId}: ${gateway.createAttemptId()}`,
             `${HeaderNames.deadline}: 2000`,
-            "content-length: 2",
+            `content-length: ${body.length}`,
             "",
-            "{}",
+            body,
         ].join("\r\n"));
     });
 }
@@ -131,8 +182,9 @@
     const ending = await RoutedGateway.start(platform, { name: "ending" });
     context.after(() => ending.stop());
     platform.engines.forEach(engine => (engine.eventCount = 1_000));
-    const sent = sendOldCall("/notice/1", ending);
-    await waitUntil(() => platform.engines.some(engine => engine.runs.length > 0));
+    let hasData = false;
+    const sent = sendOldCall("/notice/1", ending, () => (hasData = true));
+    await waitUntil(() => hasData);
     ending.node.container.get(Keys.Server).closeAll();
     assert.equal((await sent).isOrderly, false);
 });
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -12,6 +12,7 @@
 import { CallerResponse } from "./callerResponse.js";
 import { CallProtocol } from "./callProtocol.js";
 import { EndpointConnectionPool } from "./endpointConnectionPool.js";
+import { EndpointCrashCheck } from "./endpointCrashCheck.js";
 import { HeaderForwarder } from "./forwardedHeaders.js";
 import { CallSpan } from "./hopTracing.js";
 import { PoisonRequestDetector } from "./poisonRequestDetector.js";
@@ -76,6 +77,7 @@
     readonly directory: EndpointDirectory;
     readonly callPlacement: CallPlacementPolicy;
     readonly poisonRequestDetector: PoisonRequestDetector;
+    readonly crashCheck: EndpointCrashCheck;
     readonly placementUpdates: PlacementUpdates;
     readonly work: ServiceWorkTracker;
     readonly versions: VersionMoves;
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -10,6 +10,7 @@
 import { CallReader } from "../../gateway/callReader.js";
 import { TcpConnectionProbe } from "../../gateway/connectionProbe.js";
 import { EndpointConnectionPool } from "../../gateway/endpointConnectionPool.js";
+import { EndpointCrashCheck } from "../../gateway/endpointCrashCheck.js";
 import { HeaderForwarder } from "../../gateway/forwardedHeaders.js";
 import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../../gateway/gatewayServer.js";
@@ -192,11 +193,14 @@
             context.get(Keys.Ledger),
             context.get(Keys.StoredQuarantines),
             context.get(Keys.QuarantineTrials),
-            TcpConnectionProbe.create(settings.timing.connectTimeout),
+            context.get(Keys.CrashCheck),
             context.get(Keys.Clock),
             context.get(Keys.Log),
         )
     );
+    container.bind(Keys.CrashCheck).toDynamicValue(context =>
+        EndpointCrashCheck.create(TcpConnectionProbe.create(settings.timing.connectTimeout), context.get(Keys.Clock))
+    );
     container.bind(Keys.StoredQuarantines).toDynamicValue(context => {
         const holder = formatIncarnationKey(context.get(Keys.Peers).identity);
         return StoredQuarantines.create(context.get(Keys.Store), context.get(Keys.Clock), context.get(Keys.Log), holder);
@@ -219,6 +223,7 @@
             retryBudget: context.get(Keys.FleetRetryBudget),
             usage: context.get(Keys.Usage),
             poisonRequestDetector: context.get(Keys.PoisonRequestDetector),
+            crashCheck: context.get(Keys.CrashCheck),
             placementUpdates: context.get(Keys.PlacementUpdates),
             work: context.get(Keys.ServiceWorkTracker),
             versions: context.get(Keys.Versions),
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -11,6 +11,7 @@
 import { CallForwarder } from "../gateway/callForwarder.js";
 import { CallProtocol } from "../gateway/callProtocol.js";
 import { EndpointConnectionPool } from "../gateway/endpointConnectionPool.js";
+import { EndpointCrashCheck } from "../gateway/endpointCrashCheck.js";
 import { GatewayMetrics } from "../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../gateway/gatewayServer.js";
 import { HopTracing } from "../gateway/hopTracing.js";
@@ -100,6 +101,7 @@
     Chooser: createKey<EndpointChooser>("Chooser"),
     StoredQuarantines: createKey<StoredQuarantines>("StoredQuarantines"),
     QuarantineTrials: createKey<QuarantineTrials>("QuarantineTrials"),
+    CrashCheck: createKey<EndpointCrashCheck>("CrashCheck"),
     PoisonRequestDetector: createKey<PoisonRequestDetector>("PoisonRequestDetector"),
     Connections: createKey<EndpointConnectionPool>("Connections"),
     Forwarder: createKey<CallForwarder>("Forwarder"),
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -48,12 +48,15 @@
     EndChunkedInsideEvent = "end-chunked-inside-event",
     /** The process ends after some events of a stream without a length or chunks; its connections are closed in order. */
     CrashUnframed = "crash-unframed",
+    /** A stream without a length or chunks is complete, and the process ends with it. */
+    EndAfterUnframed = "end-after-unframed",
 }
 
 const unframedFaults: ReadonlySet<WorkerFault> = new Set([
     WorkerFault.UnframedStream,
     WorkerFault.EndUnframedInsideEvent,
     WorkerFault.CrashUnframed,
+    WorkerFault.EndAfterUnframed,
 ]);
 
 /** A request that a worker ran. */
@@ -302,6 +305,10 @@
             }
             socket.write(`id: ${event}\ndata: piece ${event}\n\n`);
         }
+        if (fault === WorkerFault.EndAfterUnframed) {
+            this.kill(open => open.end());
+            return;
+        }
         socket.end();
     }
 
