Decide the end of plain services' answers on the product's own interface as at the gateway

Ruled out: generations, which need their end marker and a finish reason; answers short of their length or last chunk. Change: chunks are read by the request itself, which knows how its connection ended; a complete answer that only its connection's end marked counts if the endpoint still accepts connections. The probe of connections moves to the endpoints.

--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -84,6 +84,25 @@
         return this.request.reusedSocket;
     }
 
+    /** Reads the response chunk by chunk until it ends or `handleChunk` returns false; rejects when it is truncated. */
+    readChunks(handleChunk: (chunk: Buffer) => boolean): Promise<void> {
+        const { response } = this;
+        if (response === undefined) {
+            return Promise.reject(new Error("there is no response yet"));
+        }
+        return new Promise((resolve, reject) => {
+            const fail = () => reject(new Error("the connection was closed before the response ended"));
+            response.on("data", (chunk: Buffer) => {
+                if (!handleChunk(chunk)) {
+                    resolve();
+                }
+            });
+            response.once("end", () => this.isResponseComplete() ? resolve() : fail());
+            response.once("error", reject);
+            response.once("close", fail);
+        });
+    }
+
     /** Returns whether the response has ended and is complete by its framing. */
     isResponseComplete(): boolean {
         return this.response !== undefined && this.endObserver.isComplete(this.response);
@@ -113,17 +132,3 @@
         socket.once("close", () => clearTimeout(this.connectTimer));
     }
 }
-
-/** Reads a response chunk by chunk until it ends or `handleChunk` returns false; rejects when the response is truncated. */
-export function readResponseChunks(response: IncomingMessage, handleChunk: (chunk: Buffer) => boolean): Promise<void> {
-    return new Promise((resolve, reject) => {
-        response.on("data", (chunk: Buffer) => {
-            if (!handleChunk(chunk)) {
-                resolve();
-            }
-        });
-        response.once("end", resolve);
-        response.once("error", reject);
-        response.once("close", () => reject(new Error("the connection was closed before the response ended")));
-    });
-}
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -9,7 +9,7 @@
 import { formatAddress } from "../config/sectionReader.js";
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
-import { EndpointRequest, readResponseChunks, SilenceError } from "./endpointRequest.js";
+import { EndpointRequest, SilenceError } from "./endpointRequest.js";
 import { CacheEvents, EngineModels, EngineOrder, ModelEndpointClient, TokenSink } from "./modelEndpoint.js";
 import { FinishReason, GenerationAttempt, GenerationEnd, LoadReport, loadReportSchema } from "./types.js";
 
@@ -84,7 +84,7 @@
                 return Err(createStatusFailure(response));
             }
             const reader = CompletionReader.create(attempt, sink);
-            await readResponseChunks(response, chunk => {
+            await request.readChunks(chunk => {
                 reader.readChunk(chunk);
                 return !reader.isFinished();
             });
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -4,7 +4,8 @@
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
 import { NetworkAddress } from "../config/types.js";
-import { EndpointRequest, readResponseChunks } from "./endpointRequest.js";
+import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
+import { EndpointRequest } from "./endpointRequest.js";
 import { createStatusFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
 import { PlainCall, PlainResponse } from "./types.js";
 
@@ -15,14 +16,20 @@
 }
 
 const idleSocketMilliseconds = 3_000;
+const crashError = new Error("the endpoint ended with a response that has neither a length nor chunks");
 
 /** Calls plain services over HTTP, with pooled connections for calls that may be retried and a new connection for all others. */
 export class HttpPlainEndpointClient implements PlainEndpointClient {
-    private constructor(private readonly pooledAgent: Agent, private readonly singleUseAgent: Agent) {}
+    private constructor(
+        private readonly pooledAgent: Agent,
+        private readonly singleUseAgent: Agent,
+        private readonly probe: ConnectionProbe,
+    ) {}
 
-    static create(): HttpPlainEndpointClient {
+    /** The probe tells whether the endpoint is still there after a response that ended with its connection. */
+    static create(probe: ConnectionProbe): HttpPlainEndpointClient {
         const pooledAgent = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 32 });
-        return new HttpPlainEndpointClient(pooledAgent, new Agent({ keepAlive: false }));
+        return new HttpPlainEndpointClient(pooledAgent, new Agent({ keepAlive: false }), probe);
     }
 
     async sendCall(address: NetworkAddress, call: PlainCall, signal: AbortSignal): Promise<Result<PlainResponse, Failure>> {
@@ -40,7 +47,12 @@
         // The time limit applies to the whole call; the request's silence limit alone would not bound a slow response.
         const timer = setTimeout(() => request.close(), call.timeLimit);
         try {
-            return await readResponse(await request.send(), call);
+            const response = await request.send();
+            const answer = await readResponse(response, request, call);
+            if (answer.ok && await this.hasEndpointCrashed(address, request)) {
+                return Err(request.connection.createFailure(crashError));
+            }
+            return answer;
         }
         catch (error) {
             return Err(request.connection.createFailure(error));
@@ -50,6 +62,11 @@
             request.close();
         }
     }
+
+    /** Returns whether the endpoint is gone after a response whose end only its connection marked: it may have crashed in the middle. */
+    private async hasEndpointCrashed(address: NetworkAddress, request: EndpointRequest): Promise<boolean> {
+        return request.isResponseEndedByClose() && await this.probe.checkAddress(address) === ProbeResult.Refused;
+    }
 }
 
 function createCallHeaders(call: PlainCall): OutgoingHttpHeaders {
@@ -70,10 +87,14 @@
     return { ...headers, ...call.traceHeaders };
 }
 
-async function readResponse(response: IncomingMessage, call: PlainCall): Promise<Result<PlainResponse, Failure>> {
+async function readResponse(
+    response: IncomingMessage,
+    request: EndpointRequest,
+    call: PlainCall,
+): Promise<Result<PlainResponse, Failure>> {
     const chunks: Buffer[] = [];
     let size = 0;
-    await readResponseChunks(response, chunk => {
+    await request.readChunks(chunk => {
         size += chunk.length;
         chunks.push(chunk);
         return size <= call.answerBytes;
--- a/src/gateway/endpointCrashCheck.ts
+++ b/src/gateway/endpointCrashCheck.ts
@@ -1,6 +1,6 @@
 import { Clock } from "../common/clock.js";
+import { ConnectionProbe, ProbeResult } from "../endpoints/connectionProbe.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 
 /** Pause before the second probe, in milliseconds; it doubles with each further one. */
 const probePauseMilliseconds = 30;
--- a/src/node/bindings/requestBindings.ts
+++ b/src/node/bindings/requestBindings.ts
@@ -1,5 +1,6 @@
 import { Container } from "inversify";
 import { NodeSettings } from "../../config/types.js";
+import { TcpConnectionProbe } from "../../endpoints/connectionProbe.js";
 import { HttpModelEndpointClient } from "../../endpoints/httpModelEndpoint.js";
 import { HttpPlainEndpointClient } from "../../endpoints/plainEndpoint.js";
 import { UrgentNotifier } from "../../peers/types.js";
@@ -28,7 +29,9 @@
 /** Binds the components that queue, route, run and record requests. */
 export function addRequestBindings(container: Container, settings: NodeSettings): void {
     container.bind(Keys.ModelClient).toDynamicValue(() => HttpModelEndpointClient.create());
-    container.bind(Keys.PlainClient).toDynamicValue(() => HttpPlainEndpointClient.create());
+    container.bind(Keys.PlainClient).toDynamicValue(() =>
+        HttpPlainEndpointClient.create(TcpConnectionProbe.create(settings.timing.connectTimeout))
+    );
     container.bind(Keys.Registry).toDynamicValue(context =>
         EndpointRegistry.create(
             context.get(Keys.Clock),
