Log when a node loses its own network paths to a service's endpoints

A tracker now keeps, for each service, the endpoints to which new connections failed, or whose connections went silent, since any of its endpoints sent something; two of them (or all) are a lost path.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -59,6 +59,11 @@
         stateChangeLinesPerSecond,
         "An endpoint was added, leaves, was removed or started anew.",
     ),
+    ServicePathsChanged: createWarning(
+        "service paths changed",
+        stateChangeLinesPerSecond,
+        "The node lost its network paths to a service's endpoints, or has one again.",
+    ),
     EndpointEntryFaulty: createWarning(
         "endpoint entry faulty",
         stateChangeLinesPerSecond,
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -238,6 +238,7 @@
         }
         else if (!options.caller.isCallerDisconnected()) {
             this.endpoint.recordMissingResponse(now);
+            this.recordPathEvidence(exchange);
             this.recordCrashEvidence(code, exchange);
         }
         if (this.hasExceededSilenceLimit) {
@@ -248,6 +249,13 @@
         return this.createResult(failure, mayHaveArrived);
     }
 
+    private recordPathEvidence(exchange: EndpointExchange): void {
+        const hasNoConnection = !exchange.hasConnection() && !this.abortController.signal.aborted;
+        if (hasNoConnection || this.hasExceededSilenceLimit) {
+            this.dependencies.paths.recordFailure(this.endpoint);
+        }
+    }
+
     private recordCrashEvidence(code: number, exchange: EndpointExchange): void {
         const { dependencies } = this;
         if (!exchange.hasConnection()) {
@@ -280,6 +288,7 @@
     private recordActivity(): void {
         this.lastReceivedAt = this.dependencies.clock.getMonotonicTime();
         this.endpoint.lastReceivedAt = this.lastReceivedAt;
+        this.dependencies.paths.recordContact(this.endpoint);
         if (!this.isHarmless && this.firstEventAt !== undefined && this.lastReceivedAt - this.firstEventAt >= harmlessRunMilliseconds) {
             this.recordHarmless();
         }
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,6 +2,7 @@
 import { Failure } from "../common/failure.js";
 import { ResponseFraming } from "../endpoints/responseEnd.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { ServicePathTracker } from "../fleet/servicePathTracker.js";
 import { PromptShape } from "../fleet/types.js";
 import { CallPlacementPolicy } from "../placement/callPlacementPolicy.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
@@ -78,6 +79,7 @@
     readonly callPlacement: CallPlacementPolicy;
     readonly poisonRequestDetector: PoisonRequestDetector;
     readonly crashCheck: EndpointCrashCheck;
+    readonly paths: ServicePathTracker;
     readonly placementUpdates: PlacementUpdates;
     readonly work: ServiceWorkTracker;
     readonly versions: VersionMoves;
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -7,6 +7,7 @@
 import { TcpConnectionProbe } from "../../endpoints/connectionProbe.js";
 import { EndpointDirectory } from "../../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../../fleet/endpointFollower.js";
+import { ServicePathTracker } from "../../fleet/servicePathTracker.js";
 import { CallForwarder } from "../../gateway/callForwarder.js";
 import { CallReader } from "../../gateway/callReader.js";
 import { EndpointConnectionPool } from "../../gateway/endpointConnectionPool.js";
@@ -198,6 +199,9 @@
             context.get(Keys.Log),
         )
     );
+    container.bind(Keys.ServicePaths).toDynamicValue(context =>
+        ServicePathTracker.create(context.get(Keys.Directory), context.get(Keys.Log))
+    );
     container.bind(Keys.CrashCheck).toDynamicValue(context =>
         EndpointCrashCheck.create(TcpConnectionProbe.create(settings.timing.connectTimeout), context.get(Keys.Clock))
     );
@@ -224,6 +228,7 @@
             usage: context.get(Keys.Usage),
             poisonRequestDetector: context.get(Keys.PoisonRequestDetector),
             crashCheck: context.get(Keys.CrashCheck),
+            paths: context.get(Keys.ServicePaths),
             placementUpdates: context.get(Keys.PlacementUpdates),
             work: context.get(Keys.ServiceWorkTracker),
             versions: context.get(Keys.Versions),
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -8,6 +8,7 @@
 import { DutyApi } from "../duties/types.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { EndpointDecoder, EndpointFollower } from "../fleet/endpointFollower.js";
+import { ServicePathTracker } from "../fleet/servicePathTracker.js";
 import { CallForwarder } from "../gateway/callForwarder.js";
 import { CallProtocol } from "../gateway/callProtocol.js";
 import { EndpointConnectionPool } from "../gateway/endpointConnectionPool.js";
@@ -101,6 +102,7 @@
     Chooser: createKey<EndpointChooser>("Chooser"),
     StoredQuarantines: createKey<StoredQuarantines>("StoredQuarantines"),
     QuarantineTrials: createKey<QuarantineTrials>("QuarantineTrials"),
+    ServicePaths: createKey<ServicePathTracker>("ServicePaths"),
     CrashCheck: createKey<EndpointCrashCheck>("CrashCheck"),
     PoisonRequestDetector: createKey<PoisonRequestDetector>("PoisonRequestDetector"),
     Connections: createKey<EndpointConnectionPool>("Connections"),
