Test that a node which is cut off from all endpoints serves its callers

It also counts crashes of endpoints that run, which could quarantine sound requests on every node. Connections to endpoints are now opened in one place (EndpointConnector), so that a test can cut the paths of one node; nothing else changes.

--- a/src/endpoints/connectionProbe.ts
+++ b/src/endpoints/connectionProbe.ts
@@ -1,6 +1,6 @@
-import { createConnection } from "node:net";
 import { isConnectFailure } from "../common/failure.js";
 import { NetworkAddress } from "../config/types.js";
+import { EndpointConnector } from "./endpointConnector.js";
 
 /** Result of opening a connection to an address. */
 export enum ProbeResult {
@@ -18,16 +18,16 @@
 
 /** Opens a connection and closes it at once. */
 export class TcpConnectionProbe implements ConnectionProbe {
-    private constructor(private readonly timeLimit: number) {}
+    private constructor(private readonly connector: EndpointConnector, private readonly timeLimit: number) {}
 
     /** The time limit is in milliseconds. */
-    static create(timeLimit: number): TcpConnectionProbe {
-        return new TcpConnectionProbe(timeLimit);
+    static create(connector: EndpointConnector, timeLimit: number): TcpConnectionProbe {
+        return new TcpConnectionProbe(connector, timeLimit);
     }
 
     checkAddress(address: NetworkAddress): Promise<ProbeResult> {
         return new Promise(resolve => {
-            const socket = createConnection({ host: address.host, port: address.port });
+            const socket = this.connector.openConnection(address);
             const finish = (result: ProbeResult) => {
                 socket.destroy();
                 resolve(result);
--- /dev/null
+++ b/src/endpoints/endpointConnector.ts
@@ -0,0 +1,21 @@
+import { createConnection, Socket } from "node:net";
+import { NetworkAddress } from "../config/types.js";
+
+/** Opens connections to endpoints. */
+export interface EndpointConnector {
+    /** Returns a socket that is connecting to the address. */
+    openConnection(address: NetworkAddress): Socket;
+}
+
+/** Opens TCP connections. */
+export class TcpEndpointConnector implements EndpointConnector {
+    private constructor() {}
+
+    static create(): TcpEndpointConnector {
+        return new TcpEndpointConnector();
+    }
+
+    openConnection(address: NetworkAddress): Socket {
+        return createConnection({ host: address.host, port: address.port, noDelay: true });
+    }
+}
--- a/src/endpoints/plainEndpoint.test.ts
+++ b/src/endpoints/plainEndpoint.test.ts
@@ -5,6 +5,7 @@
 import { Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
 import { TcpConnectionProbe } from "./connectionProbe.js";
+import { TcpEndpointConnector } from "./endpointConnector.js";
 import { HttpPlainEndpointClient } from "./plainEndpoint.js";
 import { PlainResponse } from "./types.js";
 
@@ -18,7 +19,7 @@
     });
     const address = await startListening(server, { host: "127.0.0.1", port: 0 });
     context.after(() => server.close());
-    return HttpPlainEndpointClient.create(TcpConnectionProbe.create(300)).sendCall(address, {
+    return HttpPlainEndpointClient.create(TcpConnectionProbe.create(TcpEndpointConnector.create(), 300)).sendCall(address, {
         requestId: "request-1",
         attemptId: "attempt-1",
         version: "v1",
--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -2,6 +2,7 @@
 import { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import { millisecondsPerSecond } from "../common/units.js";
+import { EndpointConnector } from "../endpoints/endpointConnector.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 
 /** Longest idle time after which a connection is reused, even if the endpoint allows more. */
@@ -16,12 +17,16 @@
 class EndpointAgent extends Agent {
     private readonly unexpectedDataHandlers = new WeakMap<Duplex, () => void>();
 
-    private constructor(private readonly endpoint: FleetEndpoint) {
+    private constructor(private readonly endpoint: FleetEndpoint, private readonly connector: EndpointConnector) {
         super({ keepAlive: true, scheduling: "lifo", maxFreeSockets: Infinity });
     }
 
-    static create(endpoint: FleetEndpoint): EndpointAgent {
-        return new EndpointAgent(endpoint);
+    static create(endpoint: FleetEndpoint, connector: EndpointConnector): EndpointAgent {
+        return new EndpointAgent(endpoint, connector);
+    }
+
+    override createConnection(): Socket {
+        return this.connector.openConnection(this.endpoint.entry.address);
     }
 
     override keepSocketAlive(stream: Duplex): boolean {
@@ -64,10 +69,10 @@
 export class EndpointConnectionPool {
     private readonly agents = new Map<FleetEndpoint, EndpointAgent>();
 
-    private constructor() {}
+    private constructor(private readonly connector: EndpointConnector) {}
 
-    static create(): EndpointConnectionPool {
-        return new EndpointConnectionPool();
+    static create(connector: EndpointConnector): EndpointConnectionPool {
+        return new EndpointConnectionPool(connector);
     }
 
     /** Returns the agent that pools the connections of an endpoint. */
@@ -76,7 +81,7 @@
         if (existing !== undefined) {
             return existing;
         }
-        const agent = EndpointAgent.create(endpoint);
+        const agent = EndpointAgent.create(endpoint, this.connector);
         this.agents.set(endpoint, agent);
         return agent;
     }
--- /dev/null
+++ b/src/gateway/endpointPartition.test.ts
@@ -0,0 +1,87 @@
+import assert from "node:assert/strict";
+import { after, afterEach, before, test } from "node:test";
+import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
+import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
+import { pickFreePort } from "../testing/daemons.js";
+import { CallerView, RoutedGateway, waitUntil } from "../testing/routedGateway.js";
+
+/** Time after which a node that is cut off owes its callers service again, in milliseconds. */
+const contactMilliseconds = 3_000;
+/** Least share of first attempts that a cut-off node serves, of the share that the others serve. */
+const leastServedShare = 2 / 3;
+
+const platform = RoutedPlatform.create();
+let connector: CuttableConnector;
+let peer: RoutedGateway;
+let cutOff: RoutedGateway;
+
+before(async () => {
+    await platform.start(3);
+    connector = await CuttableConnector.start(platform.listWorkers().map(worker => worker.getAddress()));
+    peer = await RoutedGateway.start(platform, { name: "peer", peersPort: await pickFreePort() });
+    cutOff = await RoutedGateway.start(platform, {
+        name: "cut-off",
+        peersPort: await pickFreePort(),
+        seeds: peer.getPeerAddress(),
+        connector,
+    });
+    await waitUntil(() => cutOff.node.container.get(Keys.Peers).listReachablePeers().length === 1);
+});
+
+after(async () => {
+    await Promise.all([cutOff.stop(), peer.stop()]);
+    await platform.stop();
+    await connector.stop();
+});
+
+afterEach(async () => {
+    connector.setCut(PathCut.None);
+    await waitUntil(() => cutOff.node.container.get(Keys.ServicePaths).listUnreachableServices().length === 0);
+});
+
+const paths = ["/lookup/1", "/voucher/1", "/notice/1", "/question/1"];
+let sequence = 0;
+
+/** Sends one call of each kind to the node that is cut off; no two calls are alike. */
+function sendRound(): Promise<CallerView[]> {
+    sequence += 1;
+    return Promise.all(paths.map(path =>
+        path.startsWith("/lookup")
+            ? cutOff.sendCall(`${path}${sequence}`)
+            : cutOff.sendCall(path, { method: "POST", body: `body ${sequence}` })
+    ));
+}
+
+/** Sends rounds of calls one after the other, from several callers at once, for some time. */
+async function sendRounds(milliseconds: number, callers: number): Promise<CallerView[]> {
+    const endsAt = performance.now() + milliseconds;
+    const responses: CallerView[] = [];
+    await Promise.all(Array.from({ length: callers }, async () => {
+        while (performance.now() < endsAt) {
+            responses.push(...await sendRound());
+        }
+    }));
+    return responses;
+}
+
+for (const cut of [PathCut.Silent, PathCut.Reset, PathCut.NewRefused]) {
+    // Guards against callers of a node that is cut off from all endpoints being refused, while its peers reach every endpoint.
+    test(`a node that is cut off from all endpoints (${cut}) serves its callers`, async () => {
+        await sendRounds(300, 1);
+        connector.setCut(cut);
+        await sendRounds(contactMilliseconds, 4);
+        const responses = await sendRounds(1_500, 4);
+        const served = responses.filter(response => response.status === 200 && response.isWhole).length;
+        assert.equal(served >= responses.length * leastServedShare, true, `${served} of ${responses.length} served`);
+    });
+
+    // Guards against sound requests being suspected, on every node, of the crash of endpoints that run.
+    test(`a node that is cut off from all endpoints (${cut}) counts no crash against its requests`, async () => {
+        await sendRounds(300, 4);
+        connector.setCut(cut);
+        await sendRounds(600, 4);
+        assert.equal(cutOff.node.container.get(Keys.Ledger).isEmpty(), true);
+        assert.equal(peer.node.container.get(Keys.Ledger).isEmpty(), true);
+    });
+}
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -5,6 +5,7 @@
 import { GatewaySettings } from "../../config/gatewaySettings.js";
 import { formatAddress } from "../../config/sectionReader.js";
 import { TcpConnectionProbe } from "../../endpoints/connectionProbe.js";
+import { TcpEndpointConnector } from "../../endpoints/endpointConnector.js";
 import { EndpointDirectory } from "../../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../../fleet/endpointFollower.js";
 import { ServicePathTracker } from "../../fleet/servicePathTracker.js";
@@ -199,12 +200,14 @@
             context.get(Keys.Log),
         )
     );
+    container.bind(Keys.Connector).toDynamicValue(() => TcpEndpointConnector.create());
+    container.bind(Keys.Probe).toDynamicValue(context =>
+        TcpConnectionProbe.create(context.get(Keys.Connector), settings.timing.connectTimeout)
+    );
     container.bind(Keys.ServicePaths).toDynamicValue(context =>
         ServicePathTracker.create(context.get(Keys.Directory), context.get(Keys.Log))
     );
-    container.bind(Keys.CrashCheck).toDynamicValue(context =>
-        EndpointCrashCheck.create(TcpConnectionProbe.create(settings.timing.connectTimeout), context.get(Keys.Clock))
-    );
+    container.bind(Keys.CrashCheck).toDynamicValue(context => EndpointCrashCheck.create(context.get(Keys.Probe), context.get(Keys.Clock)));
     container.bind(Keys.StoredQuarantines).toDynamicValue(context => {
         const holder = formatIncarnationKey(context.get(Keys.Peers).identity);
         return StoredQuarantines.create(context.get(Keys.Store), context.get(Keys.Clock), context.get(Keys.Log), holder);
@@ -212,7 +215,7 @@
     container.bind(Keys.QuarantineTrials).toDynamicValue(context =>
         QuarantineTrials.create(context.get(Keys.StoredQuarantines), context.get(Keys.Clock), context.get(Keys.Log))
     );
-    container.bind(Keys.Connections).toDynamicValue(() => EndpointConnectionPool.create());
+    container.bind(Keys.Connections).toDynamicValue(context => EndpointConnectionPool.create(context.get(Keys.Connector)));
     container.bind(Keys.Forwarder).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
         return CallForwarder.create({
--- a/src/node/bindings/requestBindings.ts
+++ b/src/node/bindings/requestBindings.ts
@@ -1,6 +1,7 @@
 import { Container } from "inversify";
 import { NodeSettings } from "../../config/types.js";
 import { TcpConnectionProbe } from "../../endpoints/connectionProbe.js";
+import { TcpEndpointConnector } from "../../endpoints/endpointConnector.js";
 import { HttpModelEndpointClient } from "../../endpoints/httpModelEndpoint.js";
 import { HttpPlainEndpointClient } from "../../endpoints/plainEndpoint.js";
 import { UrgentNotifier } from "../../peers/types.js";
@@ -30,7 +31,7 @@
 export function addRequestBindings(container: Container, settings: NodeSettings): void {
     container.bind(Keys.ModelClient).toDynamicValue(() => HttpModelEndpointClient.create());
     container.bind(Keys.PlainClient).toDynamicValue(() =>
-        HttpPlainEndpointClient.create(TcpConnectionProbe.create(settings.timing.connectTimeout))
+        HttpPlainEndpointClient.create(TcpConnectionProbe.create(TcpEndpointConnector.create(), settings.timing.connectTimeout))
     );
     container.bind(Keys.Registry).toDynamicValue(context =>
         EndpointRegistry.create(
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -6,6 +6,8 @@
 import { DutyLease } from "../duties/dutyLease.js";
 import { DutyRunner } from "../duties/dutyRunner.js";
 import { DutyApi } from "../duties/types.js";
+import { ConnectionProbe } from "../endpoints/connectionProbe.js";
+import { EndpointConnector } from "../endpoints/endpointConnector.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { EndpointDecoder, EndpointFollower } from "../fleet/endpointFollower.js";
 import { ServicePathTracker } from "../fleet/servicePathTracker.js";
@@ -102,6 +104,8 @@
     Chooser: createKey<EndpointChooser>("Chooser"),
     StoredQuarantines: createKey<StoredQuarantines>("StoredQuarantines"),
     QuarantineTrials: createKey<QuarantineTrials>("QuarantineTrials"),
+    Connector: createKey<EndpointConnector>("Connector"),
+    Probe: createKey<ConnectionProbe>("Probe"),
     ServicePaths: createKey<ServicePathTracker>("ServicePaths"),
     CrashCheck: createKey<EndpointCrashCheck>("CrashCheck"),
     PoisonRequestDetector: createKey<PoisonRequestDetector>("PoisonRequestDetector"),
--- a/src/testing/routedGateway.ts
+++ b/src/testing/routedGateway.ts
@@ -5,6 +5,7 @@
 import { GatewaySettings, parseGatewaySettings } from "../config/gatewaySettings.js";
 import { parseIniDocument } from "../config/iniDocument.js";
 import { formatAddress } from "../config/sectionReader.js";
+import { EndpointConnector } from "../endpoints/endpointConnector.js";
 import { HopTracing } from "../gateway/hopTracing.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { GatewayAddresses, GatewayNode } from "../node/gatewayNode.js";
@@ -36,6 +37,8 @@
     readonly peersPort?: number;
     readonly seeds?: string;
     readonly tracing?: HopTracing;
+    /** Opens its connections to endpoints, if not plain ones. */
+    readonly connector?: EndpointConnector;
 }
 
 /** Creates settings for a gateway on loopback with free ports. */
@@ -80,6 +83,10 @@
             addPlatformBindings(container, settings);
             container.unbind(Keys.Log);
             container.bind(Keys.Log).toConstantValue(SilentEventLog.create());
+            if (options.connector !== undefined) {
+                container.unbind(Keys.Connector);
+                container.bind(Keys.Connector).toConstantValue(options.connector);
+            }
         }, options.tracing);
         const gateway = new RoutedGateway(node, await node.start());
         await waitUntil(() => node.isReady());
