Hand calls to peers when a node has lost its own network paths to the endpoints

Cause: a node knew no way to an endpoint but its own, and took its own failed connections for failed endpoints. Ruled out: readiness alone (callers keep their connections, and the balancer uses all nodes of a failure domain where most are unready); shorter waits, which only refuse sooner. Change: when new connections to two endpoints of a service (or all) fail with no sign of any other, the service counts as unreachable for this node; digests tell peers so. Its calls are handed whole to a peer that reaches the service, over Connect, with what is left of the time, the runs so far and the last event id; the peer places and retries them as its own, and a call that came from a peer stays where it is. Lost paths are probed twice a second, quiet endpoints after half a second, also under calls that may not be repeated. The team's cap is taken once, at the first node; usage is counted where the request runs. Found on the way: test processes with a fault proxy hung at their end in 3 of 4 runs; the runtime waits for good for the end of a socket that was reset while its end was under way (seen by gdb in CleanupHandles).

--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -219,3 +219,9 @@
     const location = diagnostic.line === undefined ? diagnostic.file : `${diagnostic.file}:${diagnostic.line}`;
     return `${location} - ${label}`;
 }
+
+/** Returns the diagnostic with a code, or the lost-connection diagnostic if this program version does not define the code. */
+export function findDiagnosticMessage(code: number | undefined): DiagnosticMessage {
+    const messages: DiagnosticMessage[] = Object.values(Diagnostics);
+    return messages.find(message => message.code === code) ?? Diagnostics.Connection_was_lost_after_the_request_was_sent_0;
+}
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -43,6 +43,11 @@
     RequestServed: createInfo("request served", servedLinesPerSecond, "A request was answered by an endpoint."),
     RequestRefused: createWarning("request refused", failureLinesPerSecond, "A request was refused without having run, and why."),
     RequestFailed: createWarning("request failed", failureLinesPerSecond, "A request failed and may have run, and why."),
+    PeerCallForwarded: createInfo(
+        "peer call forwarded",
+        servedLinesPerSecond,
+        "A request was forwarded for a peer without network paths to the endpoints; its outcome.",
+    ),
     AttemptFailed: createWarning("attempt failed", failureLinesPerSecond, "One attempt at an endpoint failed, with its verdict."),
     ConfigurationApplied: createInfo(
         "configuration applied",
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -6,18 +6,17 @@
 import { readFraming, ResponseFraming } from "../endpoints/responseEnd.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
-import { BufferingResponseRelay, RelayOutcome } from "./responseRelay.js";
+import { BufferingResponseRelay, isEventStream, RelayOutcome } from "./responseRelay.js";
 import { AttemptOptions, AttemptResult, CallAttemptDependencies, IncomingCall } from "./types.js";
 
-const statusOk = 200;
-const statusRedirect = 300;
 const statusServerError = 500;
 const statusGatewayTimeout = 504;
-const eventStreamContentType = "text/event-stream";
 /** Time for which a stream runs on after its first event before it counts as harmless, in milliseconds; a poison request crashes its endpoint soon. */
 const harmlessRunMilliseconds = 1_000;
 /** Interval at which an attempt checks the silence limit of its endpoint. */
 const silenceCheckMilliseconds = 250;
+/** Silence of an endpoint after which the network path to it is checked, in milliseconds. */
+const pathCheckMilliseconds = 500;
 /** Lower bound of the expected time that a response time is compared with; shorter times are mostly network latency. */
 const minimumExpectedMilliseconds = 30;
 
@@ -35,6 +34,7 @@
     /** Whether the request has got past the point at which a poison request crashes its endpoint. */
     private isHarmless = false;
     private hasExceededSilenceLimit = false;
+    private hasCheckedPath = false;
     private isPastDeadline = false;
     private framing: ResponseFraming | undefined;
     private unprocessedPromptTokens: number;
@@ -60,7 +60,7 @@
             this.isPastDeadline = true;
             abort();
         }, Math.max(1, options.deadline - this.sentAt));
-        const silenceTimer = options.mayRetry ? setInterval(() => this.checkSilence(), silenceCheckMilliseconds) : undefined;
+        const silenceTimer = setInterval(() => this.checkSilence(), silenceCheckMilliseconds);
         this.addLoad();
         try {
             return await this.sendRequest();
@@ -151,7 +151,7 @@
                 return this.discardFailure(response, exchange);
             }
         }
-        const relay = isEventStream(response) ? options.stream : undefined;
+        const relay = isEventStream(status, response.headers["content-type"]) ? options.stream : undefined;
         if (relay === undefined && options.caller.hasStarted()) {
             // The caller has a part of a stream; the document of a failure cannot continue it.
             return this.discardFailure(response, exchange);
@@ -288,17 +288,25 @@
     private recordActivity(): void {
         this.lastReceivedAt = this.dependencies.clock.getMonotonicTime();
         this.endpoint.lastReceivedAt = this.lastReceivedAt;
+        this.hasCheckedPath = false;
         this.dependencies.paths.recordContact(this.endpoint);
         if (!this.isHarmless && this.firstEventAt !== undefined && this.lastReceivedAt - this.firstEventAt >= harmlessRunMilliseconds) {
             this.recordHarmless();
         }
     }
 
-    /** Aborts the attempt when nothing has been received from the endpoint, on any of its connections, for the silence limit. */
+    /**
+     * Aborts an attempt that may be retried when nothing has been received from the endpoint, on any of its connections, for the
+     * silence limit. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
+     */
     private checkSilence(): void {
-        const now = this.dependencies.clock.getMonotonicTime();
-        const limit = this.dependencies.timing.endpointSilence;
-        if (now - this.lastReceivedAt > limit && now - this.endpoint.lastReceivedAt > limit) {
+        const { clock, pathProber, timing } = this.dependencies;
+        const silence = clock.getMonotonicTime() - Math.max(this.lastReceivedAt, this.endpoint.lastReceivedAt);
+        if (silence > pathCheckMilliseconds && !this.hasCheckedPath) {
+            this.hasCheckedPath = true;
+            void pathProber.checkEndpoint(this.endpoint);
+        }
+        if (this.options.mayRetry && silence > timing.endpointSilence) {
             this.hasExceededSilenceLimit = true;
             this.abortController.abort();
         }
@@ -326,13 +334,6 @@
     }
 }
 
-/** Returns whether a response on a route of streams is one; failures come as plain documents. */
-function isEventStream(response: IncomingMessage): boolean {
-    const status = response.statusCode ?? 0;
-    const contentType = response.headers["content-type"] ?? eventStreamContentType;
-    return status >= statusOk && status < statusRedirect && contentType.toLowerCase().startsWith(eventStreamContentType);
-}
-
 /** Returns the urgency of a generation. One that is expected to miss its objective anyway yields to those that can still meet theirs. */
 function computeUrgency(call: IncomingCall, expectedTime: number): number {
     if (expectedTime > call.route.objective) {
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -1,4 +1,4 @@
-import { Diagnostics } from "../common/diagnostics.js";
+import { DiagnosticMessage, Diagnostics } from "../common/diagnostics.js";
 import { EventLog } from "../common/eventLog.js";
 import { Failure } from "../common/failure.js";
 import { LogEvents } from "../common/logEvents.js";
@@ -6,13 +6,17 @@
 import { raiseVerdict, Verdict } from "../common/verdict.js";
 import { ResponseFraming } from "../endpoints/responseEnd.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { GatewayPeer } from "../gossip/types.js";
 import { EndpointChooser } from "../placement/endpointChooser.js";
 import { Placement } from "../placement/types.js";
 import { FleetRetryBudget } from "../quotas/fleetRetryBudget.js";
+import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { RouteKind } from "../routes/types.js";
 import { UsageCounter } from "../usage/usageCounter.js";
 import { CallAttempt } from "./callAttempt.js";
 import { CallerResponse } from "./callerResponse.js";
+import { PeerAttemptResult, PeerCallAttempt } from "./peerCallAttempt.js";
+import { PeerForwarder } from "./peerForwarder.js";
 import { Admission } from "./poisonRequestDetector.js";
 import { EventStreamRelay } from "./responseRelay.js";
 import { AttemptResult, CallAttemptDependencies, CallOutcome, IncomingCall } from "./types.js";
@@ -22,12 +26,34 @@
 /** Largest number of endpoints that one call is sent to, including those that refuse it. */
 const sendLimit = 4;
 
+/** Failures that concern the peer alone, so that another one may forward the call. */
+const peerFailures: ReadonlySet<DiagnosticMessage> = new Set([
+    Diagnostics.Node_at_0_did_not_answer_1,
+    Diagnostics.Node_is_shutting_down,
+    Diagnostics.Configuration_is_not_loaded,
+    Diagnostics.No_endpoint_is_available_for_service_0,
+]);
+/** Number of endpoints to which a call cannot connect, after which it is handed to a peer. */
+const connectFailuresUntilPeer = 3;
+/** Largest number of peers to which one call is handed in turn. */
+const peerLimit = 3;
+
+/** Where a call comes from, if not from its caller. */
+export interface CallOrigin {
+    /** Name of the peer that handed it over. */
+    readonly peer: string;
+    /** Number of endpoints that may have run it for the peer. */
+    readonly runs: number;
+}
+
 /** Dependencies of the call forwarder. */
 export interface CallForwarderDependencies extends CallAttemptDependencies {
     readonly log: EventLog;
     readonly chooser: EndpointChooser;
     readonly retryBudget: FleetRetryBudget;
     readonly usage: UsageCounter;
+    readonly peers: PeerForwarder;
+    readonly configuration: ConfigurationHolder;
 }
 
 /** Outcome of a call, for the response to the caller, metrics and the log. */
@@ -36,8 +62,12 @@
     readonly failure: Failure | undefined;
     /** Number of endpoints that the request may have reached. */
     readonly sends: number;
+    /** Number of endpoints that may have run the request, those of earlier nodes included. */
+    readonly runs: number;
     /** The endpoint of the last attempt; undefined when there was none. */
     readonly endpoint: string | undefined;
+    /** The peer to which the call was handed; undefined if this node forwarded it. */
+    readonly peer: string | undefined;
     /** How the response of the last attempt marked its end; undefined when there was none. */
     readonly framing: ResponseFraming | undefined;
     /** Time of the first event of a stream, in monotonic milliseconds; undefined for other calls. */
@@ -53,9 +83,9 @@
     }
 
     /** Forwards a call until it is served or has failed. The caller of this method sends the failure of the report, if there is one. */
-    async forwardCall(call: IncomingCall, caller: CallerResponse): Promise<CallReport> {
+    async forwardCall(call: IncomingCall, caller: CallerResponse, origin?: CallOrigin): Promise<CallReport> {
         try {
-            return await ForwardedCall.create(this.dependencies, call, caller).runAttempts();
+            return await ForwardedCall.create(this.dependencies, call, caller, origin).runAttempts();
         }
         finally {
             this.dependencies.poisonRequestDetector.endTrial(call);
@@ -66,6 +96,7 @@
 /** Runs the attempts of one call and keeps their combined verdict. */
 class ForwardedCall {
     private readonly tried = new Set<FleetEndpoint>();
+    private readonly triedPeers = new Set<string>();
     private readonly isIdempotent: boolean;
     private readonly deadline: number;
     private readonly stream: EventStreamRelay;
@@ -73,30 +104,41 @@
     /** Number of endpoints that the request may have reached. */
     private sends = 0;
     /** Number of endpoints that may have run the request. */
-    private runs = 0;
+    private runs: number;
+    private connectFailures = 0;
     private firstByteAt: number | undefined;
     private attempt: CallAttempt | undefined;
     private lastEndpoint: string | undefined;
+    private lastPeer: string | undefined;
     private framing: ResponseFraming | undefined;
 
     private constructor(
         private readonly dependencies: CallForwarderDependencies,
         private readonly call: IncomingCall,
         private readonly caller: CallerResponse,
+        private readonly origin: CallOrigin | undefined,
     ) {
         const { route } = call;
+        this.runs = origin?.runs ?? 0;
         this.isIdempotent = route.kind === RouteKind.Safe || (route.kind === RouteKind.Stream && route.isResumable);
         this.deadline = call.deadline - responseMarginMilliseconds;
         this.stream = EventStreamRelay.create(caller, call.lastEventId, () => this.handleFirstEvent());
     }
 
-    static create(dependencies: CallForwarderDependencies, call: IncomingCall, caller: CallerResponse): ForwardedCall {
-        return new ForwardedCall(dependencies, call, caller);
+    static create(
+        dependencies: CallForwarderDependencies,
+        call: IncomingCall,
+        caller: CallerResponse,
+        origin: CallOrigin | undefined,
+    ): ForwardedCall {
+        return new ForwardedCall(dependencies, call, caller, origin);
     }
 
     async runAttempts(): Promise<CallReport> {
         const { call, dependencies, caller } = this;
-        dependencies.retryBudget.recordRequest(call.service);
+        if (this.origin === undefined) {
+            dependencies.retryBudget.recordRequest(call.service);
+        }
         for (;;) {
             if (caller.isCallerDisconnected()) {
                 return this.createReport(CallOutcome.CallerDisconnected, undefined);
@@ -106,6 +148,14 @@
                 return this.createQuarantineReport();
             }
             const placement = this.choosePlacement();
+            const peer = this.hasLostPaths(placement) ? this.pickPeer() : undefined;
+            if (peer !== undefined) {
+                const report = await this.runPeerAttempt(peer);
+                if (report !== undefined) {
+                    return report;
+                }
+                continue;
+            }
             if (placement.err) {
                 this.recordUnplacedDemand();
                 return this.createFailureReport(placement.val);
@@ -127,6 +177,72 @@
         }
     }
 
+    /** Returns whether this node's own network paths are why the call cannot be placed here. */
+    private hasLostPaths(placement: Result<Placement, Failure>): boolean {
+        return this.dependencies.paths.isUnreachable(this.call.service)
+            || this.connectFailures >= connectFailuresUntilPeer
+            || (placement.err && this.connectFailures > 0);
+    }
+
+    /** Picks a peer for the call. A call that came from a peer stays here, so that no two nodes pass it to and fro. */
+    private pickPeer(): GatewayPeer | undefined {
+        if (this.origin !== undefined || this.triedPeers.size >= peerLimit) {
+            return undefined;
+        }
+        return this.dependencies.peers.pickPeer(this.call.service, this.triedPeers);
+    }
+
+    /** Hands the call to a peer; returns the report when it has ended, or undefined when it is to be tried otherwise. */
+    private async runPeerAttempt(peer: GatewayPeer): Promise<CallReport | undefined> {
+        const { call, caller, dependencies } = this;
+        if (this.sends > 0 && !dependencies.retryBudget.takeRetry(call.service)) {
+            return this.createFailureReport(Failure.create(this.verdict, Diagnostics.Retry_budget_is_spent));
+        }
+        this.triedPeers.add(peer.name);
+        this.lastPeer = peer.name;
+        const result = await PeerCallAttempt.create(dependencies.peers, {
+            call,
+            caller,
+            peer,
+            stream: call.route.kind === RouteKind.Stream ? this.stream : undefined,
+            configurationVersion: dependencies.configuration.getVersion(),
+            timeLeft: this.deadline - dependencies.clock.getMonotonicTime(),
+            runs: this.runs,
+        }).run();
+        return this.finishPeerAttempt(peer, result);
+    }
+
+    private finishPeerAttempt(peer: GatewayPeer, result: PeerAttemptResult): CallReport | undefined {
+        const { call, caller, dependencies } = this;
+        const { failure } = result;
+        this.lastEndpoint = result.endpoint;
+        this.runs += result.runs;
+        if (failure === undefined) {
+            return this.createReport(CallOutcome.Completed, undefined);
+        }
+        this.verdict = raiseVerdict(this.verdict, failure.verdict);
+        this.sends += failure.verdict === Verdict.NotRun ? 0 : 1;
+        if (caller.isCallerDisconnected()) {
+            return this.createReport(CallOutcome.CallerDisconnected, undefined);
+        }
+        dependencies.log.log(LogEvents.AttemptFailed, {
+            request: call.id,
+            peer: peer.name,
+            endpoint: result.endpoint,
+            verdict: failure.verdict,
+            cause: failure.text,
+            timeLeft: Math.round(this.deadline - dependencies.clock.getMonotonicTime()),
+            sends: this.sends,
+        });
+        const isFinal = result.isPastDeadline || !this.isRetryAllowed() || this.sends >= sendLimit
+            || (failure.verdict === Verdict.NotRun && !peerFailures.has(failure.message));
+        return isFinal ? this.createFailureReport(failure, result.isPastDeadline) : undefined;
+    }
+
+    private isRetryAllowed(): boolean {
+        return this.verdict === Verdict.NotRun || (this.isIdempotent && this.runs < this.call.route.attempts);
+    }
+
     private choosePlacement(): Result<Placement, Failure> {
         const { call, dependencies } = this;
         const timeLeft = this.deadline - dependencies.clock.getMonotonicTime();
@@ -175,6 +291,8 @@
         }
         this.tried.add(placement.endpoint);
         this.sends += result.mayHaveArrived ? 1 : 0;
+        this.connectFailures += result.mayHaveArrived ? 0 : 1;
+        this.lastPeer = undefined;
         this.verdict = raiseVerdict(this.verdict, result.failure.verdict);
         if (result.failure.verdict !== Verdict.NotRun) {
             this.runs += 1;
@@ -193,8 +311,7 @@
             timeLeft: Math.round(this.deadline - dependencies.clock.getMonotonicTime()),
             sends: this.sends,
         });
-        const isRetryAllowed = this.verdict === Verdict.NotRun || (this.isIdempotent && this.runs < call.route.attempts);
-        if (!isRetryAllowed || this.sends >= sendLimit || result.isPastDeadline) {
+        if (!this.isRetryAllowed() || this.sends >= sendLimit || result.isPastDeadline) {
             return this.createFailureReport(result.failure, result.isPastDeadline);
         }
         return undefined;
@@ -251,7 +368,7 @@
     }
 
     private createReport(outcome: CallOutcome, failure: Failure | undefined): CallReport {
-        const { sends, lastEndpoint: endpoint, framing, firstByteAt } = this;
-        return { outcome, failure, sends, endpoint, framing, firstByteAt };
+        const { sends, runs, lastEndpoint: endpoint, lastPeer: peer, framing, firstByteAt } = this;
+        return { outcome, failure, sends, runs, endpoint, peer, framing, firstByteAt };
     }
 }
--- a/src/gateway/callReader.ts
+++ b/src/gateway/callReader.ts
@@ -25,6 +25,9 @@
     readonly isPresent: boolean;
 }
 
+/** Head of a request, as the runtime or a peer received it. */
+export type RequestHead = Readonly<Pick<IncomingMessage, "method" | "url" | "headers" | "rawHeaders">>;
+
 /** Reads a received request into a call: resolves its route and team, and reads its prompt and deadline. */
 export class CallReader {
     private constructor(
@@ -39,7 +42,7 @@
     }
 
     /** Returns the call, or the failure that is sent to the caller. `arrivedAt` is in monotonic milliseconds. */
-    readCall(request: IncomingMessage, body: CallBody, arrivedAt: number, table: RouteTable): Result<IncomingCall, Failure> {
+    readCall(request: RequestHead, body: CallBody, arrivedAt: number, table: RouteTable): Result<IncomingCall, Failure> {
         const { protocol } = this;
         const target = request.url ?? "";
         const route = table.findRoute(readHost(request), target);
@@ -85,7 +88,7 @@
         });
     }
 
-    private readTeam(request: IncomingMessage, route: Route, table: RouteTable): Result<RoutedTeam | undefined, Failure> {
+    private readTeam(request: RequestHead, route: Route, table: RouteTable): Result<RoutedTeam | undefined, Failure> {
         if (!table.hasTeams()) {
             return Ok(undefined);
         }
@@ -99,7 +102,7 @@
         return Err(createRejection(hasExpectedScheme ? Diagnostics.Token_is_not_known : Diagnostics.Authorization_is_missing));
     }
 
-    private readTimeLeft(request: IncomingMessage, timeLimit: number): Result<number, Failure> {
+    private readTimeLeft(request: RequestHead, timeLimit: number): Result<number, Failure> {
         const header = readHeader(request, this.protocol.timeLeft);
         if (header === undefined) {
             return Ok(timeLimit);
@@ -117,7 +120,7 @@
         return Ok(Math.min(milliseconds, timeLimit));
     }
 
-    private readPrompt(request: IncomingMessage): PromptShape | undefined {
+    private readPrompt(request: RequestHead): PromptShape | undefined {
         const counts = readHeader(request, this.protocol.tokenCounts)?.split(",").map(Number);
         const [inputTokens, maxOutputTokens] = counts ?? [];
         if (!isTokenCount(inputTokens) || !isTokenCount(maxOutputTokens)) {
@@ -141,12 +144,12 @@
     return parts;
 }
 
-function readHeader(request: IncomingMessage, name: string): string | undefined {
+function readHeader(request: RequestHead, name: string): string | undefined {
     const value = request.headers[name];
     return typeof value === "string" ? value : value?.[0];
 }
 
-function readHost(request: IncomingMessage): string {
+function readHost(request: RequestHead): string {
     return (request.headers.host ?? "").replace(/:\d+$/, "").toLowerCase();
 }
 
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -3,8 +3,26 @@
 
 const problemContentType = "application/problem+json";
 
-/** Writes the response to one caller and detects when the caller disconnects. */
-export class CallerResponse {
+/** Response to one caller, who may disconnect before it has ended. */
+export interface CallerResponse {
+    /** Returns a signal that aborts when the caller disconnects before its response has ended. */
+    getDisconnectSignal(): AbortSignal;
+    /** Returns whether the caller disconnected before its response had ended. */
+    isCallerDisconnected(): boolean;
+    /** Returns whether the response's status and headers have been sent. */
+    hasStarted(): boolean;
+    /** Sends the status and headers of an endpoint's response. The headers are a flat list of names and values. */
+    startResponse(status: number, headers: string[]): void;
+    /** Writes bytes of the body; returns false when the caller reads too slowly and the writer must wait for `waitForDrain`. */
+    writeBytes(bytes: Buffer): boolean;
+    /** Waits until the written bytes have been flushed or the caller has disconnected. */
+    waitForDrain(): Promise<void>;
+    /** Ends the response as complete. */
+    finishResponse(lastBytes?: Buffer): void;
+}
+
+/** Writes the response to one caller over HTTP and detects when the caller disconnects. */
+export class HttpCallerResponse implements CallerResponse {
     private readonly disconnectController = new AbortController();
     /** Whether the sent headers give the response neither a length nor chunks, so that the connection's end marks its end. */
     private endsWithConnection = false;
@@ -19,38 +37,32 @@
         response.req.once("error", () => this.disconnectController.abort());
     }
 
-    static create(response: ServerResponse, isServerStopping: () => boolean): CallerResponse {
-        return new CallerResponse(response, isServerStopping);
+    static create(response: ServerResponse, isServerStopping: () => boolean): HttpCallerResponse {
+        return new HttpCallerResponse(response, isServerStopping);
     }
 
-    /** Returns a signal that aborts when the caller disconnects before its response has ended. */
     getDisconnectSignal(): AbortSignal {
         return this.disconnectController.signal;
     }
 
-    /** Returns whether the caller disconnected before its response had ended. */
     isCallerDisconnected(): boolean {
         return this.disconnectController.signal.aborted;
     }
 
-    /** Returns whether the response's status and headers have been sent. */
     hasStarted(): boolean {
         return this.response.headersSent;
     }
 
-    /** Sends the status and headers of an endpoint's response. The headers are a flat list of names and values. */
     startResponse(status: number, headers: string[]): void {
         this.addCloseHeader(headers);
         this.response.writeHead(status, headers as unknown as never);
         this.endsWithConnection = !this.response.chunkedEncoding && !headers.includes("content-length");
     }
 
-    /** Writes bytes of the body; returns false when the caller reads too slowly and the writer must wait for `waitForDrain`. */
     writeBytes(bytes: Buffer): boolean {
         return this.response.write(bytes);
     }
 
-    /** Waits until the written bytes have been flushed or the caller has disconnected. */
     waitForDrain(): Promise<void> {
         return new Promise(resolve => {
             const finish = () => {
--- a/src/gateway/collectedTracing.ts
+++ b/src/gateway/collectedTracing.ts
@@ -13,7 +13,7 @@
         return new CollectedTracing(tracing);
     }
 
-    startCall(request: IncomingMessage, route: string): CallSpan {
+    startCall(request: Pick<IncomingMessage, "headers">, route: string): CallSpan {
         const span = this.tracing.startSpanFromHeaders(callSpanName, readTraceHeaders(request.headers));
         span.setAttribute("corianderward.route", route);
         return {
--- a/src/gateway/endpointPartition.test.ts
+++ b/src/gateway/endpointPartition.test.ts
@@ -78,9 +78,9 @@
 
     // Guards against sound requests being suspected, on every node, of the crash of endpoints that run.
     test(`a node that is cut off from all endpoints (${cut}) counts no crash against its requests`, async () => {
-        await sendRounds(300, 4);
-        connector.setCut(cut);
-        await sendRounds(600, 4);
+        const running = sendRounds(1_000, 4);
+        setTimeout(() => connector.setCut(cut), 300);
+        await running;
         assert.equal(cutOff.node.container.get(Keys.Ledger).isEmpty(), true);
         assert.equal(peer.node.container.get(Keys.Ledger).isEmpty(), true);
     });
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,7 +11,7 @@
 import { SharedRateLimiter } from "../quotas/sharedRateLimiter.js";
 import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { CallerLimits, UsageUnit } from "../routes/types.js";
-import { CallerResponse } from "./callerResponse.js";
+import { HttpCallerResponse } from "./callerResponse.js";
 import { CallForwarder, CallReport } from "./callForwarder.js";
 import { CallBody, CallReader } from "./callReader.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
@@ -46,7 +46,7 @@
 export class GatewayServer {
     private readonly server: Server;
     private limits = initialLimits;
-    private readonly openResponses = new Set<CallerResponse>();
+    private readonly openResponses = new Set<HttpCallerResponse>();
     private isStopping = false;
 
     private constructor(private readonly dependencies: GatewayServerDependencies) {
@@ -103,7 +103,7 @@
     private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const { clock, configuration } = this.dependencies;
         const arrivedAt = clock.getMonotonicTime();
-        const caller = CallerResponse.create(response, () => this.isStopping);
+        const caller = HttpCallerResponse.create(response, () => this.isStopping);
         this.openResponses.add(caller);
         response.once("close", () => this.openResponses.delete(caller));
         const body = await this.readBody(request);
@@ -128,14 +128,16 @@
         await this.serveCall(call.val, caller);
     }
 
-    private async serveCall(call: IncomingCall, caller: CallerResponse): Promise<void> {
+    private async serveCall(call: IncomingCall, caller: HttpCallerResponse): Promise<void> {
         const capRefusal = this.takeUsage(call);
         if (capRefusal !== undefined) {
             this.finishCall(call, caller, {
                 outcome: CallOutcome.Refused,
                 failure: capRefusal,
                 sends: 0,
+                runs: 0,
                 endpoint: undefined,
+                peer: undefined,
                 framing: undefined,
                 firstByteAt: undefined,
             });
@@ -192,7 +194,7 @@
         return Failure.create(Verdict.NotRun, message, team.name, units, Math.round(passed), Math.round(allowed)).setRetryAfter(wait);
     }
 
-    private rejectCall(request: IncomingMessage, caller: CallerResponse, failure: Failure): void {
+    private rejectCall(request: IncomingMessage, caller: HttpCallerResponse, failure: Failure): void {
         const { dependencies } = this;
         const isRefusal = failure.message.status === Diagnostics.Configuration_is_not_loaded.status;
         const outcome = isRefusal ? CallOutcome.Refused : CallOutcome.Rejected;
@@ -207,7 +209,7 @@
         });
     }
 
-    private finishCall(call: IncomingCall, caller: CallerResponse, report: CallReport): void {
+    private finishCall(call: IncomingCall, caller: HttpCallerResponse, report: CallReport): void {
         const { dependencies } = this;
         const { failure, outcome } = report;
         if (outcome === CallOutcome.Interrupted) {
@@ -240,6 +242,7 @@
             verdict: failure?.verdict,
             cause: failure?.text,
             endpoint: report.endpoint,
+            peer: report.peer,
             sends: report.sends,
             framing: report.framing,
             milliseconds: Math.round(time),
--- a/src/gateway/hopTracing.ts
+++ b/src/gateway/hopTracing.ts
@@ -17,7 +17,7 @@
 
 /** Creates a span for each call and a child span for each hop to an endpoint. */
 export interface HopTracing {
-    startCall(request: IncomingMessage, route: string): CallSpan;
+    startCall(request: Pick<IncomingMessage, "headers">, route: string): CallSpan;
     stop(): Promise<void>;
 }
 
--- /dev/null
+++ b/src/gateway/peerCallAttempt.ts
@@ -0,0 +1,154 @@
+import { Diagnostics, findDiagnosticMessage } from "../common/diagnostics.js";
+import { describeError, Failure } from "../common/failure.js";
+import { Verdict } from "../common/verdict.js";
+import { parseAddress } from "../config/sectionReader.js";
+import { NetworkAddress } from "../config/types.js";
+import { ForwardCallEnd, ForwardCallEvent, ResponseHead } from "../generated/corianderward/gateway/v1/gateway_pb.js";
+import { GatewayPeer } from "../gossip/types.js";
+import { CallerResponse } from "./callerResponse.js";
+import { PeerForwarder } from "./peerForwarder.js";
+import { EventStreamRelay, isEventStream } from "./responseRelay.js";
+import { IncomingCall } from "./types.js";
+
+/** A call that is handed to a peer. Times are monotonic milliseconds. */
+export interface PeerAttemptOptions {
+    readonly call: IncomingCall;
+    readonly caller: CallerResponse;
+    readonly peer: GatewayPeer;
+    readonly stream: EventStreamRelay | undefined;
+    readonly configurationVersion: number;
+    readonly timeLeft: number;
+    /** Number of endpoints that may have run the call before. */
+    readonly runs: number;
+}
+
+/** Result of a call that was handed to a peer; without a failure, the complete response was written to the caller. */
+export interface PeerAttemptResult {
+    readonly failure: Failure | undefined;
+    /** Number of endpoints that may have run the call for the peer. */
+    readonly runs: number;
+    readonly endpoint: string | undefined;
+    readonly isPastDeadline: boolean;
+}
+
+/** Hands a call to a peer and relays the peer's response. */
+export class PeerCallAttempt {
+    private readonly abortController = new AbortController();
+    private isPastDeadline = false;
+
+    private constructor(private readonly peers: PeerForwarder, private readonly options: PeerAttemptOptions) {}
+
+    static create(peers: PeerForwarder, options: PeerAttemptOptions): PeerCallAttempt {
+        return new PeerCallAttempt(peers, options);
+    }
+
+    /** Runs the attempt until the response is relayed or the attempt has failed. */
+    async run(): Promise<PeerAttemptResult> {
+        const { caller, timeLeft } = this.options;
+        const abort = () => this.abortController.abort();
+        const disconnectSignal = caller.getDisconnectSignal();
+        disconnectSignal.addEventListener("abort", abort);
+        const timer = setTimeout(() => {
+            this.isPastDeadline = true;
+            abort();
+        }, Math.max(1, timeLeft));
+        try {
+            return await this.forwardCall();
+        }
+        finally {
+            clearTimeout(timer);
+            disconnectSignal.removeEventListener("abort", abort);
+            abort();
+        }
+    }
+
+    private async forwardCall(): Promise<PeerAttemptResult> {
+        const { call, peer, stream, configurationVersion, timeLeft, runs } = this.options;
+        const address = parseAddress(peer.address) as NetworkAddress;
+        const events = await this.peers.client.forwardCall(address, {
+            node: this.peers.getNodeName(),
+            method: call.method,
+            target: call.target,
+            headers: [...call.rawHeaders],
+            body: call.body,
+            hasBody: call.hasBody,
+            configurationVersion: BigInt(configurationVersion),
+            service: call.service,
+            timeLeftMilliseconds: timeLeft,
+            lastEventId: stream?.getLastEventId() ?? call.lastEventId ?? "",
+            runs,
+        }, this.abortController.signal);
+        if (events.err) {
+            return this.createResult(events.val, 0);
+        }
+        try {
+            return await this.relayEvents(events.val);
+        }
+        catch (error) {
+            return this.createLostResult(describeError(error));
+        }
+    }
+
+    private async relayEvents(events: AsyncIterable<ForwardCallEvent>): Promise<PeerAttemptResult> {
+        const { caller } = this.options;
+        let stream: EventStreamRelay | undefined;
+        for await (const { event } of events) {
+            if (event.case === "head") {
+                stream = this.findStream(event.value);
+                if (caller.hasStarted() && stream === undefined) {
+                    const { status } = event.value;
+                    return this.createResult(Failure.create(Verdict.Ran, Diagnostics.Endpoint_failed_with_status_0, status), 1);
+                }
+                this.startResponse(event.value);
+            }
+            else if (event.case === "body") {
+                await this.writeBytes(Buffer.from(event.value), stream);
+            }
+            else if (event.case === "end") {
+                return this.finishResponse(event.value);
+            }
+        }
+        return this.createLostResult("the events ended early");
+    }
+
+    private findStream(head: ResponseHead): EventStreamRelay | undefined {
+        const index = head.headers.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === "content-type");
+        return isEventStream(head.status, head.headers[index + 1]) ? this.options.stream : undefined;
+    }
+
+    private startResponse(head: ResponseHead): void {
+        const { caller } = this.options;
+        if (!caller.hasStarted()) {
+            caller.startResponse(head.status, head.headers);
+        }
+    }
+
+    private async writeBytes(bytes: Buffer, stream: EventStreamRelay | undefined): Promise<void> {
+        const { caller } = this.options;
+        const isFlushed = stream === undefined ? caller.writeBytes(bytes) : stream.writeEvents(bytes);
+        if (!isFlushed) {
+            await caller.waitForDrain();
+        }
+    }
+
+    private finishResponse(end: ForwardCallEnd): PeerAttemptResult {
+        if (end.failureCode === 0) {
+            this.options.caller.finishResponse();
+            return this.createResult(undefined, end.runs, end.endpoint);
+        }
+        const verdict = Object.values(Verdict).find(known => known === end.verdict) ?? Verdict.MayHaveRun;
+        const retryAfter = end.retryAfter > 0 ? end.retryAfter : undefined;
+        const failure = Failure.createFormatted(verdict, findDiagnosticMessage(end.failureCode), end.failureText, retryAfter);
+        return this.createResult(failure, end.runs, end.endpoint);
+    }
+
+    /** Creates the result of an attempt whose peer was lost, so that its outcome is unknown. */
+    private createLostResult(cause: string): PeerAttemptResult {
+        const message = Diagnostics.Node_at_0_did_not_answer_1;
+        return this.createResult(Failure.create(Verdict.MayHaveRun, message, this.options.peer.address, cause), 1);
+    }
+
+    private createResult(failure: Failure | undefined, runs: number, endpoint = ""): PeerAttemptResult {
+        return { failure, runs, endpoint: endpoint === "" ? undefined : endpoint, isPastDeadline: this.isPastDeadline };
+    }
+}
--- /dev/null
+++ b/src/gateway/peerForwarder.ts
@@ -0,0 +1,31 @@
+import { RandomSource } from "../common/random.js";
+import { parseAddress } from "../config/sectionReader.js";
+import { PeerTable } from "../gossip/peerTable.js";
+import { GatewayPeer } from "../gossip/types.js";
+import { PeerCallClient } from "./peerCallClient.js";
+
+/** Finds peers that can forward calls for a node which has lost its own network paths to the endpoints. */
+export class PeerForwarder {
+    private constructor(readonly client: PeerCallClient, private readonly table: PeerTable, private readonly random: RandomSource) {}
+
+    static create(client: PeerCallClient, table: PeerTable, random: RandomSource): PeerForwarder {
+        return new PeerForwarder(client, table, random);
+    }
+
+    /** Returns the name of this node. */
+    getNodeName(): string {
+        return this.table.identity.name;
+    }
+
+    /**
+     * Picks a peer that reaches the endpoints of a service as far as this node knows, and that is not excluded; undefined if there
+     * is none. All such peers get equal parts, since many nodes may need them at once.
+     */
+    pickPeer(service: string, excluded: ReadonlySet<string>): GatewayPeer | undefined {
+        const candidates = this.table.listReachablePeers().filter(peer =>
+            !peer.isLeaving && !excluded.has(peer.name) && !peer.unreachableServices.includes(service)
+            && parseAddress(peer.address) !== undefined
+        );
+        return candidates.length === 0 ? undefined : candidates[this.random.pickIndex(candidates.length)];
+    }
+}
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -7,6 +7,10 @@
 /** Size up to which a response is buffered until it is complete; well above ordinary responses. Larger ones are streamed. */
 const bufferedResponseBytes = 262_144;
 
+const statusOk = 200;
+const statusRedirect = 300;
+const eventStreamContentType = "text/event-stream";
+
 /** Largest event of a stream, in bytes; an event without an end would be buffered without bound. */
 const maximumEventBytes = 1_048_576;
 
@@ -19,6 +23,11 @@
     CallerDisconnected = "caller-left",
 }
 
+/** Returns whether a response on a route of streams is one; failures come as plain documents. */
+export function isEventStream(status: number, contentType = eventStreamContentType): boolean {
+    return status >= statusOk && status < statusRedirect && contentType.toLowerCase().startsWith(eventStreamContentType);
+}
+
 /** Relays the response of an endpoint to the caller. */
 export interface ResponseRelay {
     /** Relays a response until it ends or the caller disconnects; does not reject. */
@@ -103,6 +112,11 @@
         return this.splitter.getLastEventId();
     }
 
+    /** Writes whole events that another node has split from a response; returns false when the writer must wait for the caller. */
+    writeEvents(events: Buffer): boolean {
+        return this.caller.writeBytes(this.splitter.addBytes(events));
+    }
+
     async forwardResponse(response: IncomingMessage, exchange: EndpointExchange): Promise<RelayOutcome> {
         const { caller, splitter } = this;
         splitter.removeIncompleteEvent();
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -18,6 +18,7 @@
 import { CallSpan } from "./hopTracing.js";
 import { PoisonRequestDetector } from "./poisonRequestDetector.js";
 import { EventStreamRelay } from "./responseRelay.js";
+import { ServicePathProber } from "./servicePathProber.js";
 
 /** A completely received request of a caller. Times are monotonic milliseconds. */
 export interface IncomingCall {
@@ -80,6 +81,7 @@
     readonly poisonRequestDetector: PoisonRequestDetector;
     readonly crashCheck: EndpointCrashCheck;
     readonly paths: ServicePathTracker;
+    readonly pathProber: ServicePathProber;
     readonly placementUpdates: PlacementUpdates;
     readonly work: ServiceWorkTracker;
     readonly versions: VersionMoves;
--- a/src/gossip/fleetSummaryAggregator.ts
+++ b/src/gossip/fleetSummaryAggregator.ts
@@ -112,6 +112,7 @@
                 isLeaving: node.isLeaving,
                 isStoreReachable: node.isStoreReachable,
                 holdsLease: node.holdsLease,
+                unreachableServices: [...node.unreachableServices],
             })),
             loads: loads.listSums(isCounted),
             demands: caps.listSums(isCounted).map(({ name, demand, passed }) => ({ team: name, demand, passed })),
@@ -127,10 +128,15 @@
     }
 
     private recordRelayedPeerStates(digest: GatewayDigest): void {
-        for (const { member, ageMilliseconds, isLeaving, isStoreReachable, holdsLease } of digest.summary?.nodes ?? []) {
+        for (const { member, ageMilliseconds, ...state } of digest.summary?.nodes ?? []) {
             if (member !== undefined) {
                 const identity = { ...member, incarnation: Number(member.incarnation) };
-                this.dependencies.table.recordRelayedState(identity, ageMilliseconds, { isLeaving, isStoreReachable, holdsLease });
+                this.dependencies.table.recordRelayedState(identity, ageMilliseconds, {
+                    isLeaving: state.isLeaving,
+                    isStoreReachable: state.isStoreReachable,
+                    holdsLease: state.holdsLease,
+                    unreachableServices: state.unreachableServices,
+                });
             }
         }
     }
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -7,6 +7,7 @@
 import { DutyLease } from "../duties/dutyLease.js";
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../fleet/endpointFollower.js";
+import { ServicePathTracker } from "../fleet/servicePathTracker.js";
 import { endpointEntrySchema } from "../fleet/types.js";
 import { crashesUntilQuarantine, PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
 import { QuarantineTrials } from "../gateway/quarantineTrials.js";
@@ -53,6 +54,7 @@
     readonly table: PeerTable;
     readonly configuration: ConfigurationHolder;
     readonly configurationFollower: ConfigurationFollower;
+    readonly paths: ServicePathTracker;
     readonly directory: EndpointDirectory;
     readonly endpointFollower: EndpointFollower;
     readonly watches: readonly ObjectWatcher[];
@@ -110,6 +112,7 @@
             versionMovesRevision: BigInt(dependencies.versions.listObjects().revision),
             storeEra: BigInt(dependencies.store.getEra()),
             leavingEndpoints: this.listLeavingEndpoints(),
+            unreachableServices: dependencies.paths.listUnreachableServices(),
             summary: peer === undefined ? undefined : dependencies.sums.createSummary(peer),
         };
     }
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -51,6 +51,7 @@
                 isLeaving: false,
                 isStoreReachable: false,
                 holdsLease: false,
+                unreachableServices: [],
                 isDirect: true,
                 digest: undefined,
                 sentPlacementSequence: 0,
@@ -103,6 +104,7 @@
         peer.isLeaving = digest.isLeaving;
         peer.isStoreReachable = digest.isStoreReachable;
         peer.holdsLease = digest.lease?.isHeldBySender ?? false;
+        peer.unreachableServices = digest.unreachableServices;
         peer.digest = digest;
         for (const other of digest.knownMembers) {
             this.addPeer({ ...other, incarnation: Number(other.incarnation) });
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -25,6 +25,8 @@
     isStoreReachable: boolean;
     /** Whether it reports that it holds the duty lease. */
     holdsLease: boolean;
+    /** Services whose endpoints it cannot reach over its own network paths. */
+    unreachableServices: readonly string[];
 }
 
 /** Record of another node of the deployment. Times are monotonic milliseconds. */
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -19,6 +19,7 @@
 import { PoisonRequestDetector } from "../../gateway/poisonRequestDetector.js";
 import { QuarantineFollower } from "../../gateway/quarantineFollower.js";
 import { QuarantineTrials } from "../../gateway/quarantineTrials.js";
+import { ServicePathProber } from "../../gateway/servicePathProber.js";
 import { quarantinePrefix, StoredQuarantines } from "../../gateway/storedQuarantines.js";
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
 import { formatIncarnationKey, PeerTable } from "../../gossip/peerTable.js";
@@ -207,6 +208,15 @@
     container.bind(Keys.ServicePaths).toDynamicValue(context =>
         ServicePathTracker.create(context.get(Keys.Directory), context.get(Keys.Log))
     );
+    container.bind(Keys.PathProber).toDynamicValue(context =>
+        ServicePathProber.create(
+            context.get(Keys.ServicePaths),
+            context.get(Keys.Directory),
+            context.get(Keys.Probe),
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+        )
+    );
     container.bind(Keys.CrashCheck).toDynamicValue(context => EndpointCrashCheck.create(context.get(Keys.Probe), context.get(Keys.Clock)));
     container.bind(Keys.StoredQuarantines).toDynamicValue(context => {
         const holder = formatIncarnationKey(context.get(Keys.Peers).identity);
@@ -232,12 +242,23 @@
             poisonRequestDetector: context.get(Keys.PoisonRequestDetector),
             crashCheck: context.get(Keys.CrashCheck),
             paths: context.get(Keys.ServicePaths),
+            pathProber: context.get(Keys.PathProber),
             placementUpdates: context.get(Keys.PlacementUpdates),
             work: context.get(Keys.ServiceWorkTracker),
             versions: context.get(Keys.Versions),
             timing: settings.timing,
+            peers: context.get(Keys.PeerForwarder),
+            configuration: context.get(Keys.Configuration),
         });
     });
+    container.bind(Keys.Reader).toDynamicValue(context =>
+        CallReader.create(
+            context.get(Keys.Protocol),
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+            context.get(Keys.Tracing),
+        )
+    );
     container.bind(Keys.Server).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
         const clock = context.get(Keys.Clock);
@@ -246,7 +267,7 @@
             log: context.get(Keys.Log),
             metrics: context.get(Keys.Metrics),
             configuration: context.get(Keys.Configuration),
-            reader: CallReader.create(protocol, clock, context.get(Keys.Random), context.get(Keys.Tracing)),
+            reader: context.get(Keys.Reader),
             forwarder: context.get(Keys.Forwarder),
             caps: context.get(Keys.SharedRateLimiter),
             retryAfterHeader: protocol.retryAfter,
--- a/src/node/bindings/gatewayPeerBindings.ts
+++ b/src/node/bindings/gatewayPeerBindings.ts
@@ -1,5 +1,9 @@
 import { Container } from "inversify";
 import { GatewaySettings } from "../../config/gatewaySettings.js";
+import { GatewayMetrics } from "../../gateway/gatewayMetrics.js";
+import { ConnectPeerCallClient } from "../../gateway/peerCallClient.js";
+import { PeerCallServer } from "../../gateway/peerCallServer.js";
+import { PeerForwarder } from "../../gateway/peerForwarder.js";
 import { GatewayPeerService } from "../../generated/corianderward/gateway/v1/gateway_pb.js";
 import { FleetSummaryAggregator } from "../../gossip/fleetSummaryAggregator.js";
 import { GatewayDigestHandler } from "../../gossip/gatewayDigestHandler.js";
@@ -13,12 +17,9 @@
 /** Binds the gossip exchange, its content and the relay plan. */
 export function addPeerBindings(container: Container, settings: GatewaySettings): void {
     container.bind(Keys.GossipLink).toDynamicValue(context => {
-        const metrics = context.get(Keys.Metrics);
-        return ConnectGossipClient.create(PeerSessions.create(GatewayPeerService, undefined, {
-            recordUnresponsivePeer: () => metrics.peerExchanges.inc({ outcome: "silence" }),
-            recordSessionError: () => metrics.peerExchanges.inc({ outcome: "session-error" }),
-        }));
+        return ConnectGossipClient.create(createPeerSessions(context.get(Keys.Metrics)));
     });
+    addPeerCallBindings(container);
     container.bind(Keys.RelayPlan).toDynamicValue(context => RelaySelector.create(context.get(Keys.Peers)));
     container.bind(Keys.SharedLoads).toDynamicValue(context =>
         PeerLoadTracker.create(context.get(Keys.Directory), context.get(Keys.Clock))
@@ -44,6 +45,7 @@
             configuration: context.get(Keys.Configuration),
             configurationFollower: context.get(Keys.ConfigurationFollower),
             directory: context.get(Keys.Directory),
+            paths: context.get(Keys.ServicePaths),
             endpointFollower: context.get(Keys.EndpointFollower),
             watches: [watches.configuration, watches.endpoints],
             news: context.get(Keys.PlacementUpdates),
@@ -73,3 +75,31 @@
         );
     });
 }
+
+/** Binds the hand-over of calls between nodes, in both directions. */
+function addPeerCallBindings(container: Container): void {
+    container.bind(Keys.PeerCallClient).toDynamicValue(context =>
+        ConnectPeerCallClient.create(createPeerSessions(context.get(Keys.Metrics)))
+    );
+    container.bind(Keys.PeerForwarder).toDynamicValue(context =>
+        PeerForwarder.create(context.get(Keys.PeerCallClient), context.get(Keys.Peers), context.get(Keys.Random))
+    );
+    container.bind(Keys.PeerCallServer).toDynamicValue(context => {
+        const shutdownState = context.get(Keys.ShutdownState);
+        return PeerCallServer.create({
+            clock: context.get(Keys.Clock),
+            log: context.get(Keys.Log),
+            configuration: context.get(Keys.Configuration),
+            reader: context.get(Keys.Reader),
+            forwarder: context.get(Keys.Forwarder),
+            getIsLeaving: () => shutdownState.isLeaving,
+        });
+    });
+}
+
+function createPeerSessions(metrics: GatewayMetrics): PeerSessions<typeof GatewayPeerService> {
+    return PeerSessions.create(GatewayPeerService, undefined, {
+        recordUnresponsivePeer: () => metrics.peerExchanges.inc({ outcome: "silence" }),
+        recordSessionError: () => metrics.peerExchanges.inc({ outcome: "session-error" }),
+    });
+}
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -13,13 +13,18 @@
 import { ServicePathTracker } from "../fleet/servicePathTracker.js";
 import { CallForwarder } from "../gateway/callForwarder.js";
 import { CallProtocol } from "../gateway/callProtocol.js";
+import { CallReader } from "../gateway/callReader.js";
 import { EndpointConnectionPool } from "../gateway/endpointConnectionPool.js";
 import { EndpointCrashCheck } from "../gateway/endpointCrashCheck.js";
 import { GatewayMetrics } from "../gateway/gatewayMetrics.js";
 import { GatewayServer } from "../gateway/gatewayServer.js";
 import { HopTracing } from "../gateway/hopTracing.js";
+import { PeerCallClient } from "../gateway/peerCallClient.js";
+import { PeerCallServer } from "../gateway/peerCallServer.js";
+import { PeerForwarder } from "../gateway/peerForwarder.js";
 import { PoisonRequestDetector } from "../gateway/poisonRequestDetector.js";
 import { QuarantineTrials } from "../gateway/quarantineTrials.js";
+import { ServicePathProber } from "../gateway/servicePathProber.js";
 import { StoredQuarantines } from "../gateway/storedQuarantines.js";
 import { FleetSummaryAggregator } from "../gossip/fleetSummaryAggregator.js";
 import { GossipClient } from "../gossip/gossipClient.js";
@@ -107,10 +112,15 @@
     Connector: createKey<EndpointConnector>("Connector"),
     Probe: createKey<ConnectionProbe>("Probe"),
     ServicePaths: createKey<ServicePathTracker>("ServicePaths"),
+    PathProber: createKey<ServicePathProber>("PathProber"),
     CrashCheck: createKey<EndpointCrashCheck>("CrashCheck"),
     PoisonRequestDetector: createKey<PoisonRequestDetector>("PoisonRequestDetector"),
     Connections: createKey<EndpointConnectionPool>("Connections"),
     Forwarder: createKey<CallForwarder>("Forwarder"),
+    Reader: createKey<CallReader>("Reader"),
+    PeerCallClient: createKey<PeerCallClient>("PeerCallClient"),
+    PeerForwarder: createKey<PeerForwarder>("PeerForwarder"),
+    PeerCallServer: createKey<PeerCallServer>("PeerCallServer"),
     Server: createKey<GatewayServer>("Server"),
     Lease: createKey<DutyLease>("Lease"),
     Duties: createKey<DutyRunner>("Duties"),
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -47,6 +47,7 @@
                     gossip.applyState(state, "peer");
                     return {};
                 },
+                forwardCall: (request, context) => container.get(Keys.PeerCallServer).serveCall(request, context.signal),
             });
         }, undefined);
     }
@@ -92,6 +93,7 @@
         void container.get(Keys.Gossip).runRounds();
         void container.get(Keys.Lease).runRounds();
         void container.get(Keys.Duties).run();
+        void container.get(Keys.PathProber).run();
         container.get(Keys.Log).log(LogEvents.ProcessStarted, {
             callers: formatAddress(callers),
             readiness: formatAddress(readiness),
@@ -123,13 +125,15 @@
         await clock.sleep(timing.listenerGrace);
         server.closeIdle();
         const forcedCloseAt = stoppedAt + timing.drainLimit * drainWaitShare;
-        while (server.countOpenCalls() > 0 && clock.getMonotonicTime() < forcedCloseAt) {
+        const peerCalls = container.get(Keys.PeerCallServer);
+        const countOpenCalls = () => server.countOpenCalls() + peerCalls.countOpenCalls();
+        while (countOpenCalls() > 0 && clock.getMonotonicTime() < forcedCloseAt) {
             await clock.sleep(drainPollMilliseconds);
             server.closeIdle();
         }
         // Without this exchange the most recent counts would be missing from the usage reports.
         await Promise.race([container.get(Keys.Gossip).publishNow(), clock.sleep(finalExchangeMilliseconds)]);
-        log.log(LogEvents.ProcessStopped, { cutOff: server.countOpenCalls() });
+        log.log(LogEvents.ProcessStopped, { cutOff: countOpenCalls() });
         this.stopTasks();
         server.closeAll();
         this.status.stop();
@@ -147,7 +151,9 @@
         watches.quarantines.stop();
         container.get(Keys.StoredQuarantines).stop();
         container.get(Keys.Registry).stop();
+        container.get(Keys.PathProber).stop();
         container.get(Keys.Gossip).stop();
+        container.get(Keys.PeerCallClient).stop();
         void this.peerServer.stop();
     }
 
--- a/src/node/peerRequests.ts
+++ b/src/node/peerRequests.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { RemoteRequests } from "../callers/types.js";
 import { Clock } from "../common/clock.js";
+import { findDiagnosticMessage } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { listByRendezvousRank } from "../common/hashing.js";
 import { Err, Ok, Result } from "../common/results.js";
@@ -9,7 +10,6 @@
 import { FinishReason } from "../endpoints/types.js";
 import { MemberDirectory } from "../peers/memberDirectory.js";
 import { FollowRequestEvent, ForwardCallResponse, Member, PeerLink } from "../peers/types.js";
-import { findDiagnosticMessage } from "../requests/commands/draftStore.js";
 import { CallForwarder, PlainCallResult } from "../requests/commands/plainCallRunner.js";
 import { RequestHistory, RequestRecord } from "../requests/requestRecord.js";
 import { PlainRequest, RequestOutcome } from "../requests/types.js";
--- a/src/requests/commands/draftStore.ts
+++ b/src/requests/commands/draftStore.ts
@@ -1,6 +1,6 @@
 import { z } from "zod";
 import { Clock } from "../../common/clock.js";
-import { DiagnosticMessage, Diagnostics } from "../../common/diagnostics.js";
+import { Diagnostics, findDiagnosticMessage } from "../../common/diagnostics.js";
 import { Failure } from "../../common/failure.js";
 import { Err, Ok, Result } from "../../common/results.js";
 import { Verdict } from "../../common/verdict.js";
@@ -224,9 +224,3 @@
     const message = findDiagnosticMessage(stored.failure_code);
     return Failure.createFormatted(stored.failure_verdict ?? Verdict.MayHaveRun, message, stored.failure_text ?? message.text);
 }
-
-/** Returns the diagnostic with a code, or the lost-connection diagnostic if this program version does not define the code. */
-export function findDiagnosticMessage(code: number | undefined): DiagnosticMessage {
-    const messages: DiagnosticMessage[] = Object.values(Diagnostics);
-    return messages.find(message => message.code === code) ?? Diagnostics.Connection_was_lost_after_the_request_was_sent_0;
-}
--- a/src/testing/soak/faultProxy.ts
+++ b/src/testing/soak/faultProxy.ts
@@ -119,7 +119,16 @@
 
     private abort(connection: ProxiedConnection): void {
         this.connections.delete(connection);
-        connection.near.resetAndDestroy();
-        connection.far.resetAndDestroy();
+        abortSocket(connection.near);
+        abortSocket(connection.far);
     }
 }
+
+/** Resets a connection. One whose end is under way cannot be reset any more: the runtime would wait for that end for good when it exits. */
+function abortSocket(socket: Socket): void {
+    if (socket.writableEnded) {
+        socket.destroy();
+        return;
+    }
+    socket.resetAndDestroy();
+}
