Count no crash of an endpoint on the word of a node that is refused everywhere

What callers saw, by a test: a node that is cut off from all endpoints by resets and refusals took each refused connection after a lost request for a crash of the endpoint, and told all nodes; three of them quarantine a sound request, or a part of prompts that many share. Change: a refusal is a crash only if one of three other endpoints accepts a new connection at that moment (open ones may outlive a lost path); otherwise the entry in the store decides, as before. An unreachable host or network is no refusal any more. Remains: a node that is cut off from some endpoints only, by refusals, while it reaches others, still counts them as crashed.

--- a/src/endpoints/connectionProbe.ts
+++ b/src/endpoints/connectionProbe.ts
@@ -1,7 +1,10 @@
-import { isConnectFailure } from "../common/failure.js";
+import { readErrorCode } from "../common/failure.js";
 import { NetworkAddress } from "../config/types.js";
 import { EndpointConnector } from "./endpointConnector.js";
 
+/** Error code of a connection that the host refused; other errors, such as an unreachable host, tell about the path. */
+const refusedCode = "ECONNREFUSED";
+
 /** Result of opening a connection to an address. */
 export enum ProbeResult {
     Accepted = "accepted",
@@ -34,7 +37,7 @@
             };
             socket.setTimeout(this.timeLimit, () => finish(ProbeResult.Unanswered));
             socket.once("connect", () => finish(ProbeResult.Accepted));
-            socket.on("error", error => finish(isConnectFailure(error) ? ProbeResult.Refused : ProbeResult.Unanswered));
+            socket.on("error", error => finish(readErrorCode(error) === refusedCode ? ProbeResult.Refused : ProbeResult.Unanswered));
         });
     }
 }
--- a/src/gateway/poisonRequestDetector.test.ts
+++ b/src/gateway/poisonRequestDetector.test.ts
@@ -3,6 +3,7 @@
 import { SilentEventLog } from "../common/eventLog.js";
 import { SeededRandom } from "../common/random.js";
 import { ConnectionProbe, ProbeResult } from "../endpoints/connectionProbe.js";
+import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { createEndpointEntry } from "../testing/gatewayParts.js";
@@ -16,16 +17,32 @@
 
 const termMilliseconds = 600_000;
 
+/** Address of an endpoint beside the one that is checked. */
+const otherAddress = { host: "127.0.0.1", port: 10 };
+
+/** Creates a detector whose probes have the given results; the last one repeats. Another endpoint accepts connections unless told otherwise. */
 function createDetector(clock: VirtualClock, ...results: ProbeResult[]) {
+    return createDetectorBeside(ProbeResult.Accepted, clock, ...results);
+}
+
+function createDetectorBeside(otherResult: ProbeResult, clock: VirtualClock, ...results: ProbeResult[]) {
     const log = SilentEventLog.create();
     const ledger = QuarantineLedger.create(clock, termMilliseconds);
     const store = MemoryObjectStore.create(MemoryObjects.create(), clock, clock, SeededRandom.create(1));
     const probe: ConnectionProbe = {
-        checkAddress: () => Promise.resolve((results.length > 1 ? results.shift() : results[0]) ?? ProbeResult.Unanswered),
+        checkAddress: address =>
+            Promise.resolve(
+                address.port === otherAddress.port
+                    ? otherResult
+                    : (results.length > 1 ? results.shift() : results[0]) ?? ProbeResult.Unanswered,
+            ),
     };
+    const directory = EndpointDirectory.create(clock);
+    directory.applyEntry({ entry: createEndpointEntry({ id: "other", address: otherAddress }), revision: 1 }, "test");
+    const crashCheck = EndpointCrashCheck.create(probe, directory, clock, SeededRandom.create(1));
     const stored = StoredQuarantines.create(store, clock, log, "node/1");
     const trials = QuarantineTrials.create(stored, clock, log);
-    return { ledger, detector: PoisonRequestDetector.create(ledger, stored, trials, EndpointCrashCheck.create(probe, clock), clock, log) };
+    return { ledger, detector: PoisonRequestDetector.create(ledger, stored, trials, crashCheck, clock, log) };
 }
 
 function createEndpoint(id: string): FleetEndpoint {
@@ -45,6 +62,17 @@
     detector.recordCrash(lost, CrashEvidence.EntryRemoved);
 }
 
+// Guards against counting the lost paths of a node that is cut off as crashes of endpoints that run.
+test("a refused connection is no crash while the node is refused everywhere", async () => {
+    for (const [otherResult, crashes] of [[ProbeResult.Refused, 0], [ProbeResult.Unanswered, 0], [ProbeResult.Accepted, 1]] as const) {
+        const { detector } = createDetectorBeside(otherResult, VirtualClock.create(), ProbeResult.Refused);
+        const call = createCall("lost", ["own"]);
+        detector.recordLoss(createEndpoint("endpoint-1"), call);
+        await new Promise(resolve => setImmediate(resolve));
+        assert.equal(detector.countCrashes(call), crashes);
+    }
+});
+
 // Guards against refusing a popular part of prompts because it was often beside the part that crashes endpoints.
 test("a popular part that is served between crashes stays allowed beside a quarantined one", () => {
     const { detector } = createDetector(VirtualClock.create(), ProbeResult.Unanswered);
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -217,7 +217,14 @@
             context.get(Keys.Random),
         )
     );
-    container.bind(Keys.CrashCheck).toDynamicValue(context => EndpointCrashCheck.create(context.get(Keys.Probe), context.get(Keys.Clock)));
+    container.bind(Keys.CrashCheck).toDynamicValue(context =>
+        EndpointCrashCheck.create(
+            context.get(Keys.Probe),
+            context.get(Keys.Directory),
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+        )
+    );
     container.bind(Keys.StoredQuarantines).toDynamicValue(context => {
         const holder = formatIncarnationKey(context.get(Keys.Peers).identity);
         return StoredQuarantines.create(context.get(Keys.Store), context.get(Keys.Clock), context.get(Keys.Log), holder);
