--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,6 +2,7 @@
 import { Failure } from "../common/failure.js";
 import { ResponseFraming } from "../endpoints/responseEnd.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
+import { ServicePathTracker } from "../fleet/servicePathTracker.js";
 import { PromptShape } from "../fleet/types.js";
 import { CallPlacementPolicy } from "../placement/callPlacementPolicy.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
@@ -17,6 +18,7 @@
 import { CallSpan } from "./hopTracing.js";
 import { PoisonRequestDetector } from "./poisonRequestDetector.js";
 import { EventStreamRelay } from "./responseRelay.js";
+import { ServicePathProber } from "./servicePathProber.js";
 
 /** A completely received request of a caller. Times are monotonic milliseconds. */
 export interface IncomingCall {
@@ -78,6 +80,8 @@
     readonly callPlacement: CallPlacementPolicy;
     readonly poisonRequestDetector: PoisonRequestDetector;
     readonly crashCheck: EndpointCrashCheck;
+    readonly paths: ServicePathTracker;
+    readonly pathProber: ServicePathProber;
     readonly placementUpdates: PlacementUpdates;
     readonly work: ServiceWorkTracker;
     readonly versions: VersionMoves;
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -5,8 +5,10 @@
 import { GatewaySettings } from "../../config/gatewaySettings.js";
 import { formatAddress } from "../../config/sectionReader.js";
 import { TcpConnectionProbe } from "../../endpoints/connectionProbe.js";
+import { TcpEndpointConnector } from "../../endpoints/endpointConnector.js";
 import { EndpointDirectory } from "../../fleet/endpointDirectory.js";
 import { EndpointFollower } from "../../fleet/endpointFollower.js";
+import { ServicePathTracker } from "../../fleet/servicePathTracker.js";
 import { CallForwarder } from "../../gateway/callForwarder.js";
 import { CallReader } from "../../gateway/callReader.js";
 import { EndpointConnectionPool } from "../../gateway/endpointConnectionPool.js";
@@ -17,6 +19,7 @@
 import { PoisonRequestDetector } from "../../gateway/poisonRequestDetector.js";
 import { QuarantineFollower } from "../../gateway/quarantineFollower.js";
 import { QuarantineTrials } from "../../gateway/quarantineTrials.js";
+import { ServicePathProber } from "../../gateway/servicePathProber.js";
 import { quarantinePrefix, StoredQuarantines } from "../../gateway/storedQuarantines.js";
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
 import { formatIncarnationKey, PeerTable } from "../../gossip/peerTable.js";
@@ -198,8 +201,29 @@
             context.get(Keys.Log),
         )
     );
+    container.bind(Keys.Connector).toDynamicValue(() => TcpEndpointConnector.create());
+    container.bind(Keys.Probe).toDynamicValue(context =>
+        TcpConnectionProbe.create(context.get(Keys.Connector), settings.timing.connectTimeout)
+    );
+    container.bind(Keys.ServicePaths).toDynamicValue(context =>
+        ServicePathTracker.create(context.get(Keys.Directory), context.get(Keys.Log))
+    );
+    container.bind(Keys.PathProber).toDynamicValue(context =>
+        ServicePathProber.create(
+            context.get(Keys.ServicePaths),
+            context.get(Keys.Directory),
+            context.get(Keys.Probe),
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+        )
+    );
     container.bind(Keys.CrashCheck).toDynamicValue(context =>
-        EndpointCrashCheck.create(TcpConnectionProbe.create(settings.timing.connectTimeout), context.get(Keys.Clock))
+        EndpointCrashCheck.create(
+            context.get(Keys.Probe),
+            context.get(Keys.Directory),
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+        )
     );
     container.bind(Keys.StoredQuarantines).toDynamicValue(context => {
         const holder = formatIncarnationKey(context.get(Keys.Peers).identity);
@@ -208,7 +232,7 @@
     container.bind(Keys.QuarantineTrials).toDynamicValue(context =>
         QuarantineTrials.create(context.get(Keys.StoredQuarantines), context.get(Keys.Clock), context.get(Keys.Log))
     );
-    container.bind(Keys.Connections).toDynamicValue(() => EndpointConnectionPool.create());
+    container.bind(Keys.Connections).toDynamicValue(context => EndpointConnectionPool.create(context.get(Keys.Connector)));
     container.bind(Keys.Forwarder).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
         return CallForwarder.create({
@@ -224,12 +248,24 @@
             usage: context.get(Keys.Usage),
             poisonRequestDetector: context.get(Keys.PoisonRequestDetector),
             crashCheck: context.get(Keys.CrashCheck),
+            paths: context.get(Keys.ServicePaths),
+            pathProber: context.get(Keys.PathProber),
             placementUpdates: context.get(Keys.PlacementUpdates),
             work: context.get(Keys.ServiceWorkTracker),
             versions: context.get(Keys.Versions),
             timing: settings.timing,
+            peers: context.get(Keys.PeerForwarder),
+            configuration: context.get(Keys.Configuration),
         });
     });
+    container.bind(Keys.Reader).toDynamicValue(context =>
+        CallReader.create(
+            context.get(Keys.Protocol),
+            context.get(Keys.Clock),
+            context.get(Keys.Random),
+            context.get(Keys.Tracing),
+        )
+    );
     container.bind(Keys.Server).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
         const clock = context.get(Keys.Clock);
@@ -238,7 +274,7 @@
             log: context.get(Keys.Log),
             metrics: context.get(Keys.Metrics),
             configuration: context.get(Keys.Configuration),
-            reader: CallReader.create(protocol, clock, context.get(Keys.Random), context.get(Keys.Tracing)),
+            reader: context.get(Keys.Reader),
             forwarder: context.get(Keys.Forwarder),
             caps: context.get(Keys.SharedRateLimiter),
             retryAfterHeader: protocol.retryAfter,
