Keep requests at a sound endpoint that is silent for a second

What callers saw, by a test: an endpoint that was silent for 1.2 s and went on lost its repeatable requests to others after 0.9 s; they ran twice, and the endpoint was avoided. An endpoint that accepts connections and never answers costs 0.7 s more before the retry.

--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -30,7 +30,7 @@
 /** Timeouts and intervals of a gateway, in milliseconds. */
 export interface GatewayTiming {
     readonly connectTimeout: number;
-    /** Time without data from an endpoint after which a repeatable request is retried at another endpoint. */
+    /** Time without data from an endpoint that can be reached after which a repeatable request is retried at another endpoint. */
     readonly endpointSilence: number;
     readonly storeTimeout: number;
     readonly cloudTimeout: number;
@@ -249,7 +249,7 @@
         reader.readInteger(`${name}-milliseconds`, minimum, 10 * millisecondsPerMinute, fallback);
     const timing: GatewayTiming = {
         connectTimeout: readMilliseconds("connect-timeout", 300),
-        endpointSilence: readMilliseconds("endpoint-silence", 900),
+        endpointSilence: readMilliseconds("endpoint-silence", 1_600),
         storeTimeout: readMilliseconds("store-timeout", 1_000),
         cloudTimeout: readMilliseconds("cloud-timeout", 1_500),
         gossipInterval: readMilliseconds("gossip-interval", 500),
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -17,6 +17,8 @@
 const silenceCheckMilliseconds = 250;
 /** Silence of an endpoint after which the network path to it is checked, in milliseconds. */
 const pathCheckMilliseconds = 500;
+/** Silence limit of an endpoint that accepts no connections, in milliseconds; one that does may go on. */
+const lostPathSilenceMilliseconds = 900;
 /** Lower bound of the expected time that a response time is compared with; shorter times are mostly network latency. */
 const minimumExpectedMilliseconds = 30;
 
@@ -35,6 +37,7 @@
     private isHarmless = false;
     private hasExceededSilenceLimit = false;
     private hasCheckedPath = false;
+    private isPathLost = false;
     private isPastDeadline = false;
     private framing: ResponseFraming | undefined;
     private unprocessedPromptTokens: number;
@@ -289,6 +292,7 @@
         this.lastReceivedAt = this.dependencies.clock.getMonotonicTime();
         this.endpoint.lastReceivedAt = this.lastReceivedAt;
         this.hasCheckedPath = false;
+        this.isPathLost = false;
         this.dependencies.paths.recordContact(this.endpoint);
         if (!this.isHarmless && this.firstEventAt !== undefined && this.lastReceivedAt - this.firstEventAt >= harmlessRunMilliseconds) {
             this.recordHarmless();
@@ -300,18 +304,23 @@
      * silence limit. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
      */
     private checkSilence(): void {
-        const { clock, pathProber, timing } = this.dependencies;
+        const { clock, timing } = this.dependencies;
         const silence = clock.getMonotonicTime() - Math.max(this.lastReceivedAt, this.endpoint.lastReceivedAt);
         if (silence > pathCheckMilliseconds && !this.hasCheckedPath) {
             this.hasCheckedPath = true;
-            void pathProber.checkEndpoint(this.endpoint);
+            void this.checkPath();
         }
-        if (this.options.mayRetry && silence > timing.endpointSilence) {
+        const limit = this.isPathLost ? lostPathSilenceMilliseconds : timing.endpointSilence;
+        if (this.options.mayRetry && silence > limit) {
             this.hasExceededSilenceLimit = true;
             this.abortController.abort();
         }
     }
 
+    private async checkPath(): Promise<void> {
+        this.isPathLost = !await this.dependencies.pathProber.checkEndpoint(this.endpoint);
+    }
+
     private addLoad(): void {
         const { call, placement } = this.options;
         this.endpoint.running += 1;
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -66,7 +66,7 @@
 export interface AttemptTiming {
     /** Longest time to establish a connection. */
     readonly connectTimeout: number;
-    /** Time without data from an endpoint, on all its connections, after which retryable calls move to another endpoint. */
+    /** Time without data from an endpoint that accepts connections, on all of them, after which retryable calls move to another endpoint. */
     readonly endpointSilence: number;
 }
 
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -96,6 +96,7 @@
     private readonly sockets = new Set<Socket>();
     private address = "";
     private isStopped = false;
+    private frozenUntil = -Infinity;
 
     private constructor(readonly id: string, readonly service: string, readonly zone: string, readonly isEngine: boolean) {
         this.server = createServer({ keepAliveTimeout: 5_000 }, (request, response) => void this.serve(request, response));
@@ -131,6 +132,11 @@
         setTimeout(() => this.restart(), this.restartMilliseconds);
     }
 
+    /** Stops the process for a while; the system still accepts connections, and everything goes on afterwards. */
+    silenceFor(milliseconds: number): void {
+        this.frozenUntil = performance.now() + milliseconds;
+    }
+
     isListening(): boolean {
         return this.server.listening;
     }
@@ -181,7 +187,7 @@
         response.once("close", () => {
             run.isCancelled = !response.writableFinished;
         });
-        await sleep(this.workMilliseconds);
+        await this.sleepWhileWorking(this.workMilliseconds);
         if (!this.isEngine && this.isDeadly(run)) {
             this.kill();
             return;
@@ -261,7 +267,7 @@
         }
         response.writeHead(statusOk, { "content-type": "text/event-stream", [HeaderNames.seal]: `seal-${run.attemptId}` });
         for (let event = run.startedAfter + 1; event <= this.eventCount; event += 1) {
-            await sleep(this.eventMilliseconds);
+            await this.sleepWhileWorking(this.eventMilliseconds);
             if (response.destroyed) {
                 return;
             }
@@ -275,7 +281,7 @@
             }
             response.write(`id: ${event}\ndata: piece ${event}\n\n`);
             if (event === run.startedAfter + 1 && this.isDeadly(run)) {
-                await sleep(this.eventMilliseconds);
+                await this.sleepWhileWorking(this.eventMilliseconds);
                 this.kill();
                 return;
             }
@@ -291,7 +297,7 @@
         const head = `HTTP/1.1 200 OK\r\n${HeaderNames.attemptId}: ${run.attemptId}\r\n${HeaderNames.seal}: seal-${run.attemptId}\r\n`;
         socket.write(`${head}content-type: text/event-stream\r\nconnection: close\r\n\r\n`);
         for (let event = run.startedAfter + 1; event <= this.eventCount; event += 1) {
-            await sleep(this.eventMilliseconds);
+            await this.sleepWhileWorking(this.eventMilliseconds);
             if (socket.destroyed) {
                 return;
             }
@@ -317,6 +323,12 @@
         return Math.ceil(this.eventCount / 2) + 1;
     }
 
+    /** Waits for as long as a piece of work takes, and until the process runs. */
+    private async sleepWhileWorking(milliseconds: number): Promise<void> {
+        await sleep(milliseconds);
+        await sleep(this.frozenUntil - performance.now());
+    }
+
     private restart(): void {
         if (this.isStopped) {
             return;
--- a/src/testing/cuttableConnector.ts
+++ b/src/testing/cuttableConnector.ts
@@ -18,11 +18,18 @@
 /** A port of loopback on which nothing listens. */
 const closedAddress: NetworkAddress = { host: "127.0.0.1", port: 9 };
 
+/** What happens to open connections; with the other cut they live on. */
+const moods: ReadonlyMap<PathCut, LinkMood> = new Map([
+    [PathCut.None, LinkMood.Well],
+    [PathCut.Silent, LinkMood.OpenOnesSilent],
+    [PathCut.Reset, LinkMood.Resetting],
+]);
+
 /** Connects one node to endpoints through proxies, so that its paths can be cut while other nodes keep theirs. */
 export class CuttableConnector implements EndpointConnector {
     /** Number of connections opened while the paths were not cut. */
     openedConnections = 0;
-    private cut = PathCut.None;
+    private readonly cuts = new Map<string, PathCut>();
     private readonly connector = TcpEndpointConnector.create();
     private readonly proxies = new Map<string, FaultProxy>();
 
@@ -37,25 +44,24 @@
         return connector;
     }
 
-    setCut(cut: PathCut): void {
-        this.cut = cut;
-        if (cut === PathCut.Silent) {
-            this.setMood(LinkMood.OpenOnesSilent);
-        }
-        if (cut === PathCut.Reset) {
-            this.setMood(LinkMood.Resetting);
-        }
-        if (cut === PathCut.None) {
-            this.setMood(LinkMood.Well);
+    /** Cuts the paths to the endpoints at some addresses, to all of them unless told otherwise. */
+    setCut(cut: PathCut, addresses: readonly string[] = [...this.proxies.keys()]): void {
+        for (const address of addresses) {
+            this.cuts.set(address, cut);
+            const mood = moods.get(cut);
+            if (mood !== undefined) {
+                this.proxies.get(address)?.setMood(mood);
+            }
         }
     }
 
     openConnection(address: NetworkAddress): Socket {
-        if (this.cut === PathCut.Silent) {
+        const cut = this.cuts.get(formatAddress(address)) ?? PathCut.None;
+        if (cut === PathCut.Silent) {
             // The address is never resolved, so the socket stays in the state of a connection that gets no answer.
             return new Socket().connect({ host: "cut.invalid", port: address.port, lookup: () => {} });
         }
-        if (this.cut !== PathCut.None) {
+        if (cut !== PathCut.None) {
             return this.connector.openConnection(closedAddress);
         }
         this.openedConnections += 1;
@@ -67,8 +73,4 @@
     async stop(): Promise<void> {
         await Promise.all([...this.proxies.values()].map(proxy => proxy.stop()));
     }
-
-    private setMood(mood: LinkMood): void {
-        this.proxies.forEach(proxy => proxy.setMood(mood));
-    }
 }
