Refuse requests before brittle endpoints have to reject them

Change: while a service says so, a node sends an endpoint at most its equal part of the slots, and nothing beyond the slots that all nodes know to be taken; after a rejection it leaves the endpoint alone for so long that all nodes together stay within the limit.

--- a/src/fleet/fleetEndpoint.ts
+++ b/src/fleet/fleetEndpoint.ts
@@ -124,9 +124,9 @@
         this.excludedUntil = now + Math.min(exclusion, maximumExclusionMilliseconds);
     }
 
-    /** Records that the endpoint refused a request because it was full. */
-    recordRefusal(now: number): void {
-        this.fullUntil = now + fullMilliseconds;
+    /** Records that the endpoint refused a request because it was full. It gets nothing for the pause, in milliseconds. */
+    recordRefusal(now: number, pause = fullMilliseconds): void {
+        this.fullUntil = now + pause;
     }
 
     /** Records that the endpoint wants no requests from this node before the given time. */
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -123,8 +123,12 @@
         }
     }
 
-    /** Sends the endpoint nothing new from now on if it is leaving, or for the time for which it asked. */
-    private applyNotice(notice: EndpointNotice): void {
+    /** Applies what the endpoint said of itself: it gets nothing new if it is leaving, or for the time for which it asked. */
+    private applyNotice(notice: EndpointNotice | undefined): void {
+        if (notice === undefined) {
+            return;
+        }
+        this.dependencies.brittleEndpoints.recordRejectionLimit(this.endpoint.entry.service, notice.rejectionLimit);
         if (notice.isLeaving) {
             this.dependencies.directory.markLeaving(this.endpoint, "own request");
         }
@@ -234,7 +238,7 @@
         }
         else if (code === Diagnostics.Endpoint_refused_before_running_0.code) {
             this.recordActivity();
-            this.endpoint.recordRefusal(now);
+            this.endpoint.recordRefusal(now, dependencies.brittleEndpoints.computePauseAfterRejection(this.endpoint.entry.service));
         }
         else if (code === Diagnostics.Endpoint_failed_with_status_0.code) {
             this.endpoint.recordErrorResponse();
--- a/src/gateway/callProtocol.ts
+++ b/src/gateway/callProtocol.ts
@@ -19,6 +19,8 @@
     readonly load: string;
     /** Marks a response of an endpoint that is leaving; its value is `1`. */
     readonly leaving: string;
+    /** Number of rejections in a second that the endpoint survives; absent where rejections do no harm. */
+    readonly rejectionLimit: string;
     readonly retryAfter: string;
     readonly lastEventId: string;
     /** Prompt parts as `id:tokens`, separated by commas. */
--- a/src/gateway/defaultCallProtocol.ts
+++ b/src/gateway/defaultCallProtocol.ts
@@ -10,6 +10,7 @@
     signature: "x-answer-signature",
     load: "x-endpoint-load",
     leaving: "x-endpoint-leaving",
+    rejectionLimit: "x-endpoint-rejection-limit",
     retryAfter: "retry-after",
     lastEventId: "last-event-id",
     promptParts: "x-prompt-parts",
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -28,13 +28,13 @@
     readonly isLeaving: boolean;
     /** Time for which it wants no more requests from this node, in milliseconds; undefined if it stated none. */
     readonly requestedPause: number | undefined;
+    /** Number of rejections in a second that it survives; undefined if they do it no harm. */
+    readonly rejectionLimit: number | undefined;
 }
 
 /** Number of probes by which an endpoint is found to be there still after a response that ended with its connection. */
 const maximumProbesAtEnd = 2;
 
-const emptyNotice: EndpointNotice = { isLeaving: false, requestedPause: undefined };
-
 /** Target, headers and limits of one attempt. Times are in milliseconds. */
 export interface ExchangeOptions {
     readonly call: IncomingCall;
@@ -50,7 +50,7 @@
 /** Sends the request of one attempt to its endpoint and validates the status and headers of the response. */
 export class EndpointExchange {
     private readonly request: EndpointRequest;
-    private notice = emptyNotice;
+    private notice: EndpointNotice | undefined;
 
     private constructor(
         private readonly options: ExchangeOptions,
@@ -95,8 +95,8 @@
         return Err(failure);
     }
 
-    /** Returns what the endpoint said of itself in the response; nothing before the response, or if another endpoint sent it. */
-    getNotice(): EndpointNotice {
+    /** Returns what the endpoint said of itself in the response; undefined before the response, or if another endpoint sent it. */
+    getNotice(): EndpointNotice | undefined {
         return this.notice;
     }
 
@@ -156,6 +156,7 @@
         return {
             isLeaving: response.headers[this.protocol.leaving] === "1",
             requestedPause: isRefusal ? parseRequestedPause(response.headers[this.protocol.retryAfter]) : undefined,
+            rejectionLimit: parseRejectionLimit(response.headers[this.protocol.rejectionLimit]),
         };
     }
 
@@ -205,6 +206,12 @@
     return Math.min(seconds * millisecondsPerSecond, maximumRequestedPauseMilliseconds);
 }
 
+/** Returns the number of rejections that a response states; undefined if it states none or no such number. */
+function parseRejectionLimit(header: string | string[] | undefined): number | undefined {
+    const limit = typeof header === "string" && header.trim() !== "" ? Number(header) : NaN;
+    return isCount(limit) ? limit : undefined;
+}
+
 function isCount(value: number | undefined): value is number {
     return value !== undefined && Number.isInteger(value) && value >= 0 && value <= maximumLoadCount;
 }
--- a/src/gateway/shortSilence.test.ts
+++ b/src/gateway/shortSilence.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, beforeEach, test } from "node:test";
+import { HeaderNames } from "../../platform/wire.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
@@ -56,3 +57,17 @@
     platform.engines.forEach(engine => (engine.eventMilliseconds = 5));
     assert.equal(response.status === 200 && response.isWhole, true);
 });
+
+test("a slow but sound stream is not cut by the probes of its quiet endpoint", async () => {
+    platform.engines.forEach(engine => {
+        engine.eventMilliseconds = 1_100;
+        engine.eventCount = 2;
+    });
+    const response = await gateway.sendCall("/notice/3", { method: "POST", body: "{}", headers: { [HeaderNames.deadline]: "4000" } });
+    platform.engines.forEach(engine => {
+        engine.eventMilliseconds = 5;
+        engine.eventCount = 5;
+    });
+    assert.equal(response.status === 200 && response.isWhole, true);
+    assert.equal(platform.engines.reduce((sum, engine) => sum + engine.runs.length, 0), 1);
+});
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -4,6 +4,7 @@
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { ServicePathTracker } from "../fleet/servicePathTracker.js";
 import { PromptShape } from "../fleet/types.js";
+import { BrittleEndpoints } from "../placement/brittleEndpoints.js";
 import { CallPlacementPolicy } from "../placement/callPlacementPolicy.js";
 import { PlacementUpdates } from "../placement/placementUpdates.js";
 import { ServiceWorkTracker } from "../placement/serviceWorkTracker.js";
@@ -81,6 +82,7 @@
     readonly poisonRequestDetector: PoisonRequestDetector;
     readonly crashCheck: EndpointCrashCheck;
     readonly paths: ServicePathTracker;
+    readonly brittleEndpoints: BrittleEndpoints;
     readonly pathProber: ServicePathProber;
     readonly placementUpdates: PlacementUpdates;
     readonly work: ServiceWorkTracker;
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -24,6 +24,7 @@
 import { nodePrefix, NodeRegistry } from "../../gossip/nodeRegistry.js";
 import { formatIncarnationKey, PeerTable } from "../../gossip/peerTable.js";
 import { WatchScheduler } from "../../gossip/watchScheduler.js";
+import { BrittleEndpoints } from "../../placement/brittleEndpoints.js";
 import { CallPlacementPolicy } from "../../placement/callPlacementPolicy.js";
 import { EndpointChooser } from "../../placement/endpointChooser.js";
 import { EnginePlacementPolicy } from "../../placement/enginePlacementPolicy.js";
@@ -183,8 +184,13 @@
             service => (configuration.getTable()?.findService(service)?.engine === undefined ? calls : engines),
             service => Math.floor((configuration.getTable()?.findService(service)?.connectionLimit ?? 1) / peers.countServingNodes()),
             context.get(Keys.VersionTraffic),
+            context.get(Keys.BrittleEndpoints),
         );
     });
+    container.bind(Keys.BrittleEndpoints).toDynamicValue(context => {
+        const peers = context.get(Keys.Peers);
+        return BrittleEndpoints.create(() => peers.countServingNodes());
+    });
 }
 
 function addDataPathBindings(container: Container, settings: GatewaySettings): void {
@@ -249,6 +255,7 @@
             poisonRequestDetector: context.get(Keys.PoisonRequestDetector),
             crashCheck: context.get(Keys.CrashCheck),
             paths: context.get(Keys.ServicePaths),
+            brittleEndpoints: context.get(Keys.BrittleEndpoints),
             pathProber: context.get(Keys.PathProber),
             placementUpdates: context.get(Keys.PlacementUpdates),
             work: context.get(Keys.ServiceWorkTracker),
--- a/src/node/gatewayKeys.ts
+++ b/src/node/gatewayKeys.ts
@@ -34,6 +34,7 @@
 import { PeerTable } from "../gossip/peerTable.js";
 import { RelaySelector } from "../gossip/relaySelector.js";
 import { WatchScheduler } from "../gossip/watchScheduler.js";
+import { BrittleEndpoints } from "../placement/brittleEndpoints.js";
 import { CallPlacementPolicy } from "../placement/callPlacementPolicy.js";
 import { EndpointChooser } from "../placement/endpointChooser.js";
 import { EnginePlacementPolicy } from "../placement/enginePlacementPolicy.js";
@@ -106,6 +107,7 @@
     PlacementUpdates: createKey<PlacementUpdates>("PlacementUpdates"),
     EnginePlacement: createKey<EnginePlacementPolicy>("EnginePlacement"),
     CallPlacement: createKey<CallPlacementPolicy>("CallPlacement"),
+    BrittleEndpoints: createKey<BrittleEndpoints>("BrittleEndpoints"),
     Chooser: createKey<EndpointChooser>("Chooser"),
     StoredQuarantines: createKey<StoredQuarantines>("StoredQuarantines"),
     QuarantineTrials: createKey<QuarantineTrials>("QuarantineTrials"),
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -7,6 +7,7 @@
 import { Verdict } from "../common/verdict.js";
 import { EndpointDirectory } from "../fleet/endpointDirectory.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { EndpointAdmission, unlimitedAdmission } from "./brittleEndpoints.js";
 import { Placement, PlacementCost, PlacementPolicy, PlacementQuery } from "./types.js";
 
 /** Share of the caller's remaining time that the expected time may take; the rest is a margin for errors of the estimate. */
@@ -46,6 +47,7 @@
         private readonly getPolicy: (service: string) => PlacementPolicy,
         private readonly getConnectionLimit: ConnectionLimitSource,
         private readonly traffic: EndpointGroupSource,
+        private readonly admission: EndpointAdmission,
     ) {}
 
     static create(
@@ -55,8 +57,9 @@
         getPolicy: (service: string) => PlacementPolicy,
         getConnectionLimit: ConnectionLimitSource,
         traffic: EndpointGroupSource = singleGroupSource,
+        admission: EndpointAdmission = unlimitedAdmission,
     ): EndpointChooser {
-        return new EndpointChooser(directory, clock, random, getPolicy, getConnectionLimit, traffic);
+        return new EndpointChooser(directory, clock, random, getPolicy, getConnectionLimit, traffic, admission);
     }
 
     /** Chooses an endpoint; fails when no endpoint is available or none is expected to serve the request before its deadline. */
@@ -147,7 +150,10 @@
         const now = this.clock.getMonotonicTime();
         const limit = Math.max(1, this.getConnectionLimit(query.service) - reservedConnections);
         const usable = group.filter(endpoint => endpoint.isUsable());
-        const untried = usable.filter(endpoint => !query.triedEndpoints.has(endpoint) && !endpoint.isFull(now) && endpoint.running < limit);
+        const withRoom = this.admission.selectWithRoom(query.service, usable);
+        const untried = withRoom.filter(endpoint =>
+            !query.triedEndpoints.has(endpoint) && !endpoint.isFull(now) && endpoint.running < limit
+        );
         const notExcluded = untried.filter(endpoint => !endpoint.isExcluded(now));
         // Endpoints excluded because they did not respond are used only when no other endpoint is left.
         return notExcluded.length > 0 ? notExcluded : untried;
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -6,6 +6,9 @@
 const statusOk = 200;
 const statusMisdirected = 421;
 const statusUnavailable = 503;
+/** Requests that a worker runs at once; a brittle one lets none wait. */
+const slotCount = 6;
+const rejectionWindowMilliseconds = 1_000;
 
 /** What goes wrong with the next request of a worker. */
 export enum WorkerFault {
@@ -80,6 +83,8 @@
     announcesLeaving = false;
     /** Retry-After of its refusals; undefined where it sends none. */
     refusalPause: string | undefined;
+    /** Number of rejections in a second that it survives, which it states in all its answers; undefined if it is not brittle. */
+    rejectionLimit: number | undefined;
     workMilliseconds = 0;
     eventCount = 5;
     eventMilliseconds = 5;
@@ -95,6 +100,8 @@
     private readonly server: Server;
     private readonly sockets = new Set<Socket>();
     private address = "";
+    private running = 0;
+    private rejectedAt: number[] = [];
     private isStopped = false;
     private frozenUntil = -Infinity;
 
@@ -152,7 +159,7 @@
             addr: this.getAddress(),
             zone: this.zone,
             version: this.version,
-            slots: 6,
+            slots: slotCount,
             state: this.isDraining ? "draining" : "ready",
             "cold-left-ms": 0,
             seq: 1,
@@ -167,6 +174,9 @@
         if (this.announcesLeaving) {
             response.setHeader(HeaderNames.serverLeaving, "1");
         }
+        if (this.rejectionLimit !== undefined) {
+            response.setHeader(HeaderNames.serverBrittle, String(this.rejectionLimit));
+        }
         const expected = request.headers[HeaderNames.expectInstance];
         if (expected !== undefined && expected !== this.id) {
             response.writeHead(statusMisdirected, { [HeaderNames.instanceId]: this.id });
@@ -180,11 +190,17 @@
             response.end();
             return;
         }
+        if (this.rejectionLimit !== undefined && this.running >= slotCount) {
+            this.rejectForWantOfRoom(response, this.rejectionLimit);
+            return;
+        }
         const startedAfter = Number(request.headers["last-event-id"] ?? 0);
         const { method = "", url = "", headers } = request;
         const run: RunRecord = { attemptId, method, target: url, headers, body, startedAfter, isCancelled: false };
         this.runs.push(run);
+        this.running += 1;
         response.once("close", () => {
+            this.running -= 1;
             run.isCancelled = !response.writableFinished;
         });
         await this.sleepWhileWorking(this.workMilliseconds);
@@ -199,6 +215,18 @@
         this.sendAnswer(run, fault, response);
     }
 
+    private rejectForWantOfRoom(response: ServerResponse, limit: number): void {
+        const now = performance.now();
+        this.rejectedAt = [...this.rejectedAt.filter(at => now - at < rejectionWindowMilliseconds), now];
+        if (this.rejectedAt.length > limit) {
+            this.rejectedAt = [];
+            this.kill();
+            return;
+        }
+        response.writeHead(statusUnavailable, { [HeaderNames.notRun]: "1" });
+        response.end();
+    }
+
     private sendAnswer(run: RunRecord, fault: WorkerFault, response: ServerResponse): void {
         const { socket } = response;
         if (!socket) {
