Count no crash on the product's own interface while the node reaches no endpoint

A node that is cut off from all endpoints would quarantine what ran there. Change: a crash counts only if one of three other endpoints answers. Remains: the comparison may use an open connection that outlives the path.

--- a/src/requests/commands/endpointProbe.test.ts
+++ b/src/requests/commands/endpointProbe.test.ts
@@ -2,8 +2,9 @@
 import { test } from "node:test";
 import { Diagnostics } from "../../common/diagnostics.js";
 import { Failure } from "../../common/failure.js";
-import { Err } from "../../common/results.js";
+import { Err, Ok } from "../../common/results.js";
 import { Verdict } from "../../common/verdict.js";
+import { NetworkAddress } from "../../config/types.js";
 import { ModelEndpointClient } from "../../endpoints/modelEndpoint.js";
 import { EndpointState } from "../../endpoints/types.js";
 import { VirtualClock } from "../../testing/virtualClock.js";
@@ -13,17 +14,26 @@
 
 const fingerprint = "hash-of-prompt";
 
-/** Probes an endpoint whose responses fail with the given verdicts, one after the other; returns the crashes that are counted. */
-async function countCrashes(verdicts: Verdict[], responseMilliseconds: number): Promise<number> {
+const otherAddress = { host: "127.0.0.1", port: 10 };
+
+/**
+ * Probes an endpoint whose responses fail with the given verdicts, one after the other, beside another endpoint that answers unless
+ * told otherwise; returns the crashes that are counted.
+ */
+async function countCrashes(verdicts: Verdict[], responseMilliseconds: number, doesOtherAnswer = true): Promise<number> {
     const clock = VirtualClock.create();
     const ledger = QuarantineLedger.create(clock, 600_000);
     const client = {
-        fetchLoad: async () => {
+        fetchLoad: async (address: NetworkAddress) => {
             await clock.sleep(responseMilliseconds);
+            if (address === otherAddress && doesOtherAnswer) {
+                return Ok({});
+            }
             return Err(Failure.create(verdicts.shift() ?? Verdict.MayHaveRun, Diagnostics.Endpoint_refused_the_connection_0, "lost"));
         },
     } as unknown as ModelEndpointClient;
-    const registry = { recordFailure: () => {} } as unknown as EndpointRegistry;
+    const other = { name: "other", state: EndpointState.Live, description: { address: otherAddress } };
+    const registry = { recordFailure: () => {}, listEntries: () => [other] } as unknown as EndpointRegistry;
     const notifier = { sendUrgentDigest: () => Promise.resolve() };
     const attempt = { fingerprint, holdsSuspectLock: false, countEmittedTokens: () => 0 };
     const entry = {
@@ -46,3 +56,8 @@
     assert.equal(await countCrashes([Verdict.MayHaveRun, Verdict.NotRun], 400), 0);
     assert.equal(await countCrashes([], 2), 0);
 });
+
+// Guards against counting the lost paths of a node that is cut off as crashes of endpoints that run.
+test("an endpoint that refuses connections does not count as crashed while others do not answer either", async () => {
+    assert.equal(await countCrashes([Verdict.NotRun, Verdict.NotRun], 2, false), 0);
+});
--- a/src/requests/commands/endpointProbe.ts
+++ b/src/requests/commands/endpointProbe.ts
@@ -1,5 +1,6 @@
 import { Clock } from "../../common/clock.js";
 import { Failure } from "../../common/failure.js";
+import { listByRendezvousRank } from "../../common/hashing.js";
 import { Result } from "../../common/results.js";
 import { Verdict } from "../../common/verdict.js";
 import { ModelEndpointClient } from "../../endpoints/modelEndpoint.js";
@@ -16,6 +17,9 @@
 /** Pause before a probe is repeated, in milliseconds: the kernel closes the sockets of an ended process within that time. */
 const probePauseMilliseconds = 20;
 
+/** Number of other endpoints of which one must answer before a refused connection counts as a crash. */
+const comparedEndpoints = 3;
+
 /** Result of a probe over a new connection. */
 export enum ProbeResult {
     /** The endpoint responded: only the earlier connection was lost. */
@@ -66,7 +70,7 @@
             this.registry.recordLoad(entry.name, load.val, 0);
             return ProbeResult.Reachable;
         }
-        const hasCrashed = load.val.verdict === Verdict.NotRun;
+        const hasCrashed = load.val.verdict === Verdict.NotRun && await this.isOtherEndpointReachable(entry);
         this.registry.recordFailure(entry, hasCrashed ? EndpointEvidence.Crash : EndpointEvidence.ConnectionFailure);
         if (!hasCrashed) {
             return ProbeResult.Unreachable;
@@ -77,6 +81,19 @@
         return ProbeResult.Crashed;
     }
 
+    /**
+     * Returns whether some other endpoint answers. A node that is cut off is refused everywhere, and its own network paths must not
+     * count against endpoints or their requests.
+     */
+    private async isOtherEndpointReachable(entry: EndpointEntry): Promise<boolean> {
+        const others = this.registry.listEntries().filter(other => other !== entry && other.state !== EndpointState.Removed);
+        const compared = listByRendezvousRank(entry.name, others, other => other.name).slice(0, comparedEndpoints);
+        const loads = await Promise.all(
+            compared.map(other => this.client.fetchLoad(other.description.address, probeTimeLimitMilliseconds)),
+        );
+        return loads.some(load => load.ok);
+    }
+
     /** Fetches the endpoint's load, again where the connection was lost before the time limit. */
     private async fetchLoad(entry: EndpointEntry): Promise<Result<LoadReport, Failure>> {
         const { address } = entry.description;
