Hand plain calls to a peer when no connection to an endpoint can be made

Change: an idempotent call that cannot be connected to two endpoints goes to a peer, and is tried here again if none takes it; a call that may run once goes there after its claim is released. What came from a peer is not passed on.

--- a/src/requests/commands/plainCallRunner.ts
+++ b/src/requests/commands/plainCallRunner.ts
@@ -23,6 +23,8 @@
 
 /** Maximum number of attempts of one call. */
 const attemptLimit = 6;
+/** Number of endpoints to which a call cannot connect, after which a peer is asked: the node's own network paths may be lost. */
+const connectFailuresUntilPeer = 2;
 /** HTTP statuses after which an idempotent call is retried at another endpoint. */
 const retriableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
@@ -33,7 +35,7 @@
     readonly isReplayed: boolean;
 }
 
-/** Forwards a call to a peer that can reach the platform. */
+/** Forwards a call to a peer that can reach what this node cannot. */
 export interface CallForwarder {
     /** Returns undefined if no peer accepted the call; the call has not run in that case. */
     forwardCall(request: PlainRequest, history: RequestHistory): Promise<Result<PlainCallResult, Failure> | undefined>;
@@ -91,8 +93,7 @@
         }
         this.dependencies.budget.recordRequest();
         if (service.idempotent) {
-            const response = await this.runAttempts(request, service, history, span, signal);
-            return response.map(val => ({ answer: val, isReplayed: false }));
+            return this.runAttempts(request, service, history, span, signal, isForwarded);
         }
         return this.runClaimedCall(request, service, history, span, signal, isForwarded);
     }
@@ -130,7 +131,7 @@
             case ClaimOutcome.PlatformUnreachable:
                 return this.forwardCall(request, history, isForwarded);
             case ClaimOutcome.Claimed:
-                return this.runOwnedClaim(claimed.claim as OwnedClaim, request, service, history, span, signal);
+                return this.runOwnedClaim(claimed.claim as OwnedClaim, request, service, history, span, signal, isForwarded);
         }
     }
 
@@ -166,16 +167,22 @@
         history: RequestHistory,
         span: Span,
         signal: AbortSignal,
+        isForwarded: boolean,
     ): Promise<Result<PlainCallResult, Failure>> {
-        const result = await this.runAttempts(request, service, history, span, signal);
+        // A peer would find the claim taken, so none is asked before the claim is released.
+        const result = await this.runAttempts(request, service, history, span, signal, true);
         if (result.ok) {
-            await this.dependencies.claims.storeResponse(claim, result.val);
-            return Ok({ answer: result.val, isReplayed: false });
+            await this.dependencies.claims.storeResponse(claim, result.val.answer);
+            return result;
+        }
+        if (result.val.verdict !== Verdict.NotRun) {
+            return result;
         }
-        if (result.val.verdict === Verdict.NotRun) {
-            await this.dependencies.claims.releaseClaim(claim);
+        await this.dependencies.claims.releaseClaim(claim);
+        if (isForwarded || !isConnectFailure(result.val)) {
+            return result;
         }
-        return result;
+        return await this.dependencies.forwarder.forwardCall(request, history) ?? result;
     }
 
     private async runAttempts(
@@ -184,8 +191,10 @@
         history: RequestHistory,
         span: Span,
         signal: AbortSignal,
-    ): Promise<Result<PlainResponse, Failure>> {
+        isForwarded: boolean,
+    ): Promise<Result<PlainCallResult, Failure>> {
         const excluded = new Set<string>();
+        let connectFailures = 0;
         const version = this.dependencies.versions.selectVersion(service, request.id);
         for (let count = 0; count < attemptLimit; count += 1) {
             const slot = await this.acquireSlot(request, service, version, excluded, count > 0, signal);
@@ -195,7 +204,14 @@
             const attempt = await this.runAttempt(request, service, slot.val, version, history, span, signal);
             const isLast = count === attemptLimit - 1 || !this.canRetry(service, attempt, signal);
             if (attempt.response !== undefined && (isLast || !retriableStatuses.has(attempt.response.status))) {
-                return Ok(attempt.response);
+                return Ok({ answer: attempt.response, isReplayed: false });
+            }
+            connectFailures += attempt.failure !== undefined && isConnectFailure(attempt.failure) ? 1 : 0;
+            if (!isForwarded && connectFailures === connectFailuresUntilPeer && history.verdict === Verdict.NotRun) {
+                const forwarded = await this.dependencies.forwarder.forwardCall(request, history);
+                if (forwarded !== undefined) {
+                    return forwarded;
+                }
             }
             if (isLast) {
                 const failure = attempt.failure as Failure;
@@ -344,3 +360,8 @@
         }
     }
 }
+
+/** Returns whether no connection to the endpoint was established. */
+function isConnectFailure(failure: Failure): boolean {
+    return failure.message.code === Diagnostics.Endpoint_refused_the_connection_0.code;
+}
