--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -156,6 +156,10 @@
                 }
                 continue;
             }
+            if (this.hasExhaustedPaths()) {
+                const failure = Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, call.service);
+                return this.createFailureReport(failure);
+            }
             if (placement.err) {
                 this.recordUnplacedDemand();
                 return this.createFailureReport(placement.val);
@@ -184,6 +188,11 @@
             || (placement.err && this.connectFailures > 0);
     }
 
+    /** Returns whether further attempts would only wait for connections that are not established; asked when no peer takes the call. */
+    private hasExhaustedPaths(): boolean {
+        return this.connectFailures >= connectFailuresUntilPeer && this.dependencies.paths.isUnreachable(this.call.service);
+    }
+
     /** Picks a peer for the call. A call that came from a peer stays here, so that no two nodes pass it to and fro. */
     private pickPeer(): GatewayPeer | undefined {
         if (this.origin !== undefined || this.triedPeers.size >= peerLimit) {
