Drop the part of a broken event before a stream goes on over a peer

What callers would see: a resumable stream whose endpoint crashed inside an event, and that its node then handed to a peer, got the beginning of the broken event in front of the first event from the peer (MIXED). Cause: an attempt of the node's own drops what the earlier one left in the splitter; the one over a peer did not. A head without a content type from a peer is read as a stream, as from an endpoint.

--- a/src/gateway/endpointPartition.test.ts
+++ b/src/gateway/endpointPartition.test.ts
@@ -2,6 +2,7 @@
 import { after, afterEach, before, test } from "node:test";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { WorkerFault } from "../standins/routed/routedWorker.js";
 import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
 import { pickFreePort } from "../testing/daemons.js";
 import { CallerView, RoutedGateway, waitUntil } from "../testing/routedGateway.js";
@@ -65,6 +66,25 @@
     return responses;
 }
 
+// Guards against joining the part of an event that a crash left behind to the events that come over a peer.
+test("a stream that breaks off inside an event goes on over a peer without a piece of the broken event", async () => {
+    platform.engines.forEach(engine => {
+        engine.eventMilliseconds = 60;
+        engine.faults.push(WorkerFault.BreakStream);
+    });
+    const sent = cutOff.sendCall("/question/broken", { method: "POST", body: "broken" });
+    await waitUntil(() => platform.engines.some(engine => engine.runs.length > 0));
+    platform.engines.filter(engine => engine.runs.length === 0).forEach(engine => engine.faults.splice(0));
+    connector.setCut(PathCut.NewRefused);
+    const response = await sent;
+    platform.engines.forEach(engine => {
+        engine.eventMilliseconds = 5;
+        engine.runs.length = 0;
+    });
+    assert.equal(response.isWhole, true);
+    assert.equal(response.body, [1, 2, 3, 4, 5].map(id => `id: ${id}\ndata: piece ${id}\n\n`).join(""));
+});
+
 for (const cut of [PathCut.Silent, PathCut.Reset, PathCut.NewRefused]) {
     // Guards against callers of a node that is cut off from all endpoints being refused, while its peers reach every endpoint.
     test(`a node that is cut off from all endpoints (${cut}) serves its callers`, async () => {
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -111,9 +111,14 @@
         return this.createLostResult("the events ended early");
     }
 
+    /** Returns the relay of the call's event stream, ready for the events of another node; undefined if the response is no stream. */
     private findStream(head: ResponseHead): EventStreamRelay | undefined {
         const index = head.headers.findIndex((name, position) => position % 2 === 0 && name.toLowerCase() === "content-type");
-        return isEventStream(head.status, head.headers[index + 1]) ? this.options.stream : undefined;
+        if (!isEventStream(head.status, index < 0 ? undefined : head.headers[index + 1])) {
+            return undefined;
+        }
+        this.options.stream?.removeIncompleteEvent();
+        return this.options.stream;
     }
 
     private startResponse(head: ResponseHead): void {
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -112,6 +112,11 @@
         return this.splitter.getLastEventId();
     }
 
+    /** Drops the part of an event that an earlier attempt left behind; must be called before the events of another node are written. */
+    removeIncompleteEvent(): void {
+        this.splitter.removeIncompleteEvent();
+    }
+
     /** Writes whole events that another node has split from a response; returns false when the writer must wait for the caller. */
     writeEvents(events: Buffer): boolean {
         return this.caller.writeBytes(this.splitter.addBytes(events));
