Tell that a call has not run when the peer that was to forward it cannot be reached

Cause: the client opens its session with the first event, so a refused connection came up while the events were read.

--- a/src/gateway/endpointPartition.test.ts
+++ b/src/gateway/endpointPartition.test.ts
@@ -105,3 +105,28 @@
         assert.equal(peer.node.container.get(Keys.Ledger).isEmpty(), true);
     });
 }
+
+// Guards against telling callers that a call may have run when the peer that was to forward it could not even be reached.
+test("a call is refused as not run when neither an endpoint nor a peer can be reached", async context => {
+    const lonelyPlatform = RoutedPlatform.create();
+    await lonelyPlatform.start();
+    const lonelyConnector = await CuttableConnector.start(lonelyPlatform.listWorkers().map(worker => worker.getAddress()));
+    const lonely = await RoutedGateway.start(lonelyPlatform, { name: "lonely", connector: lonelyConnector });
+    context.after(async () => {
+        await lonely.stop();
+        await lonelyPlatform.stop();
+        await lonelyConnector.stop();
+    });
+    lonelyConnector.setCut(PathCut.Reset);
+    const gone = { name: "gone", failureDomain: "xela", address: "127.0.0.1:9", incarnation: 1 };
+    for (const path of ["/voucher/nobody", "/notice/nobody"]) {
+        lonely.node.container.get(Keys.Peers).recordRelayedState(gone, 0, {
+            isLeaving: false,
+            isStoreReachable: true,
+            holdsLease: false,
+            unreachableServices: [],
+        });
+        const response = await lonely.sendCall(path, { method: "POST", body: path });
+        assert.equal(response.status, 503, response.body);
+    }
+});
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -1,5 +1,5 @@
 import { Diagnostics, findDiagnosticMessage } from "../common/diagnostics.js";
-import { describeError, Failure } from "../common/failure.js";
+import { describeError, Failure, isConnectFailure } from "../common/failure.js";
 import { Verdict } from "../common/verdict.js";
 import { parseAddress } from "../config/sectionReader.js";
 import { NetworkAddress } from "../config/types.js";
@@ -85,7 +85,7 @@
             return await this.relayEvents(events.val);
         }
         catch (error) {
-            return this.createLostResult(describeError(error));
+            return this.createLostResult(error);
         }
     }
 
@@ -108,7 +108,7 @@
                 return this.finishResponse(event.value);
             }
         }
-        return this.createLostResult("the events ended early");
+        return this.createLostResult(new Error("the events ended early"));
     }
 
     /** Returns the relay of the call's event stream, ready for the events of another node; undefined if the response is no stream. */
@@ -147,10 +147,12 @@
         return this.createResult(failure, end.runs, end.endpoint);
     }
 
-    /** Creates the result of an attempt whose peer was lost, so that its outcome is unknown. */
-    private createLostResult(cause: string): PeerAttemptResult {
-        const message = Diagnostics.Node_at_0_did_not_answer_1;
-        return this.createResult(Failure.create(Verdict.MayHaveRun, message, this.options.peer.address, cause), 1);
+    /** Creates the result of an attempt whose peer was lost: its outcome is unknown, unless no connection to the peer was established. */
+    private createLostResult(error: unknown): PeerAttemptResult {
+        const isNotRun = error instanceof Error && isConnectFailure(error.cause);
+        const verdict = isNotRun ? Verdict.NotRun : Verdict.MayHaveRun;
+        const failure = Failure.create(verdict, Diagnostics.Node_at_0_did_not_answer_1, this.options.peer.address, describeError(error));
+        return this.createResult(failure, isNotRun ? 0 : 1);
     }
 
     private createResult(failure: Failure | undefined, runs: number, endpoint = ""): PeerAttemptResult {
