Test that a large fleet hears over relays which services a node cannot reach

Coverage of the hand-over of calls where most nodes hear of one another over relays: 74 nodes, told and taken back within three seconds.

--- a/src/gossip/relays.test.ts
+++ b/src/gossip/relays.test.ts
@@ -25,6 +25,7 @@
     readonly loads: PeerLoadTracker;
     readonly directory: EndpointDirectory;
     isUp = true;
+    unreachableServices: string[] = [];
     exchangeCount = 0;
     private readonly sums: FleetSummaryAggregator;
 
@@ -50,6 +51,7 @@
         return create(GatewayDigestSchema, {
             member: { ...this.table.identity, incarnation: 1n },
             isStoreReachable: true,
+            unreachableServices: this.unreachableServices,
             demands,
             loads: this.loads.listLocalLoads(),
             summary: this.sums.createSummary(peer),
@@ -209,3 +211,16 @@
     receiveDigests(false);
     assert.equal(plan.isFollowingReader(), true);
 });
+
+// Guards against calls being handed to a node that is itself cut off, in a fleet where most nodes hear of it over relays.
+test("each of 74 nodes hears within three seconds which services another one cannot reach, and that it reaches them again", async () => {
+    const clock = VirtualClock.create();
+    const fleet = new GossipTestFleet(clock, 74, ["a", "b", "c"]);
+    await fleet.runRounds(10);
+    const [cutOff, ...others] = fleet.nodes as [GossipTestNode, ...GossipTestNode[]];
+    for (const services of [["redactor"], []]) {
+        cutOff.unreachableServices = services;
+        await fleet.runRounds(6);
+        others.forEach(node => assert.deepEqual(node.table.findPeer(cutOff.name)?.unreachableServices, services));
+    }
+});
