--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -4,6 +4,8 @@
 
 const options = JSON.parse(process.argv[2]);
 const { id, slots = 6, workMs = 50, isEngine = false, eventCount = 8, eventMs = 60, answerBytes = 0, isUnframed = false } = options;
+/** The line by which a spoiled head is no HTTP: by default a header whose name has a space in it. */
+const { spoiledLine = "Cache Status: miss" } = options;
 /** Every so many answers are spoiled while the fault is on; 0 for none. */
 let spoilEvery = 0;
 let isLeaving = false;
@@ -72,18 +74,23 @@
     return Buffer.from(answerBytes === 0 ? text : text.repeat(Math.ceil(answerBytes / text.length)).slice(0, answerBytes));
 }
 
-/** Sends bytes that are no HTTP response: the line "Cache Status" has a space in the name of a header. */
+/** Sends bytes that are no HTTP response, since one line of the head is none that HTTP knows. */
 function spoilAnswer(attempt, response) {
     const type = isEngine ? "text/event-stream" : "text/plain";
     const body = isEngine ? "id: 1\ndata: piece 1\n\n" : "answer";
     report({ spoiled: attempt });
     response.socket.write(
-        `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nServer-Seal: seal-${attempt}\r\nCache Status: miss\r\n`
+        `HTTP/1.1 200 OK\r\nAttempt-Id: ${attempt}\r\nServer-Seal: seal-${attempt}\r\n${spoiledLine}\r\n`
             + `Content-Type: ${type}\r\nContent-Length: ${body.length}\r\n\r\n${body}`,
     );
 }
 
 async function sendStream(attempt, response) {
+    if (isUnframed) {
+        // Neither a length nor chunks: the end of the channel is the end of the answer.
+        response.useChunkedEncodingByDefault = false;
+        response.shouldKeepAlive = false;
+    }
     response.writeHead(200, { "Content-Type": "text/event-stream", "Server-Seal": `seal-${attempt}` });
     for (let event = 1; event <= eventCount && !response.destroyed; event += 1) {
         response.write(`id: ${event}\ndata: piece ${event}\n\n`);
