--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,68 +1,73 @@
-// A worker drains and exits as planned; its streams, which have no length, end early and look complete to their clients.
+// An entry of another writer, whose name can't be read, is taken for a worker; calls that are placed there are never answered.
 import { dirname } from "node:path";
 import { fileURLToPath } from "node:url";
 import { Client } from "../lib/client.mjs";
 import { isTroubled, runCase, sleep } from "../lib/deployment.mjs";
 
-const clientCount = 10;
-const eventCount = 64;
-const drainMilliseconds = 2_000;
-/** "and a little longer" */
-const longerMilliseconds = 300;
+const timeoutMilliseconds = 1_500;
+/** A request without an answer this long after its route's `timeout-ms` counts as unanswered. */
+const graceMilliseconds = 500;
+/** CONFIG speaks of eight or more requests. */
+const leastRequests = 8;
+const clientCount = 12;
 
 await runCase(dirname(fileURLToPath(import.meta.url)), async deployment => {
-    const ranAt = new Map();
     const handle = (message, worker) => {
         if (message.run !== undefined) {
-            ranAt.set(message.run, worker.id);
             deployment.note(`${worker.id} began to run ${message.run}`);
         }
     };
-    const startEngine = id => deployment.startWorker(
-        "redactor",
-        "a",
-        { id, slots: 64, workMs: 50, isEngine: true, isUnframed: true, eventMs: 100, eventCount },
-        handle,
-    );
-    deployment.writeManifest(3, [
-        { name: "notice", "path-prefix": "/notice/", kind: "stream", "timeout-ms": 15_000, "goal-ms": 1_500, service: "redactor", attempts: 1 },
-    ], [{ name: "redactor" }]);
-    const old = await startEngine("engine-1");
-    await startEngine("engine-2");
+    deployment.writeManifest(3, [{
+        name: "lookup",
+        "path-prefix": "/lookup/",
+        kind: "safe",
+        "timeout-ms": timeoutMilliseconds,
+        "goal-ms": 300,
+        service: "mostrador",
+        attempts: 2,
+    }], [{ name: "mostrador" }]);
+    for (const id of ["app-1", "app-2"]) {
+        await deployment.startWorker("mostrador", "a", { id, workMs: 60, slots: 12 }, handle);
+    }
     const gateway = await deployment.startGateway("front-a-1", "a");
     await sleep(4_000);
 
     let isRunning = true;
     const seen = [];
     const loops = Array.from({ length: clientCount }, async (_, index) => {
-        await sleep(index * 400);
-        const client = new Client(gateway.front);
+        let client = new Client(gateway.front);
         for (let count = 1; isRunning; count += 1) {
-            const answer = await client.send({ id: `notice-${index}-${count}`, path: `/notice/${index}`, deadline: 15_000 });
+            // The client waits for much longer than it has to, to see whether an answer comes at all.
+            const answer = await client.send({
+                id: `lookup-${index}-${count}`,
+                method: "GET",
+                path: `/lookup/${index}`,
+                deadline: timeoutMilliseconds,
+                limit: 3 * timeoutMilliseconds,
+            });
             seen.push(answer);
-            const last = [...String(answer.body).matchAll(/^id: (\d+)$/gm)].at(-1)?.[1] ?? "none";
-            answer.last = Number(last);
-            deployment.note(`${answer.id} at ${ranAt.get(answer.id)}: ${answer.end}, status ${answer.status}, last event ${last} of ${eventCount}`);
+            deployment.note(`${answer.id}: ${answer.end}, status ${answer.status}, ${answer.milliseconds} ms`);
+            if (answer.end === "no answer") {
+                client.close();
+                client = new Client(gateway.front);
+            }
+            await sleep(20);
         }
         client.close();
     });
-    await sleep(5_000);
-    // The new one starts first, the old one drains.
-    await startEngine("engine-3");
+    await sleep(3_000);
     if (isTroubled) {
-        deployment.store.put("servers", old.id, { ...old.entry, state: "draining" });
-        deployment.note("engine-1 reports draining, and the store acknowledges it");
-        await sleep(drainMilliseconds + longerMilliseconds);
-        old.child.send({ exit: true });
-        deployment.store.remove("servers", old.id);
-        deployment.note("engine-1 exits");
+        // A JSON decoder puts U+FFFD where bytes are no UTF-8.
+        deployment.store.put("servers", "i-\ufffd\ufffd91c2", { ...deployment.workers[0].entry, addr: deployment.workers[1].address });
+        deployment.note("another writer adds an entry to the store; its name holds bytes that can't be read");
     }
-    await sleep(2_000);
+    await sleep(12_000);
     isRunning = false;
     await Promise.all(loops);
 
-    const early = seen.filter(answer => answer.end === "answered" && answer.status === 200 && answer.last < eventCount);
-    early.forEach(answer => deployment.note(`${answer.id}: ended as complete after event ${answer.last} of ${eventCount}`));
-    deployment.note(`${seen.length} streams, ${early.length} of them ended as complete before their last piece`);
-    return early.length > 0;
+    const open = seen.filter(answer => answer.milliseconds > timeoutMilliseconds);
+    const late = open.filter(answer => answer.milliseconds > timeoutMilliseconds + graceMilliseconds);
+    deployment.note(`${seen.length} requests; ${open.length} without an answer at timeout-ms, ${late.length} of them without one half a second later`);
+    deployment.note(`the process still runs: ${!gateway.isEnded}`);
+    return late.length >= leastRequests && late.length > open.length / 2;
 });
--- a/review/lib/worker.mjs
+++ b/review/lib/worker.mjs
@@ -9,6 +9,8 @@
 /** Every so many answers are spoiled while the fault is on; 0 for none. */
 let spoilEvery = 0;
 let isLeaving = false;
+/** Time from the first event of a request to /poison/ until it crashes the process; undefined if it does not. */
+const { crashMs } = options;
 let answers = 0;
 let running = 0;
 
@@ -56,6 +58,12 @@
         return;
     }
     if (isEngine) {
+        if (crashMs !== undefined && request.url.includes("/poison")) {
+            setTimeout(() => {
+                report({ crashedBy: attempt });
+                setImmediate(() => process.exit(1));
+            }, crashMs);
+        }
         await sendStream(attempt, response);
         return;
     }
