--- a/review/lib/deployment.mjs
+++ b/review/lib/deployment.mjs
@@ -49,12 +49,23 @@
     return `${host}:${server.address().port}`;
 }
 
-/** Returns a port that is free now. */
+const lowestPort = 12_000;
+const portCount = 18_000;
+
+/** Returns a port that is free now, outside the range from which the system picks ports for channels. */
 async function pickPort() {
-    const server = createTcpServer();
-    const address = await listen(server);
-    await new Promise(resolve => server.close(resolve));
-    return Number(address.split(":")[1]);
+    for (;;) {
+        const port = lowestPort + Math.floor(Math.random() * portCount);
+        const server = createTcpServer();
+        const isFree = await new Promise(resolve => {
+            server.once("error", () => resolve(false));
+            server.listen(port, "127.0.0.1", () => resolve(true));
+        });
+        await new Promise(resolve => server.close(resolve));
+        if (isFree) {
+            return port;
+        }
+    }
 }
 
 /** The platform's object store, in memory (PROTOCOL.md, "The platform's metadata store"). */
