Treat a malformed response head as a failure of its endpoint

What callers saw: one endpoint of streams sent a head with 'Cache Status: miss'.

Cause: the runtime's parser accepts heads that its own server refuses to send. The refusal was thrown in the handler of a data event. Evidence: ERR_INVALID_HTTP_TOKEN on standard error, thrown by writeHead below EventStreamRelay.

Change: heads are checked before use, on both interfaces. An exception while a stream is relayed ends its call alone, and an uncaught one lets the daemons finish their open requests. New log line 'process failed'; an unreadable response names what cannot be read.

--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -121,7 +121,7 @@
     Answer_names_another_request_0: createError(3018, "The endpoint's response names another request: '{0}'.", 502),
     Configuration_is_not_loaded: createError(3019, "The configuration is not loaded yet.", 503),
     Answer_is_larger_than_0_bytes: createError(3020, "The endpoint's response is larger than {0} bytes.", 502),
-    Endpoint_sent_an_answer_that_cannot_be_read: createError(3021, "The endpoint sent a response that cannot be parsed.", 502),
+    Endpoint_sent_an_answer_that_cannot_be_read_0: createError(3021, "The endpoint sent a response that cannot be parsed: {0}.", 502),
     Request_failed_at_0_attempts_last_1: createError(3022, "The request failed at {0} attempts; the last one: {1}", 502),
 
     Another_endpoint_has_the_address: createError(3023, "Another endpoint has the address.", 503),
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -34,6 +34,11 @@
     ProcessStarted: createInfo("process started", stateChangeLinesPerSecond, "The process listens: its addresses and incarnation."),
     ProcessStopping: createInfo("process stopping", stateChangeLinesPerSecond, "A signal was received; open requests are finished."),
     ProcessStopped: createInfo("process stopped", stateChangeLinesPerSecond, "Everything is closed; how many requests were cut off."),
+    ProcessFailed: createWarning(
+        "process failed",
+        stateChangeLinesPerSecond,
+        "An exception that nothing caught; the process finishes its open requests and ends.",
+    ),
     SettingsReloaded: createInfo("settings reloaded", stateChangeLinesPerSecond, "The settings file was read again; what changed."),
     SettingsRefused: createWarning(
         "settings refused",
--- a/src/daemon/gatewayDaemon.ts
+++ b/src/daemon/gatewayDaemon.ts
@@ -1,9 +1,9 @@
 import { stat } from "node:fs/promises";
 import { parseArgs } from "node:util";
 import { createDiagnostic, Diagnostics, formatDiagnostic } from "../common/diagnostics.js";
-import { describeError } from "../common/failure.js";
+import { describeError, readErrorCode } from "../common/failure.js";
 import { LogEvents } from "../common/logEvents.js";
-import { waitForStopSignal } from "../common/stopSignal.js";
+import { waitForStopSignal, waitForUncaughtException } from "../common/stopSignal.js";
 import { GatewaySettings, readGatewaySettings } from "../config/gatewaySettings.js";
 import { HopTracing, NoopTracing } from "../gateway/hopTracing.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
@@ -33,6 +33,9 @@
     const node = GatewayNode.create(settings.val, addDeployment, await loadTracing(settings.val));
     const log = node.container.get(Keys.Log);
     process.on("unhandledRejection", error => log.log(LogEvents.TaskFailed, { task: "unknown", cause: describeError(error) }));
+    const failed = waitForUncaughtException(error => {
+        log.log(LogEvents.ProcessFailed, { cause: describeError(error), code: readErrorCode(error) });
+    });
     try {
         await node.start();
     }
@@ -41,9 +44,9 @@
         return DaemonExitCode.Failed;
     }
     void watchSettings(node, options.settings, settings.val);
-    await waitForStopSignal();
+    const exitCode = await Promise.race([waitForStopSignal().then(() => DaemonExitCode.Ok), failed.then(() => DaemonExitCode.Failed)]);
     await node.stop();
-    return DaemonExitCode.Ok;
+    return exitCode;
 }
 
 function readOptions(commandLine: readonly string[]): { settings: string; check: boolean; } | undefined {
--- a/src/daemon/main.ts
+++ b/src/daemon/main.ts
@@ -1,7 +1,7 @@
 import { Command, Flags } from "@oclif/core";
 import { createDiagnostic, DiagnosticCategory, Diagnostics, formatDiagnostic } from "../common/diagnostics.js";
 import { describeError } from "../common/failure.js";
-import { waitForStopSignal } from "../common/stopSignal.js";
+import { waitForStopSignal, waitForUncaughtException } from "../common/stopSignal.js";
 import { readNodeSettings } from "../config/nodeSettings.js";
 import { CorianderNode } from "../node/corianderNode.js";
 import { Keys } from "../node/keys.js";
@@ -32,6 +32,7 @@
         }
         const node = CorianderNode.create(settings.val);
         node.container.get(Keys.Metrics).addProcessMetrics();
+        const failed = waitForUncaughtException(error => this.logToStderr(`uncaught exception: ${describeError(error)}`));
         try {
             await node.start();
         }
@@ -39,8 +40,11 @@
             this.logToStderr(describeError(error));
             this.exit(DaemonExitCode.Failed);
         }
-        await waitForStopSignal();
+        const exitCode = await Promise.race([
+            waitForStopSignal().then(() => DaemonExitCode.Ok),
+            failed.then(() => DaemonExitCode.Failed),
+        ]);
         await node.stop();
-        process.exit(DaemonExitCode.Ok);
+        process.exit(exitCode);
     }
 }
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -250,7 +250,8 @@
             chunk = JSON.parse(data) as CompletionChunk;
         }
         catch {
-            this.failure = Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_sent_an_answer_that_cannot_be_read);
+            const message = Diagnostics.Endpoint_sent_an_answer_that_cannot_be_read_0;
+            this.failure = Failure.create(Verdict.MayHaveRun, message, "an event holds no JSON");
             return;
         }
         this.readCompletionChunk(chunk);
--- a/src/endpoints/plainEndpoint.test.ts
+++ b/src/endpoints/plainEndpoint.test.ts
@@ -75,3 +75,10 @@
     checkTruncated(await sendServiceCall(context, socket => socket.end(`${head}content-length: 6\r\n\r\nans`)));
     checkTruncated(await sendServiceCall(context, socket => socket.end(`${head}transfer-encoding: chunked\r\n\r\n3\r\nans\r\n`)));
 });
+
+// Guards against a status that this node's own server cannot send: its caller would get the failure of an exception.
+test("an answer whose status is not that of a final response is a failure", async context => {
+    for (const line of ["HTTP/1.1 099 Odd", "HTTP/1.1 101 Switching Protocols"]) {
+        checkTruncated(await sendServiceCall(context, socket => socket.end(`${line}\r\nconnection: close\r\n\r\nanswer`)));
+    }
+});
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -7,6 +7,7 @@
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { EndpointRequest } from "./endpointRequest.js";
 import { createStatusFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
+import { findHeadFault } from "./responseHead.js";
 import { PlainCall, PlainResponse } from "./types.js";
 
 /** Client interface to plain services. */
@@ -92,6 +93,10 @@
     request: EndpointRequest,
     call: PlainCall,
 ): Promise<Result<PlainResponse, Failure>> {
+    const headFault = findHeadFault(response);
+    if (headFault !== undefined) {
+        return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_sent_an_answer_that_cannot_be_read_0, headFault));
+    }
     const chunks: Buffer[] = [];
     let size = 0;
     await request.readChunks(chunk => {
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -5,6 +5,7 @@
 import { millisecondsPerSecond } from "../common/units.js";
 import { Verdict } from "../common/verdict.js";
 import { EndpointRequest } from "../endpoints/endpointRequest.js";
+import { findHeadFault } from "../endpoints/responseHead.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { ReportedLoad } from "../fleet/types.js";
 import { CallProtocol } from "./callProtocol.js";
@@ -162,6 +163,10 @@
 
     private checkHead(response: IncomingMessage): Failure | undefined {
         const { protocol } = this;
+        const headFault = findHeadFault(response);
+        if (headFault !== undefined) {
+            return createUnreadableAnswerFailure(headFault);
+        }
         const status = response.statusCode ?? 0;
         if (!this.isForThisAttempt(response)) {
             return Failure.create(
@@ -181,7 +186,7 @@
         }
         const isSuccess = status >= statusOk && status < statusRedirect;
         if (isSuccess && response.headers[protocol.signature] === undefined) {
-            return Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_sent_an_answer_that_cannot_be_read);
+            return createUnreadableAnswerFailure(`header '${protocol.signature}' is missing`);
         }
         return undefined;
     }
@@ -197,6 +202,10 @@
     }
 }
 
+function createUnreadableAnswerFailure(cause: string): Failure {
+    return Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_sent_an_answer_that_cannot_be_read_0, cause);
+}
+
 /** Returns the pause that a Retry-After header states in seconds, in milliseconds; undefined for a date or any other value. */
 function parseRequestedPause(header: string | string[] | undefined): number | undefined {
     const seconds = typeof header === "string" && header.trim() !== "" ? Number(header) : NaN;
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -30,7 +30,7 @@
 
 /** Relays the response of an endpoint to the caller. */
 export interface ResponseRelay {
-    /** Relays a response until it ends or the caller disconnects; does not reject. */
+    /** Relays a response until it ends or the caller disconnects; rejects only when the response cannot be written. */
     forwardResponse(response: IncomingMessage, exchange: EndpointExchange): Promise<RelayOutcome>;
 }
 
@@ -141,14 +141,14 @@
     /** Relays events until the response ends; returns false if it was truncated or given up. */
     private relayEvents(response: IncomingMessage, exchange: EndpointExchange): Promise<boolean> {
         const { caller, splitter } = this;
-        return new Promise(resolve => {
+        return new Promise((resolve, reject) => {
             let hasEvent = false;
             let isFinished = false;
             const finish = (hasEnded: boolean) => {
                 isFinished = true;
                 resolve(hasEnded);
             };
-            response.on("data", (chunk: Buffer) => {
+            const relayChunk = (chunk: Buffer) => {
                 const events = splitter.addBytes(chunk);
                 if (splitter.getIncompleteEvent().length > maximumEventBytes) {
                     exchange.close();
@@ -167,6 +167,16 @@
                     response.pause();
                     void caller.waitForDrain().then(() => response.resume());
                 }
+            };
+            response.on("data", (chunk: Buffer) => {
+                try {
+                    relayChunk(chunk);
+                }
+                catch (error) {
+                    // An exception in an event handler would end the process, and with it the calls of all other callers.
+                    isFinished = true;
+                    reject(error as Error);
+                }
             });
             response.once("end", () => finish(true));
             response.once("error", () => finish(false));
