--- a/src/cli/commandLine.test.ts
+++ b/src/cli/commandLine.test.ts
@@ -10,6 +10,8 @@
 const baselineDirectory = join(root, "src/cli/baselines");
 const accepts = process.env["ACCEPT_BASELINES"] === "1";
 const directory = mkdtempSync(join(tmpdir(), "corianderward-cli-"));
+/** The runtime as the help names it. Baselines hold for every kind of machine, so they hold a placeholder in its place. */
+const runtimeName = `${process.platform}-${process.arch} node-${process.version}`;
 after(() => rmSync(directory, { recursive: true, force: true }));
 
 interface Ran {
@@ -22,7 +24,8 @@
     return new Promise(resolve => {
         execFile(process.execPath, [join(root, "bin", binary), ...args], { cwd: root, env: environment }, (error, stdout, stderr) => {
             const code = error === null ? 0 : Number(error.code ?? 1); // eslint-disable-line no-restricted-syntax -- the runtime passes null here
-            resolve({ code, output: `${stdout}${stderr}`.replaceAll(directory, "DIRECTORY") });
+            const output = `${stdout}${stderr}`.replaceAll(directory, "DIRECTORY").replaceAll(runtimeName, "PLATFORM node-VERSION");
+            resolve({ code, output });
         });
     });
 }
