Bound the wait for a session to a peer

Cause: opening a session had no time limit and ignored the call's signal, and a session that could not be opened was not noticed. Evidence: against an address that neither accepts nor refuses, openClient, send and followRequest did not end within 4 s.

Change: a time limit and the call's signal on both interfaces; failures before a session is open are NotRun; a peer that could not be reached is avoided until it is heard of. Ruled out: pings of open sessions, limits at the peer.

--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -231,6 +231,9 @@
         }
         this.verdict = raiseVerdict(this.verdict, failure.verdict);
         this.sends += failure.verdict === Verdict.NotRun ? 0 : 1;
+        if (failure.message === Diagnostics.Node_at_0_did_not_answer_1 && failure.verdict === Verdict.NotRun && !result.isPastDeadline) {
+            dependencies.peers.recordFailure(peer);
+        }
         if (caller.isCallerDisconnected()) {
             return this.createReport(CallOutcome.CallerDisconnected, undefined);
         }
--- a/src/gateway/endpointPartition.test.ts
+++ b/src/gateway/endpointPartition.test.ts
@@ -1,17 +1,22 @@
 import assert from "node:assert/strict";
-import { after, afterEach, before, test } from "node:test";
+import { after, afterEach, before, test, TestContext } from "node:test";
+import { formatAddress } from "../config/sectionReader.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { WorkerFault } from "../standins/routed/routedWorker.js";
 import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
 import { pickFreePort } from "../testing/daemons.js";
 import { CallerView, RoutedGateway, waitUntil } from "../testing/routedGateway.js";
+import { SilentAddress } from "../testing/silentAddress.js";
 
 /** Time after which a node that is cut off owes its callers service again, in milliseconds. */
 const contactMilliseconds = 3_000;
 /** Least share of first attempts that a cut-off node serves, of the share that the others serve. */
 const leastServedShare = 2 / 3;
 
+/** Time that a caller waits before it gives up, in milliseconds: the time limit of the routes and half a second. */
+const patienceMilliseconds = 2_000;
+
 const platform = RoutedPlatform.create();
 let connector: CuttableConnector;
 let peer: RoutedGateway;
@@ -106,8 +111,11 @@
     });
 }
 
-// Guards against telling callers that a call may have run when the peer that was to forward it could not even be reached.
-test("a call is refused as not run when neither an endpoint nor a peer can be reached", async context => {
+/**
+ * Starts a gateway that reaches none of its endpoints and believes that there is a peer at an address; sends it one call of each kind
+ * that may run once.
+ */
+async function sendLonelyCalls(context: TestContext, peerAddress: string): Promise<CallerView[]> {
     const lonelyPlatform = RoutedPlatform.create();
     await lonelyPlatform.start();
     const lonelyConnector = await CuttableConnector.start(lonelyPlatform.listWorkers().map(worker => worker.getAddress()));
@@ -118,7 +126,8 @@
         await lonelyConnector.stop();
     });
     lonelyConnector.setCut(PathCut.Reset);
-    const gone = { name: "gone", failureDomain: "xela", address: "127.0.0.1:9", incarnation: 1 };
+    const gone = { name: "gone", failureDomain: "xela", address: peerAddress, incarnation: 1 };
+    const responses: CallerView[] = [];
     for (const path of ["/voucher/nobody", "/notice/nobody"]) {
         lonely.node.container.get(Keys.Peers).recordRelayedState(gone, 0, {
             isLeaving: false,
@@ -126,7 +135,23 @@
             holdsLease: false,
             unreachableServices: [],
         });
-        const response = await lonely.sendCall(path, { method: "POST", body: path });
+        responses.push(await lonely.sendCall(path, { method: "POST", body: path, signal: AbortSignal.timeout(patienceMilliseconds) }));
+    }
+    return responses;
+}
+
+// Guards against telling callers that a call may have run when the peer that was to forward it could not even be reached.
+test("a call is refused as not run when neither an endpoint nor a peer can be reached", async context => {
+    for (const response of await sendLonelyCalls(context, "127.0.0.1:9")) {
+        assert.equal(response.status, 503, response.body);
+    }
+});
+
+// Guards against calls that wait, past their time limit, for a connection to a peer whose host has lost its power.
+test("a call that is handed to a peer without power is refused as not run, within its time limit", async context => {
+    const silent = await SilentAddress.create();
+    context.after(() => silent.stop());
+    for (const response of await sendLonelyCalls(context, formatAddress(silent.address))) {
         assert.equal(response.status, 503, response.body);
     }
 });
--- a/src/gateway/peerCallClient.ts
+++ b/src/gateway/peerCallClient.ts
@@ -37,7 +37,7 @@
         signal: AbortSignal,
     ): Promise<Result<AsyncIterable<ForwardCallEvent>, Failure>> {
         try {
-            const client = await this.sessions.openClient(address);
+            const client = await this.sessions.openClient(address, signal);
             return Ok(client.forwardCall(call, { signal }));
         }
         catch (error) {
--- a/src/gateway/peerForwarder.ts
+++ b/src/gateway/peerForwarder.ts
@@ -17,15 +17,23 @@
         return this.table.identity.name;
     }
 
+    /** Records that a peer could not be reached with a call, so that other calls avoid it until it is heard of again. */
+    recordFailure(peer: GatewayPeer): void {
+        this.table.recordMissedCall(peer);
+    }
+
     /**
      * Picks a peer that reaches the endpoints of a service as far as this node knows, and that is not excluded; undefined if there
-     * is none. All such peers get equal parts, since many nodes may need them at once.
+     * is none. All such peers get equal parts, since many nodes may need them at once; one that could not be reached since it was
+     * heard of last gets none while there are others.
      */
     pickPeer(service: string, excluded: ReadonlySet<string>): GatewayPeer | undefined {
         const candidates = this.table.listReachablePeers().filter(peer =>
             !peer.isLeaving && !excluded.has(peer.name) && !peer.unreachableServices.includes(service)
             && parseAddress(peer.address) !== undefined
         );
-        return candidates.length === 0 ? undefined : candidates[this.random.pickIndex(candidates.length)];
+        const reached = candidates.filter(peer => peer.lastSeenAt >= peer.lastFailedAt);
+        const preferred = reached.length > 0 ? reached : candidates;
+        return preferred.length === 0 ? undefined : preferred[this.random.pickIndex(preferred.length)];
     }
 }
--- a/src/gossip/gossipClient.ts
+++ b/src/gossip/gossipClient.ts
@@ -6,7 +6,7 @@
 import { GatewayDigestInit, GatewayExchange, GatewayExchangeRequestInit, SharedStateInit } from "./types.js";
 
 /** Timeout of one exchange, in milliseconds: shorter than the silence limit after which a peer is considered unreachable. */
-const exchangeTimeoutMilliseconds = 1_000;
+export const exchangeTimeoutMilliseconds = 1_000;
 
 /** Client for the requests that a node sends to its peers. */
 export interface GossipClient {
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -120,6 +120,11 @@
         peer.hasAllQuarantines = false;
     }
 
+    /** Records that a peer could not be reached with a call. Its exchanges go on as before: their own failures delay them. */
+    recordMissedCall(peer: GatewayPeer): void {
+        peer.lastFailedAt = this.clock.getMonotonicTime();
+    }
+
     /** Records the state of a node that a relay last saw `age` milliseconds ago; ignored if this node has a newer record. */
     recordRelayedState(identity: PeerIdentity, age: number, state: PeerState): void {
         this.addPeer(identity);
--- a/src/node/bindings/gatewayPeerBindings.ts
+++ b/src/node/bindings/gatewayPeerBindings.ts
@@ -7,7 +7,7 @@
 import { GatewayPeerService } from "../../generated/corianderward/gateway/v1/gateway_pb.js";
 import { FleetSummaryAggregator } from "../../gossip/fleetSummaryAggregator.js";
 import { GatewayDigestHandler } from "../../gossip/gatewayDigestHandler.js";
-import { ConnectGossipClient } from "../../gossip/gossipClient.js";
+import { ConnectGossipClient, exchangeTimeoutMilliseconds } from "../../gossip/gossipClient.js";
 import { GossipExchange } from "../../gossip/gossipExchange.js";
 import { PeerLoadTracker } from "../../gossip/peerLoadTracker.js";
 import { RelaySelector } from "../../gossip/relaySelector.js";
@@ -17,9 +17,9 @@
 /** Binds the gossip exchange, its content and the relay plan. */
 export function addPeerBindings(container: Container, settings: GatewaySettings): void {
     container.bind(Keys.GossipLink).toDynamicValue(context => {
-        return ConnectGossipClient.create(createPeerSessions(context.get(Keys.Metrics)));
+        return ConnectGossipClient.create(createPeerSessions(context.get(Keys.Metrics), exchangeTimeoutMilliseconds));
     });
-    addPeerCallBindings(container);
+    addPeerCallBindings(container, settings);
     container.bind(Keys.RelayPlan).toDynamicValue(context => RelaySelector.create(context.get(Keys.Peers)));
     container.bind(Keys.SharedLoads).toDynamicValue(context =>
         PeerLoadTracker.create(context.get(Keys.Directory), context.get(Keys.Clock))
@@ -77,9 +77,9 @@
 }
 
 /** Binds the hand-over of calls between nodes, in both directions. */
-function addPeerCallBindings(container: Container): void {
+function addPeerCallBindings(container: Container, settings: GatewaySettings): void {
     container.bind(Keys.PeerCallClient).toDynamicValue(context =>
-        ConnectPeerCallClient.create(createPeerSessions(context.get(Keys.Metrics)))
+        ConnectPeerCallClient.create(createPeerSessions(context.get(Keys.Metrics), settings.timing.connectTimeout))
     );
     container.bind(Keys.PeerForwarder).toDynamicValue(context =>
         PeerForwarder.create(context.get(Keys.PeerCallClient), context.get(Keys.Peers), context.get(Keys.Random))
@@ -97,9 +97,9 @@
     });
 }
 
-function createPeerSessions(metrics: GatewayMetrics): PeerSessions<typeof GatewayPeerService> {
+function createPeerSessions(metrics: GatewayMetrics, connectTimeout: number): PeerSessions<typeof GatewayPeerService> {
     return PeerSessions.create(GatewayPeerService, undefined, {
         recordUnresponsivePeer: () => metrics.peerExchanges.inc({ outcome: "silence" }),
         recordSessionError: () => metrics.peerExchanges.inc({ outcome: "session-error" }),
-    });
+    }, connectTimeout);
 }
--- a/src/peers/connectPeerLink.ts
+++ b/src/peers/connectPeerLink.ts
@@ -24,6 +24,8 @@
 
 /** Time limit of calls that exchange digests, fetch shared objects or describe a request. */
 const shortCallTimeoutMilliseconds = 1_500;
+/** Time limit of opening a session, in milliseconds: the time of some handshakes between regions. */
+const connectTimeoutMilliseconds = 1_000;
 /** Time limit of the call by which a peer adopts a request. */
 const adoptCallTimeoutMilliseconds = 3_000;
 
@@ -35,7 +37,7 @@
         const sessions = PeerSessions.create(PeerService, tls, {
             recordUnresponsivePeer: () => metrics.silentConnections.inc({ hop: "peer" }),
             recordSessionError: () => metrics.peerExchanges.inc({ outcome: "session-error" }),
-        });
+        }, connectTimeoutMilliseconds);
         return new ConnectPeerLink(sessions, metrics);
     }
 
@@ -78,7 +80,7 @@
         offset: number,
         signal: AbortSignal,
     ): AsyncIterable<FollowRequestEvent> {
-        const client = await this.sessions.openClient(address);
+        const client = await this.sessions.openClient(address, signal);
         yield* client.followRequest({ requestId, offset }, { signal });
     }
 
--- a/src/peers/peerSessions.ts
+++ b/src/peers/peerSessions.ts
@@ -45,19 +45,28 @@
         private readonly service: S,
         private readonly tls: TlsMaterial | undefined,
         private readonly observer: SessionObserver,
+        private readonly connectTimeout: number,
     ) {
         tls?.addListener(() => this.closePeers());
     }
 
-    static create<S extends DescService>(service: S, tls: TlsMaterial | undefined, observer: SessionObserver): PeerSessions<S> {
-        return new PeerSessions(service, tls, observer);
+    /** `connectTimeout` is the longest wait for a session, in milliseconds: a host without power refuses no connection. */
+    static create<S extends DescService>(
+        service: S,
+        tls: TlsMaterial | undefined,
+        observer: SessionObserver,
+        connectTimeout: number,
+    ): PeerSessions<S> {
+        return new PeerSessions(service, tls, observer, connectTimeout);
     }
 
     /** Makes one call. After a timeout or connection failure the session is aborted, and the next call opens a new one. */
     async send<T>(address: NetworkAddress, call: (client: Client<S>) => Promise<T>): Promise<Result<T, Failure>> {
         const peer = this.openPeer(address);
+        let verdict = Verdict.NotRun;
         try {
             await this.connect(peer);
+            verdict = Verdict.MayHaveRun;
             return Ok(await call(peer.client));
         }
         catch (error) {
@@ -68,14 +77,14 @@
                 peer.sessions.abort();
                 this.peers.delete(formatAddress(address));
             }
-            return Err(createPeerFailure(address, connectError));
+            return Err(createPeerFailure(address, connectError, verdict));
         }
     }
 
-    /** Returns a client after its session has been opened; throws when that fails. */
-    async openClient(address: NetworkAddress): Promise<Client<S>> {
+    /** Returns a client after its session has been opened; throws when that fails or the signal aborts. */
+    async openClient(address: NetworkAddress, signal: AbortSignal): Promise<Client<S>> {
         const peer = this.openPeer(address);
-        await this.connect(peer);
+        await this.connect(peer, signal);
         return peer.client;
     }
 
@@ -86,9 +95,23 @@
         this.peers.clear();
     }
 
-    private async connect(peer: OpenPeer<S>): Promise<void> {
-        await peer.sessions.connect();
-        this.handleSessionErrors(peer.sessions);
+    /** Waits until the session is open; throws when it cannot be opened, its time limit passes or the signal aborts. */
+    private async connect(peer: OpenPeer<S>, signal?: AbortSignal): Promise<void> {
+        const { sessions } = peer;
+        const timeout = AbortSignal.timeout(this.connectTimeout);
+        const state = await Promise.race([
+            sessions.connect(),
+            waitForAbort(signal === undefined ? timeout : AbortSignal.any([timeout, signal])),
+        ]);
+        if (state === undefined && timeout.aborted && sessions.state() === "connecting") {
+            // All calls that wait for this connection have waited in vain. The next one opens another.
+            sessions.abort();
+        }
+        if (state === undefined || state === "error") {
+            const text = state === undefined ? `no session was opened within ${this.connectTimeout} ms` : describeError(sessions.error());
+            throw new ConnectError(text, Code.Unavailable, undefined, undefined, sessions.error());
+        }
+        this.handleSessionErrors(sessions);
     }
 
     private openPeer(address: NetworkAddress): OpenPeer<S> {
@@ -139,7 +162,18 @@
     };
 }
 
-function createPeerFailure(address: NetworkAddress, error: ConnectError): Failure {
-    const verdict = isConnectFailure(error.cause) ? Verdict.NotRun : Verdict.MayHaveRun;
+/** Resolves with undefined when the signal aborts. */
+function waitForAbort(signal: AbortSignal): Promise<undefined> {
+    return new Promise(resolve => {
+        if (signal.aborted) {
+            resolve(undefined);
+        }
+        signal.addEventListener("abort", () => resolve(undefined), { once: true });
+    });
+}
+
+/** Creates the failure of a call to a peer. The verdict is that of a call whose connection was established before. */
+function createPeerFailure(address: NetworkAddress, error: ConnectError, connectedVerdict: Verdict): Failure {
+    const verdict = isConnectFailure(error.cause) ? Verdict.NotRun : connectedVerdict;
     return Failure.create(verdict, Diagnostics.Node_at_0_did_not_answer_1, formatAddress(address), describeError(error));
 }
