Take no entry for an endpoint whose id cannot be sent, and answer calls that fail unexpectedly

Cause: the id is sent in a header; the runtime refuses such a value by an exception, and nothing answers the caller after one. Evidence: ERR_INVALID_CHAR in the line 'task failed' of the rejected promise, no line for the request.

Change: ids are visible ASCII, and decoded entries are checked by the schema that nodes use among themselves. An unexpected exception ends its call with status 500 and a log line; no other case may leave a caller without an answer.

--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -1,8 +1,11 @@
 import { z } from "zod";
 
+/** Visible ASCII: an id is sent in a header of each request to the endpoint. */
+const idPattern = /^[!-~]{1,200}$/;
+
 /** Registration of an endpoint. */
 export const endpointEntrySchema = z.object({
-    id: z.string().min(1),
+    id: z.string().regex(idPattern),
     /** Start time of its process, in Unix milliseconds: it distinguishes two incarnations under one id. */
     incarnation: z.number(),
     service: z.string().min(1),
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -2,7 +2,7 @@
 import { Clock } from "../common/clock.js";
 import { Diagnostics } from "../common/diagnostics.js";
 import { EventLog } from "../common/eventLog.js";
-import { Failure } from "../common/failure.js";
+import { describeError, Failure, readErrorCode } from "../common/failure.js";
 import { startListening } from "../common/listening.js";
 import { LogEvents } from "../common/logEvents.js";
 import { bytesPerKibibyte, bytesPerMebibyte, millisecondsPerSecond } from "../common/units.js";
@@ -40,6 +40,8 @@
     readonly forwarder: CallForwarder;
     readonly caps: SharedRateLimiter;
     readonly retryAfterHeader: string;
+    /** Header that holds the id of a request, in lower case. */
+    readonly attemptIdHeader: string;
 }
 
 /** HTTP server for callers: reads their calls, enforces usage caps, forwards the calls, and records each outcome. */
@@ -100,12 +102,22 @@
         this.server.headersTimeout = limits.headerTimeout + idleMarginMilliseconds;
     }
 
+    /** Serves one request; its caller gets a response even after an unexpected error. */
     private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const { clock, configuration } = this.dependencies;
-        const arrivedAt = clock.getMonotonicTime();
         const caller = HttpCallerResponse.create(response, () => this.isStopping);
         this.openResponses.add(caller);
         response.once("close", () => this.openResponses.delete(caller));
+        try {
+            await this.readAndServe(request, response, caller);
+        }
+        catch (error) {
+            this.failCall(request, caller, error);
+        }
+    }
+
+    private async readAndServe(request: IncomingMessage, response: ServerResponse, caller: HttpCallerResponse): Promise<void> {
+        const { clock, configuration } = this.dependencies;
+        const arrivedAt = clock.getMonotonicTime();
         const body = await this.readBody(request);
         if (body instanceof Failure) {
             response.shouldKeepAlive = false;
@@ -209,6 +221,29 @@
         });
     }
 
+    /** Ends a call after an unexpected error, which may have come at any time before, during or after an attempt. */
+    private failCall(request: IncomingMessage, caller: HttpCallerResponse, error: unknown): void {
+        const { dependencies } = this;
+        const failure = Failure.create(Verdict.MayHaveRun, Diagnostics.Node_failed_to_serve_the_request_0, describeError(error));
+        if (caller.hasStarted()) {
+            caller.abortResponse();
+        }
+        else {
+            caller.sendFailure(failure, undefined, dependencies.retryAfterHeader);
+        }
+        const outcome = CallOutcome.Failed;
+        dependencies.metrics.calls.inc({ service: "", outcome, cause: String(failure.message.code) });
+        dependencies.log.log(LogEvents.RequestFailed, {
+            request: request.headers[dependencies.attemptIdHeader]?.toString(),
+            outcome,
+            verdict: failure.verdict,
+            status: failure.message.status,
+            cause: failure.text,
+            code: readErrorCode(error),
+            host: request.headers.host,
+        });
+    }
+
     private finishCall(call: IncomingCall, caller: HttpCallerResponse, report: CallReport): void {
         const { dependencies } = this;
         const { failure, outcome } = report;
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -285,6 +285,7 @@
             forwarder: context.get(Keys.Forwarder),
             caps: context.get(Keys.SharedRateLimiter),
             retryAfterHeader: protocol.retryAfter,
+            attemptIdHeader: protocol.attemptId,
         });
     });
 }
