Refuse what a stopping node cannot finish, and answer what it has to cut off

Cause: nothing asked whether a call can end before the node closes its connections; connections without any request counted as busy; at the end of the grace unstarted responses were closed instead of answered. Evidence: plannedStop.test.ts, a lookup on a fresh connection 1.8 s after the stop began: ran, no answer. Ruled out: readiness, SIGKILL, endpoints that broke off.

Change: calls that may not end in time are refused as not run, from their time limit or, for those that may be interrupted, from what such calls took lately; unstarted calls get 502 at the end; connections are closed when their last response is sent; requests wait for those before them on their connection. Calls that are cut off are logged as failed.

--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -24,10 +24,11 @@
 /** Writes the response to one caller over HTTP and detects when the caller disconnects. */
 export class HttpCallerResponse implements CallerResponse {
     private readonly disconnectController = new AbortController();
+    private endFailure: Failure | undefined;
     /** Whether the sent headers give the response neither a length nor chunks, so that the connection's end marks its end. */
     private endsWithConnection = false;
 
-    private constructor(private readonly response: ServerResponse, private readonly isServerStopping: () => boolean) {
+    private constructor(private readonly response: ServerResponse, private readonly endsConnection: () => boolean) {
         response.once("close", () => {
             if (!response.writableFinished) {
                 this.disconnectController.abort();
@@ -37,8 +38,8 @@
         response.req.once("error", () => this.disconnectController.abort());
     }
 
-    static create(response: ServerResponse, isServerStopping: () => boolean): HttpCallerResponse {
-        return new HttpCallerResponse(response, isServerStopping);
+    static create(response: ServerResponse, endsConnection: () => boolean): HttpCallerResponse {
+        return new HttpCallerResponse(response, endsConnection);
     }
 
     getDisconnectSignal(): AbortSignal {
@@ -95,6 +96,23 @@
         this.response.destroy();
     }
 
+    /** Ends the call for a node that stops: sends the failure if the response has not started, and ends the running attempt. */
+    endCall(failure: Failure, retryAfterHeader: string): void {
+        this.endFailure = failure;
+        if (this.hasStarted()) {
+            this.abortResponse();
+        }
+        else {
+            this.sendFailure(failure, undefined, retryAfterHeader);
+        }
+        this.disconnectController.abort();
+    }
+
+    /** Returns the failure with which the node ended the call; undefined if it did not. */
+    getEndFailure(): Failure | undefined {
+        return this.endFailure;
+    }
+
     /** Sends a problem document for a failed request, unless the response has started. `retryAfter` is in seconds. */
     sendFailure(failure: Failure, retryAfter: number | undefined, retryAfterHeader: string): void {
         if (this.isCallerDisconnected() || this.hasStarted()) {
@@ -116,8 +134,9 @@
     }
 
     private addCloseHeader(headers: string[]): void {
-        if (this.isServerStopping()) {
+        if (this.endsConnection()) {
             headers.push("connection", "close");
+            this.response.shouldKeepAlive = false;
         }
     }
 }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -11,9 +11,11 @@
 import { SharedRateLimiter } from "../quotas/sharedRateLimiter.js";
 import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { CallerLimits, UsageUnit } from "../routes/types.js";
+import { CallerConnections } from "./callerConnections.js";
 import { HttpCallerResponse } from "./callerResponse.js";
 import { CallForwarder, CallReport } from "./callForwarder.js";
 import { CallBody, CallReader } from "./callReader.js";
+import { DrainAdmission } from "./drainAdmission.js";
 import { GatewayMetrics } from "./gatewayMetrics.js";
 import { chooseRetryAfter } from "./retryAfter.js";
 import { CallOutcome, IncomingCall } from "./types.js";
@@ -48,6 +50,8 @@
 export class GatewayServer {
     private readonly server: Server;
     private limits = initialLimits;
+    private readonly connections: CallerConnections;
+    private readonly drainAdmission = DrainAdmission.create();
     private readonly openResponses = new Set<HttpCallerResponse>();
     private isStopping = false;
 
@@ -59,6 +63,7 @@
             requestTimeout: 0,
             noDelay: true,
         }, (request, response) => void this.serveRequest(request, response));
+        this.connections = CallerConnections.create(this.server);
         this.server.on("clientError", (_error, socket) => socket.destroy());
         dependencies.configuration.addListener(table => this.applyLimits(table.configuration.limits));
     }
@@ -77,15 +82,25 @@
         return this.openResponses.size;
     }
 
-    /** Adds `connection: close` to all further responses. New connections are still accepted. */
-    startDraining(): void {
+    /**
+     * Adds `connection: close` to all further responses and refuses calls that may not end before `closesAt`, in monotonic
+     * milliseconds. New connections are still accepted.
+     */
+    startDraining(closesAt: number): void {
         this.isStopping = true;
+        this.drainAdmission.startDraining(closesAt);
     }
 
-    /** Stops listening and closes the connections that carry no request. */
+    /** Stops listening and closes the connections that carry no request; the others are closed after their responses. */
     closeIdle(): void {
         this.server.close();
-        this.server.closeIdleConnections();
+        this.connections.closeIdle();
+    }
+
+    /** Ends the open calls: a caller whose response has not started gets a failure, a response that has started is cut off. */
+    endCalls(): void {
+        const failure = Failure.create(Verdict.MayHaveRun, Diagnostics.Node_stopped_before_the_response_was_complete);
+        this.openResponses.forEach(caller => caller.endCall(failure, this.dependencies.retryAfterHeader));
     }
 
     /** Closes all connections, including those that carry requests. */
@@ -104,9 +119,13 @@
 
     /** Serves one request; its caller gets a response even after an unexpected error. */
     private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
-        const caller = HttpCallerResponse.create(response, () => this.isStopping);
+        const { socket } = request;
+        const caller = HttpCallerResponse.create(response, () => this.isStopping && !this.connections.hasLaterRequest(socket, response));
         this.openResponses.add(caller);
         response.once("close", () => this.openResponses.delete(caller));
+        if (!await this.connections.addResponse(socket, response)) {
+            return;
+        }
         try {
             await this.readAndServe(request, response, caller);
         }
@@ -137,26 +156,31 @@
             this.rejectCall(request, caller, call.val);
             return;
         }
+        if (!this.drainAdmission.isInTime(call.val, clock.getMonotonicTime())) {
+            this.finishCall(
+                call.val,
+                caller,
+                createRefusal(Failure.create(Verdict.NotRun, Diagnostics.Node_is_shutting_down).setRetryAfter(0)),
+            );
+            return;
+        }
         await this.serveCall(call.val, caller);
     }
 
     private async serveCall(call: IncomingCall, caller: HttpCallerResponse): Promise<void> {
         const capRefusal = this.takeUsage(call);
         if (capRefusal !== undefined) {
-            this.finishCall(call, caller, {
-                outcome: CallOutcome.Refused,
-                failure: capRefusal,
-                sends: 0,
-                runs: 0,
-                endpoint: undefined,
-                peer: undefined,
-                framing: undefined,
-                firstByteAt: undefined,
-            });
+            this.finishCall(call, caller, createRefusal(capRefusal));
             return;
         }
-        const report = await this.dependencies.forwarder.forwardCall(call, caller);
-        this.finishCall(call, caller, report);
+        this.drainAdmission.addCall(call);
+        try {
+            const report = await this.dependencies.forwarder.forwardCall(call, caller);
+            this.finishCall(call, caller, report);
+        }
+        finally {
+            this.drainAdmission.removeCall(call);
+        }
     }
 
     /** Reads the whole body; returns undefined when the caller disconnected, and a failure when the body is too large. */
@@ -247,6 +271,11 @@
     private finishCall(call: IncomingCall, caller: HttpCallerResponse, report: CallReport): void {
         const { dependencies } = this;
         const { failure, outcome } = report;
+        const endFailure = caller.getEndFailure();
+        if (endFailure !== undefined) {
+            this.recordCall(call, { ...report, outcome: CallOutcome.Failed, failure: endFailure });
+            return;
+        }
         if (outcome === CallOutcome.Interrupted) {
             caller.abortResponse();
         }
@@ -263,6 +292,9 @@
         const { failure, outcome } = report;
         call.span.end(failure?.text);
         const time = dependencies.clock.getMonotonicTime() - call.arrivedAt;
+        if (outcome === CallOutcome.Completed) {
+            this.drainAdmission.recordDuration(call.route.name, time);
+        }
         const firstByte = (report.firstByteAt ?? call.arrivedAt + time) - call.arrivedAt;
         const cause = failure === undefined ? "" : String(failure.message.code);
         dependencies.metrics.calls.inc({ service: call.service, outcome, cause });
@@ -288,6 +320,20 @@
     }
 }
 
+/** Returns the report of a call that was refused before any attempt. */
+function createRefusal(failure: Failure): CallReport {
+    return {
+        outcome: CallOutcome.Refused,
+        failure,
+        sends: 0,
+        runs: 0,
+        endpoint: undefined,
+        peer: undefined,
+        framing: undefined,
+        firstByteAt: undefined,
+    };
+}
+
 /** Returns the usage of a call that counts against its team's cap, in the team's unit. */
 export function countUsageUnits(call: IncomingCall): number {
     if (call.team?.unit !== UsageUnit.Tokens) {
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -18,6 +18,9 @@
 /** Share of the drain limit after which calls that are still open are closed; the rest is reserved for the cleanup. */
 const drainWaitShare = 0.93;
 
+/** Time for the failures of calls that are cut off to reach their callers, in milliseconds. */
+const cutOffMilliseconds = 100;
+
 /** Time limit for sending the final usage counts to peers: an unreachable peer must not delay the end of the process. */
 const finalExchangeMilliseconds = 300;
 
@@ -119,21 +122,25 @@
         const stoppedAt = clock.getMonotonicTime();
         log.log(LogEvents.ProcessStopping, { openCalls: server.countOpenCalls() });
         container.get(Keys.ShutdownState).isLeaving = true;
-        server.startDraining();
+        const forcedCloseAt = stoppedAt + timing.drainLimit * drainWaitShare;
+        server.startDraining(forcedCloseAt);
         container.get(Keys.Duties).stop();
         void container.get(Keys.Lease).release().then(() => container.get(Keys.Gossip).publishNow());
         await clock.sleep(timing.listenerGrace);
         server.closeIdle();
-        const forcedCloseAt = stoppedAt + timing.drainLimit * drainWaitShare;
         const peerCalls = container.get(Keys.PeerCallServer);
         const countOpenCalls = () => server.countOpenCalls() + peerCalls.countOpenCalls();
         while (countOpenCalls() > 0 && clock.getMonotonicTime() < forcedCloseAt) {
             await clock.sleep(drainPollMilliseconds);
-            server.closeIdle();
+        }
+        const cutOff = countOpenCalls();
+        if (cutOff > 0) {
+            server.endCalls();
+            await clock.sleep(cutOffMilliseconds);
         }
         // Without this exchange the most recent counts would be missing from the usage reports.
         await Promise.race([container.get(Keys.Gossip).publishNow(), clock.sleep(finalExchangeMilliseconds)]);
-        log.log(LogEvents.ProcessStopped, { cutOff: countOpenCalls() });
+        log.log(LogEvents.ProcessStopped, { cutOff });
         this.stopTasks();
         server.closeAll();
         this.status.stop();
