Bear odd entries of other writers on every path: store, peer, start, host list

Cause: readers of the store accepted what peers refuse (port 0) and peers refused lists whole; a deeply nested order cannot be written as JSON, so no state was sent; too large an incarnation or expiry spoiled messages or outdated a node's own word; one malformed host spoiled the host list. Ruled out: JSON.parse, the schemas, memory.

Change: one set of bounds for readers and peers, entries and hosts checked one by one, nesting limited in both store clients, watches that outlive an exception. Each rejection is logged.

--- a/src/config/sectionReader.ts
+++ b/src/config/sectionReader.ts
@@ -4,7 +4,9 @@
 import { IniDocument, IniSection } from "./iniDocument.js";
 import { NetworkAddress } from "./types.js";
 
-const maximumPort = 65_535;
+/** Highest port number. */
+export const maximumPort = 65_535;
+const portPattern = /^\d{1,5}$/;
 
 /**
  * Reads typed values from a section of an INI file. Faults are collected instead of thrown, so that a file is checked whole;
@@ -162,7 +164,7 @@
     const host = text.slice(0, separator).replace(/^\[(.*)\]$/, "$1");
     const portText = text.slice(separator + 1);
     const port = Number(portText);
-    if (separator < 0 || isIP(host) === 0 || portText === "" || !Number.isInteger(port) || port < 0 || port > maximumPort) {
+    if (separator < 0 || isIP(host) === 0 || !portPattern.test(portText) || port > maximumPort) {
         return undefined;
     }
     return { host, port };
--- a/src/control/commands/hostListSynchronizer.ts
+++ b/src/control/commands/hostListSynchronizer.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { Clock } from "../../common/clock.js";
+import { parseJson } from "../../common/json.js";
 import { Logger } from "../../common/logging.js";
 import { parseAddress } from "../../config/sectionReader.js";
 import { PeerSettings } from "../../config/types.js";
@@ -7,10 +8,10 @@
 import { MemberDirectory } from "../../peers/memberDirectory.js";
 import { CloudClient } from "../../provider/cloudClient.js";
 import { HostListClient } from "../../provider/hostListClient.js";
-import { HostRole, hostSchema, ListedHost } from "../../provider/types.js";
+import { HostRole, ListedHost, parseHosts } from "../../provider/types.js";
 import { EndpointRegistry } from "../../requests/endpointRegistry.js";
 
-const hostsSchema = z.array(hostSchema);
+const hostsSchema = z.array(z.unknown());
 
 /** Keeps the node's endpoints and peers up to date with the platform's host list and the cloud's reclaim notices. */
 export class HostListSynchronizer {
@@ -71,11 +72,14 @@
         if (this.hasPlatformList || hostsJson === "") {
             return;
         }
-        const parsed = hostsSchema.safeParse(JSON.parse(hostsJson));
-        if (parsed.success) {
-            this.logger.info("applied the host list of a peer", { hosts: parsed.data.length });
-            this.applyHosts(parsed.data);
+        const parsed = hostsSchema.safeParse(parseJson(hostsJson));
+        if (!parsed.success) {
+            this.logger.warn("the host list of a peer cannot be read", { cause: parsed.error.message });
+            return;
         }
+        const hosts = parseHosts(parsed.data, fault => this.logger.warn("host entry of a peer is faulty", { fault }));
+        this.logger.info("applied the host list of a peer", { hosts: hosts.length });
+        this.applyHosts(hosts);
     }
 
     private async updateHosts(): Promise<void> {
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -1,4 +1,9 @@
 import { z } from "zod";
+import { nameSchema } from "../common/json.js";
+import { maximumPort } from "../config/sectionReader.js";
+
+/** More requests than any endpoint runs at once. A larger number would draw all calls of its service to one entry. */
+const maximumSlots = 100_000;
 
 /** Visible ASCII: an id is sent in a header of each request to the endpoint. */
 const idPattern = /^[!-~]{1,200}$/;
@@ -7,14 +12,14 @@
 export const endpointEntrySchema = z.object({
     id: z.string().regex(idPattern),
     /** Start time of its process, in Unix milliseconds: it distinguishes two incarnations under one id. */
-    incarnation: z.number(),
-    service: z.string().min(1),
-    address: z.object({ host: z.string().min(1), port: z.number().int().min(1) }),
-    failureDomain: z.string().min(1),
+    incarnation: z.number().int().min(0),
+    service: nameSchema,
+    address: z.object({ host: z.string().min(1), port: z.number().int().min(1).max(maximumPort) }),
+    failureDomain: nameSchema,
     /** Version of its software. */
-    version: z.string(),
+    version: nameSchema,
     /** Number of requests that it runs concurrently. */
-    slots: z.number().int().positive(),
+    slots: z.number().int().positive().max(maximumSlots),
     /** Whether it is draining and gets no new requests. */
     isDraining: z.boolean(),
     /** Whether the provider may reclaim its host. */
--- a/src/gateway/quarantineFollower.ts
+++ b/src/gateway/quarantineFollower.ts
@@ -1,5 +1,6 @@
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
+import { nameSchema } from "../common/json.js";
 import { LogEvents } from "../common/logEvents.js";
 import { ObjectChangeHandler } from "../provider/objectWatcher.js";
 import { ObjectList, StoredObject } from "../provider/types.js";
@@ -37,7 +38,7 @@
     handleChange(object: StoredObject): void {
         const fingerprint = object.name.slice(quarantinePrefix.length);
         const quarantine = parseStoredQuarantine(object.value);
-        if (quarantine === undefined) {
+        if (quarantine === undefined || !nameSchema.safeParse(fingerprint).success) {
             this.log.log(LogEvents.QuarantineFaulty, { fingerprint, revision: object.revision });
             return;
         }
--- a/src/gateway/storedQuarantines.ts
+++ b/src/gateway/storedQuarantines.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
+import { nameSchema } from "../common/json.js";
 import { LogEvents } from "../common/logEvents.js";
 import { ObjectStore, writeObject } from "../provider/objectStore.js";
 import { Revision } from "../provider/revision.js";
@@ -13,7 +14,11 @@
 /** Time after a call that the store did not answer before the next one, in milliseconds: most outages of the store last seconds. */
 const storeRetryMilliseconds = 1_000;
 
-const quarantineSchema = z.object({ endpoints: z.array(z.string()), until: z.number(), trialBy: z.string().optional() });
+const quarantineSchema = z.object({
+    endpoints: z.array(nameSchema),
+    until: z.number().min(0).max(Number.MAX_SAFE_INTEGER),
+    trialBy: nameSchema.optional(),
+});
 
 /** Value of a stored quarantine. */
 export interface StoredQuarantine {
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -1,7 +1,7 @@
 import { z } from "zod";
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
-import { parseJson } from "../common/json.js";
+import { listIssues, parseJson } from "../common/json.js";
 import { LogEvents } from "../common/logEvents.js";
 import { createEmptyCounts } from "../control/moves/moveEvidence.js";
 import { DutyLease } from "../duties/dutyLease.js";
@@ -44,7 +44,7 @@
     revision: z.number(),
     objects: z.array(z.object({ name: z.string(), revision: z.number(), value: z.unknown(), status: z.unknown().optional() })),
 });
-const revisedEntriesSchema = z.array(z.object({ entry: endpointEntrySchema, revision: z.number() }));
+const revisedEntrySchema = z.object({ entry: endpointEntrySchema, revision: z.number() });
 
 /** Dependencies of the digest handler: the state that it reports to peers and the state into which it merges their digests. */
 export interface GatewayDigestDependencies {
@@ -171,9 +171,9 @@
         if (configuration !== undefined) {
             dependencies.configurationFollower.applyConfiguration(configuration, source);
         }
-        const entries = this.parseState(state.endpointsJson, revisedEntriesSchema, "endpoints", source);
+        const entries = this.parseState(state.endpointsJson, z.array(z.unknown()), "endpoints", source);
         if (entries !== undefined) {
-            this.applyEntries(entries, state, source);
+            this.applyEntries(entries.flatMap(entry => this.parseEntry(entry, source)), state, source);
         }
         const moves = this.parseState(state.versionMovesJson, objectListSchema, "version moves", source);
         if (moves !== undefined) {
@@ -199,6 +199,16 @@
         return parsed.data;
     }
 
+    /** Parses one entry; returns none if it is malformed, as that of a peer of another version may be. The other entries still apply. */
+    private parseEntry(entry: unknown, source: string): RevisedEntry[] {
+        const parsed = revisedEntrySchema.safeParse(entry);
+        if (!parsed.success) {
+            this.dependencies.log.log(LogEvents.EndpointEntryFaulty, { source, fault: listIssues(parsed.error).join("; ") });
+            return [];
+        }
+        return [parsed.data];
+    }
+
     /** Applies a peer's newer entries and removals. Endpoints missing from a complete list had been removed by the revision that it reports. */
     private applyEntries(entries: readonly RevisedEntry[], state: SharedState, source: string): void {
         const { dependencies } = this;
--- a/src/gossip/nodeRegistry.ts
+++ b/src/gossip/nodeRegistry.ts
@@ -1,7 +1,10 @@
 import { z } from "zod";
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
+import { nameSchema } from "../common/json.js";
 import { LogEvents } from "../common/logEvents.js";
+import { millisecondsPerMinute } from "../common/units.js";
+import { parseAddress } from "../config/sectionReader.js";
 import { ObjectStore } from "../provider/objectStore.js";
 import { ObjectChangeHandler } from "../provider/objectWatcher.js";
 import { ObjectList, StoredObject, WriteOutcome } from "../provider/types.js";
@@ -12,11 +15,14 @@
 /** Delay after a failed registration, in milliseconds. */
 const retryDelayMilliseconds = 1_000;
 
+/** Largest lead of another node's clock that is believed, in milliseconds: an incarnation is the time at which its process started. */
+const maximumClockLeadMilliseconds = 24 * 60 * millisecondsPerMinute;
+
 const nodeSchema = z.object({
-    name: z.string().min(1),
-    failureDomain: z.string(),
-    address: z.string().min(1),
-    incarnation: z.number(),
+    name: nameSchema,
+    failureDomain: nameSchema,
+    address: z.string().refine(text => (parseAddress(text)?.port ?? 0) > 0, "expected an IP number and a port"),
+    incarnation: z.number().int().min(0),
 });
 
 /** Registers this node in the store and discovers the other nodes from their entries there. */
@@ -56,6 +62,11 @@
             this.log.log(LogEvents.EndpointEntryFaulty, { entry: object.name, revision: object.revision, fault: parsed.error.message });
             return;
         }
+        if (parsed.data.incarnation > this.clock.getWallTime() + maximumClockLeadMilliseconds) {
+            const fault = `incarnation ${parsed.data.incarnation} is a time in the future`;
+            this.log.log(LogEvents.EndpointEntryFaulty, { entry: object.name, revision: object.revision, fault });
+            return;
+        }
         this.table.addPeer(parsed.data);
     }
 
--- a/src/node/bindings/commonBindings.ts
+++ b/src/node/bindings/commonBindings.ts
@@ -38,7 +38,13 @@
             context.get(Keys.Metrics),
         )
     );
-    container.bind(Keys.HostList).toDynamicValue(() => HttpHostListClient.create(settings.hostListUrl, timeout));
+    container.bind(Keys.HostList).toDynamicValue(context =>
+        HttpHostListClient.create(
+            settings.hostListUrl,
+            timeout,
+            fault => context.get(Keys.Logger).warn("host entry is faulty", { fault }),
+        )
+    );
     container.bind(Keys.WeightStore).toDynamicValue(() =>
         settings.weightStoreUrl === undefined ? undefined : HttpWeightStore.create(settings.weightStoreUrl, timeout)
     );
--- a/src/provider/hostListClient.ts
+++ b/src/provider/hostListClient.ts
@@ -4,7 +4,7 @@
 import { describeError, Failure } from "../common/failure.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
-import { hostSchema, ListedHost } from "./types.js";
+import { ListedHost, parseHosts } from "./types.js";
 
 /** Client of the platform's list of live and leaving hosts. The list may lag behind the actual state. */
 export interface HostListClient {
@@ -12,7 +12,7 @@
     listHosts(): Promise<Result<ListedHost[], Failure>>;
 }
 
-const hostsSchema = z.object({ hosts: z.array(hostSchema) });
+const hostsSchema = z.object({ hosts: z.array(z.unknown()) });
 
 const statusNotModified = 304;
 
@@ -21,10 +21,10 @@
     private hosts: ListedHost[] = [];
     private entityTag: string | undefined;
 
-    private constructor(private readonly client: Got) {}
+    private constructor(private readonly client: Got, private readonly reportFault: (fault: string) => void) {}
 
-    /** Creates a client for a base URL; the timeout is that of a whole request, in milliseconds. */
-    static create(url: string, timeout: number): HttpHostListClient {
+    /** Creates a client for a base URL; the timeout is that of a whole request, in milliseconds. `reportFault` is told of malformed entries. */
+    static create(url: string, timeout: number, reportFault: (fault: string) => void): HttpHostListClient {
         return new HttpHostListClient(
             got.extend({
                 prefixUrl: url,
@@ -33,6 +33,7 @@
                 retry: { limit: 0 },
                 timeout: { request: timeout },
             }),
+            reportFault,
         );
     }
 
@@ -41,7 +42,7 @@
             const headers = this.entityTag === undefined ? {} : { "if-none-match": this.entityTag };
             const response = await this.client.get("hosts", { headers });
             if (response.statusCode !== statusNotModified) {
-                this.hosts = hostsSchema.parse(JSON.parse(response.body)).hosts;
+                this.hosts = parseHosts(hostsSchema.parse(JSON.parse(response.body)).hosts, this.reportFault);
                 this.entityTag = response.headers.etag;
             }
             return Ok(this.hosts);
--- a/src/provider/httpObjectStore.ts
+++ b/src/provider/httpObjectStore.ts
@@ -4,14 +4,19 @@
 import { z } from "zod";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure, readErrorCode } from "../common/failure.js";
-import { parseJson } from "../common/json.js";
+import { isNestedTooDeeply, parseJson } from "../common/json.js";
 import { Metrics } from "../common/metrics.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
 import { ObjectStore } from "./objectStore.js";
 import { ObjectList, StoredObject, WatchEvent, WatchEventKind, WriteFailure, WriteOutcome } from "./types.js";
 
-const storedObjectSchema = z.object({ name: z.string(), revision: z.number().int(), value: z.unknown() });
+const storedObjectSchema = z.object({
+    name: z.string(),
+    revision: z.number().int(),
+    // The object's reader rejects and logs a value that is left out.
+    value: z.unknown().transform(value => (isNestedTooDeeply(value) ? undefined : value)),
+});
 const objectListSchema = z.object({ revision: z.number().int(), objects: z.array(storedObjectSchema) });
 const writeResponseSchema = z.object({ revision: z.number().int() });
 const watchEventSchema = z.object({
@@ -109,7 +114,7 @@
         const events: WatchEvent[] = [];
         const parser = createParser({
             onEvent: event => {
-                const parsed = watchEventSchema.safeParse(JSON.parse(event.data));
+                const parsed = watchEventSchema.safeParse(parseJson(event.data));
                 if (parsed.success) {
                     events.push(parsed.data as WatchEvent);
                 }
--- a/src/provider/objectWatcher.ts
+++ b/src/provider/objectWatcher.ts
@@ -1,5 +1,6 @@
 import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
+import { describeError } from "../common/failure.js";
 import { LogEvents } from "../common/logEvents.js";
 import { ObjectStore } from "./objectStore.js";
 import { getEra, Revision } from "./revision.js";
@@ -107,7 +108,12 @@
         this.recordSuccess();
         this.recordEra(listed.val.revision);
         this.revision = listed.val.revision;
-        this.handler.handleListing(listed.val);
+        try {
+            this.handler.handleListing(listed.val);
+        }
+        catch (error) {
+            this.log.log(LogEvents.TaskFailed, { task: "apply a list of the store", prefix: this.prefix, cause: describeError(error) });
+        }
         this.handleRelist();
         return true;
     }
@@ -155,15 +161,23 @@
         return hasReceivedEvent;
     }
 
+    /** Applies one change. An object that cannot be handled must not keep later changes from being applied. */
     private applyChange(event: WatchEvent): void {
-        if (event.object === undefined) {
+        const { object, kind } = event;
+        if (object === undefined) {
             return;
         }
-        if (event.kind === WatchEventKind.Changed) {
-            this.handler.handleChange(event.object);
-            return;
+        try {
+            if (kind === WatchEventKind.Changed) {
+                this.handler.handleChange(object);
+            }
+            else {
+                this.handler.handleRemoval(object.name, object.revision);
+            }
+        }
+        catch (error) {
+            this.log.log(LogEvents.TaskFailed, { task: "apply a change of the store", object: object.name, cause: describeError(error) });
         }
-        this.handler.handleRemoval(event.object.name, event.object.revision);
     }
 
     /** Resets the backoff; logs the end of an outage. */
--- a/src/provider/types.ts
+++ b/src/provider/types.ts
@@ -1,5 +1,6 @@
 import { z } from "zod";
 import { Failure } from "../common/failure.js";
+import { listIssues, nameSchema } from "../common/json.js";
 import { Revision } from "./revision.js";
 
 /** An object of the platform's store, with the revision of its last write. */
@@ -70,9 +71,9 @@
 
 /** Wire format of a host in the host list. */
 export const hostSchema = z.object({
-    name: z.string().min(1),
+    name: nameSchema,
     role: z.enum(HostRole),
-    failure_domain: z.string().min(1),
+    failure_domain: nameSchema,
     region: z.string().default("home"),
     address: z.string().min(1),
     group: z.string().default(""),
@@ -86,6 +87,18 @@
 /** An entry of the host list. */
 export type ListedHost = z.infer<typeof hostSchema>;
 
+/** Parses the entries of a host list. A malformed one is reported and left out; the others hold. */
+export function parseHosts(items: readonly unknown[], reportFault: (fault: string) => void): ListedHost[] {
+    return items.flatMap(item => {
+        const parsed = hostSchema.safeParse(item);
+        if (!parsed.success) {
+            reportFault(listIssues(parsed.error).join("; "));
+            return [];
+        }
+        return [parsed.data];
+    });
+}
+
 /** Wire format of an offer: a machine class that the cloud sells in a failure domain, with its current price. */
 export const offerSchema = z.object({
     failure_domain: z.string(),
--- a/src/standins/routed/loopbackHttp.ts
+++ b/src/standins/routed/loopbackHttp.ts
@@ -30,8 +30,10 @@
     return text === "" ? undefined : JSON.parse(text);
 }
 
-/** Sends a JSON body. */
-export function sendJson(response: ServerResponse, status: number, body: unknown): void {
+/** Sends a JSON body. A string that `rawValues` names is sent as the JSON given there, which may be more than the runtime can write. */
+export function sendJson(response: ServerResponse, status: number, body: unknown, rawValues?: ReadonlyMap<string, string>): void {
+    let text = JSON.stringify(body);
+    rawValues?.forEach((raw, name) => (text = text.replaceAll(JSON.stringify(name), raw)));
     response.writeHead(status, { "content-type": "application/json" });
-    response.end(JSON.stringify(body));
+    response.end(text);
 }
--- a/src/standins/routed/routedStore.ts
+++ b/src/standins/routed/routedStore.ts
@@ -53,6 +53,8 @@
 export class RoutedStore {
     mood = StoreMood.Well;
     readonly calls: string[] = [];
+    /** JSON that another writer has stored in place of a value, by the string that stands for it here. */
+    readonly rawValues = new Map<string, string>();
     private readonly server: Server;
     private readonly objects = new Map<string, WireObject>();
     private events: StoreEvent[] = [];
@@ -182,7 +184,7 @@
     ): Promise<void> {
         if (name !== undefined) {
             const object = this.getObject(kind, name);
-            sendJson(response, object === undefined ? statusNotFound : statusOk, object ?? { error: "none" });
+            sendJson(response, object === undefined ? statusNotFound : statusOk, object ?? { error: "none" }, this.rawValues);
             return;
         }
         if (watch !== undefined) {
@@ -193,7 +195,7 @@
         const names = [...this.objects.keys()].filter(key => key.startsWith(`${kind}/`)).map(key => key.slice(kind.length + 1)).sort();
         const rest = names.filter(item => item > after);
         const items = rest.slice(0, pageSize).map(item => this.getObject(kind, item));
-        sendJson(response, statusOk, { items, "has-more": rest.length > pageSize, "as-of": this.revision });
+        sendJson(response, statusOk, { items, "has-more": rest.length > pageSize, "as-of": this.revision }, this.rawValues);
     }
 
     private async serveWatch(kind: string, after: number, wait: number, response: ServerResponse): Promise<void> {
@@ -207,7 +209,7 @@
             await this.waitForEvent(endsAt - performance.now(), response);
         }
         const events = listEvents().map(({ object, tombstone }) => ({ object, tombstone }));
-        sendJson(response, statusOk, { events, "as-of": after < this.oldestRevision ? after : this.revision });
+        sendJson(response, statusOk, { events, "as-of": after < this.oldestRevision ? after : this.revision }, this.rawValues);
     }
 
     private waitForEvent(milliseconds: number, response: ServerResponse): Promise<void> {
