Bound endless responses of endpoints on the product's own interface

Cause: the parser of events throws in the handler of a data event once an event has exceeded its limit, and the client for reports had no limit.

--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -93,8 +93,14 @@
         return new Promise((resolve, reject) => {
             const fail = () => reject(new Error("the connection was closed before the response ended"));
             response.on("data", (chunk: Buffer) => {
-                if (!handleChunk(chunk)) {
-                    resolve();
+                try {
+                    if (!handleChunk(chunk)) {
+                        resolve();
+                    }
+                }
+                catch (error) {
+                    // An exception in an event handler would end the process, and with it the calls of all other callers.
+                    reject(error as Error);
                 }
             });
             response.once("end", () => this.isResponseComplete() ? resolve() : fail());
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -1,9 +1,10 @@
-import { createParser } from "eventsource-parser";
+import { createParser, ParseError } from "eventsource-parser";
 import got, { Got } from "got";
 import { Agent, ClientRequest, IncomingMessage } from "node:http";
 import { z } from "zod";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure } from "../common/failure.js";
+import { createResponseLimit } from "../common/responseLimit.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
 import { formatAddress } from "../config/sectionReader.js";
@@ -19,6 +20,8 @@
 const statusOk = 200;
 const idleSocketMilliseconds = 3_000;
 const maximumEventBytes = 65_536;
+/** Largest report of an endpoint that is read, in bytes: a list of the cached prompt parts has some hundred kilobytes. */
+const maximumReportBytes = 4_194_304;
 const cancelTimeoutMilliseconds = 1_000;
 /** Response header of an endpoint that refused a request before running it. */
 export const notRunHeader = "x-request-not-run";
@@ -49,7 +52,13 @@
     static create(): HttpModelEndpointClient {
         const agent = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 8 });
         return new HttpModelEndpointClient(
-            got.extend({ ...minimalHeaderOptions, retry: { limit: 0 }, throwHttpErrors: false, agent: { http: agent } }),
+            got.extend({
+                ...minimalHeaderOptions,
+                retry: { limit: 0 },
+                throwHttpErrors: false,
+                agent: { http: agent },
+                handlers: [createResponseLimit(maximumReportBytes)],
+            }),
             agent,
         );
     }
@@ -197,7 +206,11 @@
     private hasReceivedEndMarker = false;
 
     private constructor(private readonly attempt: GenerationAttempt, private readonly sink: TokenSink) {
-        this.parser = createParser({ onEvent: event => this.readEvent(event.data), maxBufferSize: maximumEventBytes });
+        this.parser = createParser({
+            onEvent: event => this.readEvent(event.data),
+            onError: error => this.handleParseError(error),
+            maxBufferSize: maximumEventBytes,
+        });
     }
 
     static create(attempt: GenerationAttempt, sink: TokenSink): CompletionReader {
@@ -237,6 +250,14 @@
         });
     }
 
+    /** Ends the reading of a stream with an event that is too large. Unknown fields are ignored, as the format of event streams has it. */
+    private handleParseError(error: ParseError): void {
+        if (error.type === "max-buffer-size-exceeded") {
+            const message = Diagnostics.Endpoint_sent_an_answer_that_cannot_be_read_0;
+            this.failure ??= Failure.create(Verdict.MayHaveRun, message, `an event is larger than ${maximumEventBytes} bytes`);
+        }
+    }
+
     private readEvent(data: string): void {
         if (this.isFinished()) {
             return;
--- a/src/gateway/endlessResponses.test.ts
+++ b/src/gateway/endlessResponses.test.ts
@@ -10,6 +10,10 @@
 
 /** Memory that the process may gain while a server sends without end, in bytes: it sends hundreds of megabytes a second. */
 const memoryBound = 80_000_000;
+/** Calls at once, as many as an engine has slots. */
+const concurrentCalls = 64;
+/** The same for all of them: the memory of a node's host less that of the process itself, and of the server and the callers here. */
+const manyCallsMemoryBound = 250_000_000;
 const attemptIdPattern = new RegExp(`${HeaderNames.attemptId}: (\\S+)`, "i");
 const block = "x".repeat(65_536);
 
@@ -138,3 +142,24 @@
         request.end("{}");
     });
 }
+
+// Guards against the sum of what is kept for many calls at once: a faulty endpoint has as many as its slots.
+for (const { title, path, start, repeated } of cases) {
+    test(`many callers at once of an endpoint that sends ${title} without end do not exhaust the node's memory`, async context => {
+        const service = path.startsWith("/voucher") ? routedNames.calls : routedNames.engines;
+        const server = EndlessServer.create(request => start(attemptIdPattern.exec(request)?.[1] ?? ""), repeated);
+        const address = await server.start();
+        context.after(() => server.stop());
+        const slots = concurrentCalls;
+        const entry = { service, addr: address, zone: "xela", version: "v1", slots, state: "ready", born: 1 };
+        platform.store.putObject("servers", "endless", entry);
+        const directory = gateway.node.container.get(Keys.Directory);
+        await waitUntil(() => directory.findEndpoint("endless") !== undefined);
+        const { peakBytes } = await measureMemoryPeak(() =>
+            Promise.all(Array.from({ length: concurrentCalls }, () => sendDiscardingCall(path)))
+        );
+        assert.equal(peakBytes < manyCallsMemoryBound, true, `${peakBytes} bytes`);
+        platform.store.removeObject("servers", "endless");
+        await waitUntil(() => directory.findEndpoint("endless") === undefined);
+    });
+}
