Trust the end of a connection only from an endpoint that is still there

Cause: an endpoint that refuses connections counted as crashed only if another accepted them. Evidence: the same with a single endpoint. Ruled out: resets taken for ends, planned exits.

Change: such an answer is complete only if its endpoint does not refuse connections; the evidence of crashes against requests is as before.

--- a/src/gateway/endpointCrashCheck.ts
+++ b/src/gateway/endpointCrashCheck.ts
@@ -25,16 +25,23 @@
 
     /**
      * Returns whether an endpoint refuses connections, while another one accepts them: a node that is cut off is refused everywhere,
-     * and its own network paths must not count against endpoints or their requests. Probes the endpoint up to `maximumProbes` times while it accepts connections without
-     * sending anything, since a process that is ending still accepts them for a moment. A connection that is not answered is no
-     * evidence of a crash: the network between may be cut.
+     * and its own network paths must not count against endpoints or their requests.
      */
     async hasCrashed(endpoint: FleetEndpoint, maximumProbes: number): Promise<boolean> {
+        return await this.isRefusing(endpoint, maximumProbes) && await this.isOtherEndpointReachable(endpoint);
+    }
+
+    /**
+     * Returns whether an endpoint refuses connections. Probes it up to `maximumProbes` times while it accepts connections without
+     * sending anything, since a process that is ending still accepts them for a moment. A connection that is not answered is no
+     * refusal: the network between may be cut.
+     */
+    async isRefusing(endpoint: FleetEndpoint, maximumProbes: number): Promise<boolean> {
         const startedAt = this.clock.getMonotonicTime();
         for (let probes = 1;; probes += 1) {
             const result = await this.probe.checkAddress(endpoint.entry.address);
             if (result === ProbeResult.Refused) {
-                return this.isOtherEndpointReachable(endpoint);
+                return true;
             }
             if (result !== ProbeResult.Accepted || endpoint.lastReceivedAt > startedAt || probes >= maximumProbes) {
                 return false;
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -124,7 +124,8 @@
         if (!this.request.isResponseEndedByClose() || !endpoint.isUsable()) {
             return true;
         }
-        return !await this.crashCheck.hasCrashed(endpoint, maximumProbesAtEnd);
+        // Not only if another endpoint can be reached: all of them may have crashed at once, and then nothing proves the end.
+        return !await this.crashCheck.isRefusing(endpoint, maximumProbesAtEnd);
     }
 
     /** Reads the load from the response headers; returns undefined when the header is missing or invalid. */
--- a/src/gateway/truncatedStreams.test.ts
+++ b/src/gateway/truncatedStreams.test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
-import { createConnection } from "node:net";
+import { createConnection, createServer } from "node:net";
 import { after, before, beforeEach, test } from "node:test";
 import { HeaderNames } from "../../platform/wire.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
+import { startOnLoopback } from "../standins/routed/loopbackHttp.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { RoutedWorker, WorkerFault } from "../standins/routed/routedWorker.js";
 import { CallerView, RoutedGateway, waitUntil } from "../testing/routedGateway.js";
@@ -96,6 +97,36 @@
     }
 });
 
+// Guards against a crash of all endpoints at once: with none left to compare with, the crash looked like a lost path of the node.
+for (const path of ["/notice/1", "/voucher/1", "/lookup/1"]) {
+    test(`a response on ${path} without a length or chunks is not passed on as complete when every endpoint has crashed`, async context => {
+        const crashed = RoutedPlatform.create();
+        await crashed.start(0);
+        const server = createServer(socket => {
+            socket.on("error", () => {});
+            socket.once("data", (request: Buffer) => {
+                const id = /attempt-id: (\S+)/i.exec(request.toString("latin1"))?.[1] ?? "";
+                const type = path.startsWith("/notice") ? "text/event-stream" : "text/plain";
+                server.close();
+                socket.end(
+                    `HTTP/1.1 200 OK\r\n${HeaderNames.attemptId}: ${id}\r\n${HeaderNames.seal}: seal\r\ncontent-type: ${type}\r\n`
+                        + "connection: close\r\n\r\nid: 1\ndata: piece 1\n\n",
+                );
+            });
+        });
+        const service = path.startsWith("/notice") ? routedNames.engines : routedNames.calls;
+        const addr = await startOnLoopback(server);
+        crashed.store.putObject("servers", "i-only", { service, addr, zone: "xela", version: "v1", slots: 6, state: "ready", born: 1 });
+        const before = await RoutedGateway.start(crashed, { name: "before-crash" });
+        context.after(async () => {
+            await before.stop();
+            await crashed.stop();
+        });
+        const response = await before.sendCall(path, { method: "POST", body: before.createAttemptId() });
+        assert.equal(response.status === 200 && response.isWhole, false, JSON.stringify(response));
+    });
+}
+
 /** Publishes whether an engine is draining, and waits until the gateway knows. */
 async function publishDraining(engine: RoutedWorker, isDraining: boolean): Promise<void> {
     engine.isDraining = isDraining;
