Reject a caller's malformed head instead of failing on it

Cause: the runtime's client refuses what its server has parsed; the check of responses' heads had no counterpart for requests.

Change: the check moves to common/headCheck.ts and is asked for each request; 400 with the cause.

--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -85,6 +85,7 @@
     Path_0_is_not_served: createError(2013, "Path '{0}' is not served.", 404),
     Service_0_is_not_of_kind_1: createError(2014, "Service '{0}' is not of kind '{1}'.", 400),
     Body_is_not_valid_UTF_8: createError(2015, "The body is not valid UTF-8.", 400),
+    Request_head_is_malformed_0: createError(2018, "The head of the request is malformed: {0}.", 400),
     Method_0_is_not_allowed: createError(2016, "Method '{0}' is not allowed here.", 405),
     Service_0_does_not_accept_asynchronous_requests: createError(2017, "Service '{0}' does not accept asynchronous requests.", 400),
 
--- /dev/null
+++ b/src/common/headCheck.ts
@@ -0,0 +1,42 @@
+import { IncomingMessage, validateHeaderName, validateHeaderValue } from "node:http";
+import { describeError } from "./failure.js";
+
+/** Lowest status of a final response. A lower one announces another response, or another protocol, which no request asks for. */
+const lowestFinalStatus = 200;
+/** Characters that the runtime's client refuses in a request's target. */
+const invalidTargetPattern = /[^\u0021-\u00ff]/;
+
+/**
+ * Returns why the status or a header of a response is malformed; undefined if none is. The runtime's parser accepts some heads that
+ * its own server refuses to send.
+ */
+export function findResponseFault(response: Pick<IncomingMessage, "statusCode" | "rawHeaders">): string | undefined {
+    const { rawHeaders, statusCode = 0 } = response;
+    if (statusCode < lowestFinalStatus) {
+        return `status ${statusCode} is not that of a final response`;
+    }
+    return findHeaderFault(rawHeaders);
+}
+
+/** Returns why the target or a header of a request is malformed, so that it cannot be sent on; undefined if none is. */
+export function findRequestFault(request: Readonly<Pick<IncomingMessage, "url" | "rawHeaders">>): string | undefined {
+    if (invalidTargetPattern.test(request.url ?? "")) {
+        return "the path contains characters that are not allowed";
+    }
+    return findHeaderFault(request.rawHeaders);
+}
+
+/** `rawHeaders` alternates names and values. */
+function findHeaderFault(rawHeaders: readonly string[]): string | undefined {
+    try {
+        for (let index = 0; index + 1 < rawHeaders.length; index += 2) {
+            const name = rawHeaders[index] as string;
+            validateHeaderName(name);
+            validateHeaderValue(name, rawHeaders[index + 1] as string);
+        }
+        return undefined;
+    }
+    catch (error) {
+        return describeError(error);
+    }
+}
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -1,13 +1,13 @@
 import { Agent, IncomingMessage, OutgoingHttpHeaders } from "node:http";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
+import { findResponseFault } from "../common/headCheck.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { EndpointRequest } from "./endpointRequest.js";
 import { createStatusFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
-import { findHeadFault } from "./responseHead.js";
 import { PlainCall, PlainResponse } from "./types.js";
 
 /** Client interface to plain services. */
@@ -93,7 +93,7 @@
     request: EndpointRequest,
     call: PlainCall,
 ): Promise<Result<PlainResponse, Failure>> {
-    const headFault = findHeadFault(response);
+    const headFault = findResponseFault(response);
     if (headFault !== undefined) {
         return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_sent_an_answer_that_cannot_be_read_0, headFault));
     }
--- a/src/gateway/callReader.ts
+++ b/src/gateway/callReader.ts
@@ -3,6 +3,7 @@
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { hashCall } from "../common/hashing.js";
+import { findRequestFault } from "../common/headCheck.js";
 import { RandomSource } from "../common/random.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
@@ -44,6 +45,10 @@
     /** Returns the call, or the failure that is sent to the caller. `arrivedAt` is in monotonic milliseconds. */
     readCall(request: RequestHead, body: CallBody, arrivedAt: number, table: RouteTable): Result<IncomingCall, Failure> {
         const { protocol } = this;
+        const requestFault = findRequestFault(request);
+        if (requestFault !== undefined) {
+            return Err(createRejection(Diagnostics.Request_head_is_malformed_0, requestFault));
+        }
         const target = request.url ?? "";
         const route = table.findRoute(readHost(request), target);
         if (route === undefined) {
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -1,11 +1,11 @@
 import { Agent, IncomingMessage } from "node:http";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
+import { findResponseFault } from "../common/headCheck.js";
 import { Err, Ok, Result } from "../common/results.js";
 import { millisecondsPerSecond } from "../common/units.js";
 import { Verdict } from "../common/verdict.js";
 import { EndpointRequest } from "../endpoints/endpointRequest.js";
-import { findHeadFault } from "../endpoints/responseHead.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { ReportedLoad } from "../fleet/types.js";
 import { CallProtocol } from "./callProtocol.js";
@@ -164,7 +164,7 @@
 
     private checkHead(response: IncomingMessage): Failure | undefined {
         const { protocol } = this;
-        const headFault = findHeadFault(response);
+        const headFault = findResponseFault(response);
         if (headFault !== undefined) {
             return createUnreadableAnswerFailure(headFault);
         }
--- a/src/gateway/malformedResponses.test.ts
+++ b/src/gateway/malformedResponses.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { createConnection } from "node:net";
 import { after, before, test } from "node:test";
 import { HeaderNames } from "../../platform/wire.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
@@ -73,3 +74,37 @@
         }
     });
 }
+
+// Guards against a caller's own malformed head, which the runtime's parser accepts and its client refuses to send on.
+for (
+    const [title, path, line] of [
+        ["a tab in the path", "/lookup/a\tb", "x-more: value"],
+        ["a form feed in the path", "/lookup/a\fb", "x-more: value"],
+        ["a space in a header's name", "/lookup/1", "Cache Status: miss"],
+    ] as const
+) {
+    test(`a request with ${title} is rejected at once`, async () => {
+        const socket = createConnection({ host: "127.0.0.1", port: gateway.getPort() });
+        const text = await new Promise<string>(resolve => {
+            let received = "";
+            socket.setTimeout(2_000, () => resolve(received));
+            socket.on("error", () => resolve(received));
+            socket.on("close", () => resolve(received));
+            socket.on("data", (chunk: Buffer) => {
+                received += chunk.toString();
+                resolve(received);
+            });
+            socket.write([
+                `GET ${path} HTTP/1.1`,
+                `host: ${routedNames.host}`,
+                `authorization: Bearer ${routedNames.key}`,
+                `${HeaderNames.attemptId}: ${gateway.createAttemptId()}`,
+                line,
+                "",
+                "",
+            ].join("\r\n"));
+        });
+        socket.destroy();
+        assert.match(text, /^HTTP\/1\.1 400/);
+    });
+}
