--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -24,6 +24,7 @@
 /** Writes the response to one caller over HTTP and detects when the caller disconnects. */
 export class HttpCallerResponse implements CallerResponse {
     private readonly disconnectController = new AbortController();
+    /** Failure with which the node ended the call when it stopped. */
     private endFailure: Failure | undefined;
     /** Whether the sent headers give the response neither a length nor chunks, so that the connection's end marks its end. */
     private endsWithConnection = false;
@@ -38,6 +39,7 @@
         response.req.once("error", () => this.disconnectController.abort());
     }
 
+    /** `endsConnection` returns whether a head that is sent now announces the end of the connection. */
     static create(response: ServerResponse, endsConnection: () => boolean): HttpCallerResponse {
         return new HttpCallerResponse(response, endsConnection);
     }
@@ -96,10 +98,13 @@
         this.response.destroy();
     }
 
-    /** Ends the call for a node that stops: sends the failure if the response has not started, and ends the running attempt. */
+    /**
+     * Ends the call for a node that stops, and the running attempt with it: sends the failure if the response has not started. A
+     * request that has not been read whole has not run; closing its connection tells its caller that.
+     */
     endCall(failure: Failure, retryAfterHeader: string): void {
         this.endFailure = failure;
-        if (this.hasStarted()) {
+        if (this.hasStarted() || !this.response.req.complete) {
             this.abortResponse();
         }
         else {
--- a/src/gateway/plannedStop.test.ts
+++ b/src/gateway/plannedStop.test.ts
@@ -167,6 +167,20 @@
     }
 });
 
+// Guards against telling a caller that its request may have run when it was never read whole: it could not send a voucher again.
+test("a request that has not been read whole when the grace of a stop ends is closed without an answer", async context => {
+    const gateway = await startGateway(context);
+    const id = createId();
+    const { socket, read, closed } = await openChannel(gateway.getPort());
+    socket.write(createRequest("/voucher/1", id).slice(0, -1));
+    await sleep(50);
+    const stopped = gateway.stop();
+    await closed;
+    await stopped;
+    assert.equal(read(), "");
+    assert.equal(hasRun(id), false);
+});
+
 /** Sends two requests on one connection, the second without waiting for the first one's response. */
 async function sendTwo(gateway: RoutedGateway, path: string) {
     const ids = [createId(), createId()] as const;
