--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -81,6 +81,11 @@
     ),
     PeerChanged: createInfo("peer changed", stateChangeLinesPerSecond, "A peer was found, heard again, lost or leaves."),
     DependencyLost: createWarning("dependency lost", stateChangeLinesPerSecond, "The store, the cloud API or a watch does not answer."),
+    PlatformCallLost: createWarning(
+        "platform call lost",
+        stateChangeLinesPerSecond,
+        "A call to the store or the cloud API got no answer; how long it waited, and whether on a reused connection.",
+    ),
     DependencyRegained: createInfo("dependency regained", stateChangeLinesPerSecond, "It answers again; how long it was away."),
     StoreRestored: createWarning(
         "store restored",
