Close idle connections to the platform after a call without an answer

Cause: when all open connections go silent and new ones work, a watch is given up after its wait and its margin, and the client then sends the next one on an idle connection that has gone silent as well. That one waits for a whole turn again, on every node, so no node learns the change and tells its peers.

--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -1,6 +1,7 @@
 import { Agent, ClientRequest } from "node:http";
 import { Socket } from "node:net";
 import { Duplex } from "node:stream";
+import { closeIdleConnections } from "../common/idleConnections.js";
 import { millisecondsPerSecond } from "../common/units.js";
 import { EndpointConnector } from "../endpoints/endpointConnector.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
@@ -89,8 +90,8 @@
     /** Closes the idle connections of an endpoint that receives no more requests; those in use close after their responses. */
     closeIdle(endpoint: FleetEndpoint): void {
         const agent = this.agents.get(endpoint);
-        for (const sockets of Object.values(agent?.freeSockets ?? {})) {
-            sockets?.forEach(socket => socket.destroy());
+        if (agent !== undefined) {
+            closeIdleConnections(agent);
         }
     }
 
--- a/src/provider/httpObjectStore.ts
+++ b/src/provider/httpObjectStore.ts
@@ -4,6 +4,7 @@
 import { z } from "zod";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure, readErrorCode } from "../common/failure.js";
+import { createIdleConnectionHook } from "../common/idleConnections.js";
 import { isNestedTooDeeply, parseJson } from "../common/json.js";
 import { Metrics } from "../common/metrics.js";
 import { Err, Ok, Result } from "../common/results.js";
@@ -55,6 +56,7 @@
 
     static create(options: HttpObjectStoreOptions, metrics: Metrics): HttpObjectStore {
         const headers = options.token === undefined ? {} : { authorization: `Bearer ${options.token}` };
+        const agent = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds });
         const client = got.extend({
             prefixUrl: options.url,
             headers: { ...headers, "user-agent": undefined },
@@ -62,7 +64,8 @@
             retry: { limit: 0 },
             throwHttpErrors: false,
             timeout: { request: options.timeout },
-            agent: { http: new Agent({ keepAlive: true, timeout: idleSocketMilliseconds }) },
+            agent: { http: agent },
+            hooks: { beforeError: [createIdleConnectionHook(agent)] },
         });
         return new HttpObjectStore(client, options, metrics);
     }
