Believe a refusal on a kept connection only with the attempt's own id

What callers saw: other operators report clients that were told 'not run, try again' for requests that a worker had run or was running, and such requests that ran twice, after a worker had written an earlier refusal once more on a kept connection.

It could happen on the product's own interface: a refusal of an earlier attempt was taken for one of the call or generation that now ran on the connection, and an answer that had arrived on an idle connection was read as that to the next request. The gateway already compares the id and guards idle connections.

Change: a refusal that names another attempt, or none on a connection that was used before, leaves the verdict at MayHaveRun; generations send the id as a header for endpoints to echo, as calls do. Idle connections of both clients close when data arrives on them: the gateway's guard, now GuardedAgent.

--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -11,6 +11,7 @@
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
 import { EndpointRequest, SilenceError } from "./endpointRequest.js";
+import { GuardedAgent } from "./guardedAgent.js";
 import { CacheEvents, EngineModels, EngineOrder, ModelEndpointClient, TokenSink } from "./modelEndpoint.js";
 import { FinishReason, GenerationAttempt, GenerationEnd, LoadReport, loadReportSchema } from "./types.js";
 
@@ -23,6 +24,8 @@
 /** Largest report of an endpoint that is read, in bytes: a list of the cached prompt parts has some hundred kilobytes. */
 const maximumReportBytes = 4_194_304;
 const cancelTimeoutMilliseconds = 1_000;
+/** Header with the id of an attempt, which an endpoint echoes. */
+export const attemptIdHeader = "x-attempt-id";
 /** Response header of an endpoint that refused a request before running it. */
 export const notRunHeader = "x-request-not-run";
 /** Response header of an endpoint that is leaving and accepts no new requests. */
@@ -50,7 +53,7 @@
     private constructor(private readonly client: Got, private readonly agent: Agent) {}
 
     static create(): HttpModelEndpointClient {
-        const agent = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 8 });
+        const agent = GuardedAgent.createGuarded({ getIdleLimit: () => idleSocketMilliseconds, maxFreeSockets: 8 });
         return new HttpModelEndpointClient(
             got.extend({
                 ...minimalHeaderOptions,
@@ -77,6 +80,7 @@
             headers: {
                 ...attempt.traceHeaders,
                 "x-request-id": attempt.requestId,
+                [attemptIdHeader]: attempt.attemptId,
                 "content-type": "application/json",
                 "content-length": Buffer.byteLength(body),
             },
@@ -90,7 +94,7 @@
             const response = await request.send();
             if (response.statusCode !== statusOk) {
                 response.resume();
-                return Err(createStatusFailure(response));
+                return Err(createAttemptFailure(response, attempt.attemptId, request.isConnectionReused()));
             }
             const reader = CompletionReader.create(attempt, sink);
             await request.readChunks(chunk => {
@@ -196,6 +200,23 @@
     return Failure.create(Verdict.MayHaveRun, Diagnostics.Endpoint_failed_with_status_0, response.statusCode ?? 0);
 }
 
+/**
+ * Creates the failure for an unsuccessful response to an attempt. A refusal that names another attempt, or that names none on a
+ * connection that has carried earlier requests, may be that of an earlier attempt and proves nothing about this one.
+ */
+export function createAttemptFailure(
+    response: Pick<IncomingMessage, "statusCode" | "headers">,
+    attemptId: string,
+    isConnectionReused: boolean,
+): Failure {
+    const failure = createStatusFailure(response);
+    const namedId = response.headers[attemptIdHeader];
+    if (failure.verdict !== Verdict.NotRun || namedId === attemptId || (namedId === undefined && !isConnectionReused)) {
+        return failure;
+    }
+    return Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_names_another_request_0, String(namedId));
+}
+
 /** Decodes the completion events of one attempt, checks that they carry its attempt id, and passes the tokens to the sink. */
 class CompletionReader {
     private readonly decoder = new TextDecoder();
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -7,7 +7,8 @@
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { EndpointRequest } from "./endpointRequest.js";
-import { createStatusFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
+import { GuardedAgent } from "./guardedAgent.js";
+import { attemptIdHeader, createAttemptFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
 import { PlainCall, PlainResponse } from "./types.js";
 
 /** Client interface to plain services. */
@@ -29,7 +30,7 @@
 
     /** The probe tells whether the endpoint is still there after a response that ended with its connection. */
     static create(probe: ConnectionProbe): HttpPlainEndpointClient {
-        const pooledAgent = new Agent({ keepAlive: true, timeout: idleSocketMilliseconds, maxFreeSockets: 32 });
+        const pooledAgent = GuardedAgent.createGuarded({ getIdleLimit: () => idleSocketMilliseconds, maxFreeSockets: 32 });
         return new HttpPlainEndpointClient(pooledAgent, new Agent({ keepAlive: false }), probe);
     }
 
@@ -73,7 +74,7 @@
 function createCallHeaders(call: PlainCall): OutgoingHttpHeaders {
     const headers: OutgoingHttpHeaders = {
         "x-request-id": call.requestId,
-        "x-attempt-id": call.attemptId,
+        [attemptIdHeader]: call.attemptId,
         "x-service-version": call.version,
     };
     if (call.contentType !== undefined) {
@@ -108,9 +109,9 @@
         return Err(Failure.create(Verdict.Ran, Diagnostics.Answer_is_larger_than_0_bytes, call.answerBytes));
     }
     if (response.headers[notRunHeader] !== undefined || response.headers[leavingHeader] !== undefined) {
-        return Err(createStatusFailure(response));
+        return Err(createAttemptFailure(response, call.attemptId, request.isConnectionReused()));
     }
-    const responseAttemptId = response.headers["x-attempt-id"];
+    const responseAttemptId = response.headers[attemptIdHeader];
     if (responseAttemptId !== undefined && responseAttemptId !== call.attemptId) {
         return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_names_another_request_0, String(responseAttemptId)));
     }
--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -1,9 +1,9 @@
-import { Agent, ClientRequest } from "node:http";
+import { Agent, IncomingHttpHeaders } from "node:http";
 import { Socket } from "node:net";
-import { Duplex } from "node:stream";
 import { closeIdleConnections } from "../common/idleConnections.js";
 import { millisecondsPerSecond } from "../common/units.js";
 import { EndpointConnector } from "../endpoints/endpointConnector.js";
+import { GuardedAgent } from "../endpoints/guardedAgent.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 
 /** Longest idle time after which a connection is reused, even if the endpoint allows more. */
@@ -14,12 +14,14 @@
 const usedShareOfIdleTimeout = 0.6;
 const keepAlivePattern = /timeout=(\d+)/;
 
-/** Pools the connections to one endpoint; closes an idle one when its idle limit passes or unexpected data arrives on it. */
-class EndpointAgent extends Agent {
-    private readonly unexpectedDataHandlers = new WeakMap<Duplex, () => void>();
-
+/** Pools the connections to one endpoint. */
+class EndpointAgent extends GuardedAgent {
     private constructor(private readonly endpoint: FleetEndpoint, private readonly connector: EndpointConnector) {
-        super({ keepAlive: true, scheduling: "lifo", maxFreeSockets: Infinity });
+        super({
+            scheduling: "lifo",
+            maxFreeSockets: Infinity,
+            getIdleLimit: headers => endpoint.isUsable() ? readIdleLimit(headers["keep-alive"]?.toString()) : 0,
+        });
     }
 
     static create(endpoint: FleetEndpoint, connector: EndpointConnector): EndpointAgent {
@@ -29,32 +31,6 @@
     override createConnection(): Socket {
         return this.connector.openConnection(this.endpoint.entry.address);
     }
-
-    override keepSocketAlive(stream: Duplex): boolean {
-        const socket = stream as Socket;
-        const response = (stream as { _httpMessage?: { res?: { headers: Record<string, string | undefined>; }; }; })._httpMessage?.res;
-        const limit = readIdleLimit(response?.headers["keep-alive"]);
-        if (limit <= 0 || socket.readableLength > 0 || !this.endpoint.isUsable()) {
-            return false;
-        }
-        // Bytes on an idle connection belong to no request; a response read after them might be one to another request.
-        const destroy = () => void socket.destroy();
-        this.unexpectedDataHandlers.set(socket, destroy);
-        socket.on("data", destroy);
-        socket.setTimeout(limit, destroy);
-        return true;
-    }
-
-    override reuseSocket(stream: Duplex, request: ClientRequest): void {
-        const socket = stream as Socket;
-        const destroy = this.unexpectedDataHandlers.get(socket);
-        if (destroy !== undefined) {
-            socket.off("data", destroy);
-            socket.off("timeout", destroy);
-        }
-        socket.setTimeout(0);
-        super.reuseSocket(stream, request);
-    }
 }
 
 /** Returns the idle limit for a Keep-Alive header, in milliseconds. */
--- a/src/standins/engine.ts
+++ b/src/standins/engine.ts
@@ -134,6 +134,7 @@
             cache_handle?: string;
         };
         this.lastArrivalAt = Date.now();
+        response.set("x-attempt-id", body.attempt_id);
         if (body.prompt.includes(killerText) && this.options.tokensBeforeCrash === 0) {
             this.crashOfRequest();
             return;
--- a/src/standins/plainService.ts
+++ b/src/standins/plainService.ts
@@ -97,6 +97,7 @@
 
     private async handleCall(request: Request, response: Response): Promise<void> {
         const fault = this.faults.shift() ?? CallFault.None;
+        response.set("x-attempt-id", String(request.headers["x-attempt-id"] ?? ""));
         if (fault === CallFault.ResetBeforeEffect) {
             request.socket.resetAndDestroy();
             return;
