--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -1,4 +1,4 @@
-import { Agent, IncomingHttpHeaders } from "node:http";
+import { Agent } from "node:http";
 import { Socket } from "node:net";
 import { closeIdleConnections } from "../common/idleConnections.js";
 import { millisecondsPerSecond } from "../common/units.js";
