Exchange with a peer again at once after a first failure

Cause: a session that goes silent costs the timeout of one exchange (1 s), and the first failure then doubled the pause to another second, though the next exchange opens a new session.

--- a/src/gossip/gossipExchange.ts
+++ b/src/gossip/gossipExchange.ts
@@ -104,11 +104,22 @@
     private async runPeerExchanges(peer: GatewayPeer): Promise<void> {
         while (!this.stopping.signal.aborted && this.listCallees().includes(peer)) {
             await this.exchangeWith(peer);
-            const delay = Math.min(this.interval * 2 ** Math.min(peer.failuresInRow, 8), maximumRetryDelayMilliseconds);
-            await this.clock.sleep(delay, this.stopping.signal);
+            await this.clock.sleep(this.computeDelay(peer), this.stopping.signal);
         }
     }
 
+    /**
+     * Returns the delay until the next exchange with a peer, in milliseconds. The first failure causes none: the session may have
+     * gone silent while its peer lives, and the next exchange opens another.
+     */
+    private computeDelay(peer: GatewayPeer): number {
+        const { failuresInRow } = peer;
+        if (failuresInRow === 1) {
+            return 0;
+        }
+        return Math.min(this.interval * 2 ** Math.max(0, failuresInRow - 1), maximumRetryDelayMilliseconds);
+    }
+
     private listCallees(): GatewayPeer[] {
         return this.plan.listCallees(this.digestHandler.getLeaseHolder());
     }
