Read the store on every node for a while after a silence, on new connections

Cause: after a silence the views of who relays differ for some seconds.

Change: an exchange with a peer that answered before and now times out is evidence that open connections have gone silent. A reset or refusal is no such evidence, so planned restarts cost nothing.

--- a/src/gossip/gossipExchange.test.ts
+++ b/src/gossip/gossipExchange.test.ts
@@ -16,8 +16,22 @@
 const intervalMilliseconds = 500;
 const member = { name: "peer", failureDomain: "x", address: "127.0.0.1:2", incarnation: 1n };
 
-/** Runs exchanges with one peer; `isAnswered` tells whether the exchange that starts now gets an answer. Returns the start times. */
-async function runExchanges(until: number, isAnswered: (startedAt: number) => boolean): Promise<number[]> {
+/** What happened in a series of exchanges with one peer. */
+interface ExchangeSeries {
+    readonly startedAt: readonly number[];
+    /** Number of times that the peer was reported to have gone silent. */
+    readonly silences: number;
+}
+
+/**
+ * Runs exchanges with one peer. `isAnswered` tells whether the exchange that starts now gets an answer; one that gets none takes
+ * `failureTime`, in milliseconds.
+ */
+async function runExchanges(
+    until: number,
+    isAnswered: (startedAt: number) => boolean,
+    failureTime = exchangeTimeoutMilliseconds,
+): Promise<ExchangeSeries> {
     const clock = VirtualClock.create();
     const table = PeerTable.create({ name: "node", failureDomain: "x", address: "127.0.0.1:1", incarnation: 1 }, clock, 2_000);
     table.addPeer({ ...member, incarnation: 1 });
@@ -29,7 +43,7 @@
             if (isAnswered(now)) {
                 return Ok(create(GatewayExchangeResponseSchema, { digest: { member } }));
             }
-            await clock.sleep(exchangeTimeoutMilliseconds);
+            await clock.sleep(failureTime);
             return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Node_at_0_did_not_answer_1, member.address, "timeout"));
         },
         sendState: () => Promise.resolve(Ok(undefined)),
@@ -44,26 +58,35 @@
     };
     const log = SilentEventLog.create();
     const gossip = GossipExchange.create(table, client, handler, RelaySelector.create(table), clock, intervalMilliseconds, log);
+    let silences = 0;
+    gossip.setSilenceHandler(() => (silences += 1));
     const running = gossip.runRounds();
     await clock.runUntil(until);
     gossip.stop();
     await running;
-    return startedAt;
+    return { startedAt, silences };
 }
 
 // Guards against news that waits for a second pause after a session has gone silent, while its peer lives.
 test("an exchange whose session has gone silent is followed at once by one over a new session", async () => {
     const silentFrom = 2_000;
-    const startedAt = await runExchanges(5_000, now => now < silentFrom || now >= silentFrom + exchangeTimeoutMilliseconds);
+    const { startedAt } = await runExchanges(5_000, now => now < silentFrom || now >= silentFrom + exchangeTimeoutMilliseconds);
     const firstAnswered = startedAt.find(time => time >= silentFrom + exchangeTimeoutMilliseconds) ?? Infinity;
     const latest = silentFrom + intervalMilliseconds + exchangeTimeoutMilliseconds;
     assert.equal(firstAnswered <= latest, true, `answered at ${firstAnswered}, allowed until ${latest}`);
 });
 
 test("a peer that does not answer is tried again after growing pauses", async () => {
-    const startedAt = await runExchanges(30_000, now => now < 2_000);
+    const { startedAt } = await runExchanges(30_000, now => now < 2_000);
     const failed = startedAt.filter(time => time >= 2_000);
     const pauses = failed.slice(1).map((time, index) => time - (failed[index] as number) - exchangeTimeoutMilliseconds);
     assert.deepEqual(pauses.slice(0, 4), [0, 1_000, 2_000, 4_000]);
     assert.equal(Math.max(...pauses), 4_000);
 });
+
+// Guards against a store whose connections have gone silent together with those to peers, and are used on.
+test("a peer that lets exchanges time out after it had answered is reported once, one that refuses them is not", async () => {
+    const isAnswered = (now: number) => now < 2_000;
+    assert.equal((await runExchanges(10_000, isAnswered)).silences, 1);
+    assert.equal((await runExchanges(10_000, isAnswered, 5)).silences, 0);
+});
--- a/src/gossip/gossipExchange.ts
+++ b/src/gossip/gossipExchange.ts
@@ -3,13 +3,15 @@
 import { LogEvents } from "../common/logEvents.js";
 import { formatAddress, parseAddress } from "../config/sectionReader.js";
 import { NetworkAddress } from "../config/types.js";
-import { GossipClient } from "./gossipClient.js";
+import { exchangeTimeoutMilliseconds, GossipClient } from "./gossipClient.js";
 import { PeerTable } from "./peerTable.js";
 import { RelaySelector } from "./relaySelector.js";
 import { GatewayDigest, GatewayDigestInit, GatewayExchangeResponseInit, GatewayPeer, SharedState, SharedStateInit } from "./types.js";
 
 /** Maximum delay between two attempts to reach a peer that does not respond, in milliseconds. */
 const maximumRetryDelayMilliseconds = 4_000;
+/** Time after which a failed exchange counts as one without an answer, in milliseconds; a connection that is reset fails earlier. */
+const leastSilenceMilliseconds = 0.9 * exchangeTimeoutMilliseconds;
 
 /** Builds the digests and state updates that a node sends, and applies those that it receives. */
 export interface DigestHandler {
@@ -33,6 +35,7 @@
     private readonly stopping = new AbortController();
     private seeds: readonly NetworkAddress[] = [];
     private readonly tasksByPeer = new Map<string, Promise<void>>();
+    private handleSilence: () => void = () => {};
 
     private constructor(
         private readonly table: PeerTable,
@@ -62,6 +65,11 @@
         this.seeds = seeds.filter(seed => formatAddress(seed) !== this.table.identity.address);
     }
 
+    /** Sets a function that is called when a peer that answered before lets an exchange time out. */
+    setSilenceHandler(handleSilence: () => void): void {
+        this.handleSilence = handleSilence;
+    }
+
     /** Starts an exchange task for each selected peer, and checks the selection once an interval until `stop` is called. */
     async runRounds(): Promise<void> {
         while (!this.stopping.signal.aborted) {
@@ -130,9 +138,14 @@
             return;
         }
         const wasReachable = this.table.isReachable(peer);
+        const startedAt = this.clock.getMonotonicTime();
         const exchanged = await this.client.exchangeDigests(address, this.digestHandler.createDigest(peer));
         if (exchanged.err || exchanged.val.digest === undefined) {
             this.table.recordFailure(peer);
+            if (peer.failuresInRow === 1 && this.clock.getMonotonicTime() - startedAt >= leastSilenceMilliseconds) {
+                this.table.recordSilence();
+                this.handleSilence();
+            }
             if (wasReachable && !this.table.isReachable(peer)) {
                 this.log.log(LogEvents.PeerChanged, { peer: peer.name, state: "lost", cause: exchanged.err ? exchanged.val.text : "" });
             }
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -28,6 +28,7 @@
     private readonly peers = new Map<string, GatewayPeer>();
     private readonly discoveredAtByPeer = new Map<string, number>();
     private membershipVersion = 0;
+    private lastSilenceAt = -Infinity;
 
     private constructor(readonly identity: PeerIdentity, private readonly clock: Clock, private readonly silenceLimit: number) {}
 
@@ -120,6 +121,16 @@
         peer.hasAllQuarantines = false;
     }
 
+    /** Records that a peer which answered before let an exchange time out: open connections may have gone silent. */
+    recordSilence(): void {
+        this.lastSilenceAt = this.clock.getMonotonicTime();
+    }
+
+    /** Returns the time since `recordSilence` was last called, in milliseconds; Infinity if it never was. */
+    getTimeSinceSilence(): number {
+        return this.clock.getMonotonicTime() - this.lastSilenceAt;
+    }
+
     /** Records that a peer could not be reached with a call. Its exchanges go on as before: their own failures delay them. */
     recordMissedCall(peer: GatewayPeer): void {
         peer.lastFailedAt = this.clock.getMonotonicTime();
--- a/src/gossip/relaySelector.ts
+++ b/src/gossip/relaySelector.ts
@@ -18,6 +18,8 @@
  * exchanges. One exchange that is lost takes longer, and with its repetition most of the time in which a change must be in force.
  */
 const followedSilenceMilliseconds = 1_250;
+/** Time for which a node reads the store itself after an exchange with a peer timed out, in milliseconds: relays settle within it. */
+const readingTimeAfterSilence = 6_000;
 
 /** Time for which selected relays are reused while the membership is unchanged, in milliseconds: short compared with the silence after which a peer counts as unreachable. */
 const selectionMilliseconds = 100;
@@ -72,9 +74,13 @@
 
     /**
      * Returns whether this node receives changes of the store from peers and need not read it itself: it follows a relay, or it is a
-     * relay that exchanges digests with a reader whose last call to the store succeeded.
+     * relay that exchanges digests with a reader whose last call to the store succeeded. After a silence it reads by itself for a
+     * while, since views of who relays differ until the peers have heard one another again.
      */
     isFollowingReader(): boolean {
+        if (this.table.getTimeSinceSilence() < readingTimeAfterSilence) {
+            return false;
+        }
         if (!this.isRelaying()) {
             return this.isFollowingRelay();
         }
--- a/src/gossip/relays.test.ts
+++ b/src/gossip/relays.test.ts
@@ -212,6 +212,27 @@
     assert.equal(plan.isFollowingReader(), true);
 });
 
+// Guards against nodes of a large fleet that wait for news from one another after a silence, while none of them is told by a reader.
+test("a node reads the store itself for six seconds after an exchange with a peer has timed out", async () => {
+    const clock = VirtualClock.create();
+    const table = PeerTable.create({ name: "a-99", failureDomain: "a", address: "x:1", incarnation: 1 }, clock, silenceMilliseconds);
+    const plan = RelaySelector.create(table);
+    const receiveDigests = () => {
+        for (let index = 0; index < 20; index += 1) {
+            const member = { name: `a-${String(index).padStart(2, "0")}`, failureDomain: "a", address: "y:1", incarnation: 1n };
+            table.recordDigest(create(GatewayDigestSchema, { member, isStoreReachable: true }));
+        }
+    };
+    receiveDigests();
+    assert.equal(plan.isFollowingReader(), true);
+    table.recordSilence();
+    for (const [time, isFollowing] of [[1_000, false], [5_900, false], [6_100, true]] as const) {
+        await clock.runUntil(time);
+        receiveDigests();
+        assert.equal(plan.isFollowingReader(), isFollowing, String(time));
+    }
+});
+
 // Guards against calls being handed to a node that is itself cut off, in a fleet where most nodes hear of it over relays.
 test("each of 74 nodes hears within three seconds which services another one cannot reach, and that it reaches them again", async () => {
     const clock = VirtualClock.create();
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -84,6 +84,7 @@
         }
         const watches = container.get(Keys.Watches);
         const gossip = container.get(Keys.Gossip);
+        gossip.setSilenceHandler(() => container.get(Keys.Store).renewConnections());
         watches.configuration.setRelistHandler(() => void gossip.publishNow());
         watches.endpoints.setRelistHandler(() => void gossip.publishNow());
         void watches.configuration.run();
--- a/src/provider/httpObjectStore.ts
+++ b/src/provider/httpObjectStore.ts
@@ -4,7 +4,7 @@
 import { z } from "zod";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure, readErrorCode } from "../common/failure.js";
-import { createIdleConnectionHook } from "../common/idleConnections.js";
+import { closeIdleConnections, createIdleConnectionHook } from "../common/idleConnections.js";
 import { isNestedTooDeeply, parseJson } from "../common/json.js";
 import { Metrics } from "../common/metrics.js";
 import { Err, Ok, Result } from "../common/results.js";
@@ -50,6 +50,7 @@
 
     private constructor(
         private readonly client: Got,
+        private readonly agent: Agent,
         private readonly options: HttpObjectStoreOptions,
         private readonly metrics: Metrics,
     ) {}
@@ -67,7 +68,7 @@
             agent: { http: agent },
             hooks: { beforeError: [createIdleConnectionHook(agent)] },
         });
-        return new HttpObjectStore(client, options, metrics);
+        return new HttpObjectStore(client, agent, options, metrics);
     }
 
     isReachable(): boolean {
@@ -81,6 +82,11 @@
 
     recordEra(): void {}
 
+    /** Leaves the watches: their heartbeats show within the silence limit whether they have gone silent. */
+    renewConnections(): void {
+        closeIdleConnections(this.agent);
+    }
+
     async getObject(name: string): Promise<Result<StoredObject | undefined, Failure>> {
         const response = await this.sendRead("get", `objects/${encodeURIComponent(name)}`);
         if (response.err) {
--- a/src/provider/objectStore.ts
+++ b/src/provider/objectStore.ts
@@ -26,6 +26,8 @@
     getEra(): number;
     /** Records an era that a peer saw. If it is higher, running watches end with an Expired event. */
     recordEra(era: number): void;
+    /** Ends watches and closes idle connections, because open connections may have gone silent: the next calls open new ones. */
+    renewConnections(): void;
 }
 
 /** Creates an object when `current` is undefined, otherwise replaces it provided its revision is still that of `current`; returns the new revision. */
--- a/src/testing/memoryObjectStore.ts
+++ b/src/testing/memoryObjectStore.ts
@@ -96,6 +96,8 @@
         this.era = Math.max(this.era, era);
     }
 
+    renewConnections(): void {}
+
     async getObject(name: string): Promise<Result<StoredObject | undefined, Failure>> {
         return this.runRead(() => this.readObject(name));
     }
