--- a/src/gossip/gossipExchange.ts
+++ b/src/gossip/gossipExchange.ts
@@ -65,7 +65,7 @@
         this.seeds = seeds.filter(seed => formatAddress(seed) !== this.table.identity.address);
     }
 
-    /** Sets a function that is called when a peer that answered before lets an exchange time out. */
+    /** Sets a function that is called when an exchange times out with a peer whose last exchange had not failed. */
     setSilenceHandler(handleSilence: () => void): void {
         this.handleSilence = handleSilence;
     }
