Respect an endpoint's idle timeout on the product's own interface as before

Change: the stated timeout bounds the idle limit of both clients; idle connections do not keep a process from ending. One parser of the header for gateway and own interface.

Tests: endpoints/repeatedRefusals.test.ts ('a connection is not reused for a call after the idle timeout ...', the same for a generation).

--- a/src/endpoints/guardedAgent.ts
+++ b/src/endpoints/guardedAgent.ts
@@ -1,6 +1,15 @@
 import { Agent, AgentOptions, ClientRequest, IncomingHttpHeaders } from "node:http";
 import { Socket } from "node:net";
 import { Duplex } from "node:stream";
+import { millisecondsPerSecond } from "../common/units.js";
+
+const keepAlivePattern = /timeout=(\d+)/;
+
+/** Returns the idle timeout that an endpoint states in its Keep-Alive header, in milliseconds; undefined if it states none. */
+export function readStatedIdleTimeout(headers: IncomingHttpHeaders): number | undefined {
+    const seconds = keepAlivePattern.exec(headers["keep-alive"]?.toString() ?? "")?.[1];
+    return seconds === undefined ? undefined : Number(seconds) * millisecondsPerSecond;
+}
 
 /** Options of a guarded agent. */
 export interface GuardedAgentOptions extends AgentOptions {
@@ -34,6 +43,8 @@
         this.unexpectedDataHandlers.set(socket, destroy);
         socket.on("data", destroy);
         socket.setTimeout(limit, destroy);
+        // An idle connection must not keep a process from ending; the runtime refers to it again when it is reused.
+        socket.unref();
         return true;
     }
 
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -11,7 +11,7 @@
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
 import { EndpointRequest, SilenceError } from "./endpointRequest.js";
-import { GuardedAgent } from "./guardedAgent.js";
+import { GuardedAgent, readStatedIdleTimeout } from "./guardedAgent.js";
 import { CacheEvents, EngineModels, EngineOrder, ModelEndpointClient, TokenSink } from "./modelEndpoint.js";
 import { FinishReason, GenerationAttempt, GenerationEnd, LoadReport, loadReportSchema } from "./types.js";
 
@@ -53,7 +53,10 @@
     private constructor(private readonly client: Got, private readonly agent: Agent) {}
 
     static create(): HttpModelEndpointClient {
-        const agent = GuardedAgent.createGuarded({ getIdleLimit: () => idleSocketMilliseconds, maxFreeSockets: 8 });
+        const agent = GuardedAgent.createGuarded({
+            getIdleLimit: headers => Math.min(idleSocketMilliseconds, readStatedIdleTimeout(headers) ?? Infinity),
+            maxFreeSockets: 8,
+        });
         return new HttpModelEndpointClient(
             got.extend({
                 ...minimalHeaderOptions,
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -7,7 +7,7 @@
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { EndpointRequest } from "./endpointRequest.js";
-import { GuardedAgent } from "./guardedAgent.js";
+import { GuardedAgent, readStatedIdleTimeout } from "./guardedAgent.js";
 import { attemptIdHeader, createAttemptFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
 import { PlainCall, PlainResponse } from "./types.js";
 
@@ -30,7 +30,10 @@
 
     /** The probe tells whether the endpoint is still there after a response that ended with its connection. */
     static create(probe: ConnectionProbe): HttpPlainEndpointClient {
-        const pooledAgent = GuardedAgent.createGuarded({ getIdleLimit: () => idleSocketMilliseconds, maxFreeSockets: 32 });
+        const pooledAgent = GuardedAgent.createGuarded({
+            getIdleLimit: headers => Math.min(idleSocketMilliseconds, readStatedIdleTimeout(headers) ?? Infinity),
+            maxFreeSockets: 32,
+        });
         return new HttpPlainEndpointClient(pooledAgent, new Agent({ keepAlive: false }), probe);
     }
 
--- a/src/endpoints/repeatedRefusals.test.ts
+++ b/src/endpoints/repeatedRefusals.test.ts
@@ -74,4 +74,17 @@
             assert.equal(unnamed.err && unnamed.val.verdict, Verdict.NotRun);
         }
     });
+
+    // Guards against a request on a connection that its endpoint is about to close.
+    test(`a connection is not reused for a ${title} after the idle timeout that its endpoint states`, async context => {
+        const [server, address] = await startServer(
+            context,
+            (_count, attemptId) => formatAttemptResponse(attemptId ?? "").replace("\r\n\r\n", "\r\nkeep-alive: timeout=1\r\n\r\n"),
+        );
+        const send = createSender();
+        assert.equal((await send(address, "attempt-1")).ok, true);
+        await new Promise(resolve => setTimeout(resolve, 1_100));
+        assert.equal((await send(address, "attempt-2")).ok, true);
+        assert.equal(server.connections, 2);
+    });
 }
--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -1,9 +1,8 @@
-import { Agent } from "node:http";
+import { Agent, IncomingHttpHeaders } from "node:http";
 import { Socket } from "node:net";
 import { closeIdleConnections } from "../common/idleConnections.js";
-import { millisecondsPerSecond } from "../common/units.js";
 import { EndpointConnector } from "../endpoints/endpointConnector.js";
-import { GuardedAgent } from "../endpoints/guardedAgent.js";
+import { GuardedAgent, readStatedIdleTimeout } from "../endpoints/guardedAgent.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 
 /** Longest idle time after which a connection is reused, even if the endpoint allows more. */
@@ -12,7 +11,6 @@
 const defaultIdleMilliseconds = 300;
 /** Fraction of the endpoint's idle timeout that is used, since the endpoint may close the connection while the next request is in transit. */
 const usedShareOfIdleTimeout = 0.6;
-const keepAlivePattern = /timeout=(\d+)/;
 
 /** Pools the connections to one endpoint. */
 class EndpointAgent extends GuardedAgent {
@@ -20,7 +18,7 @@
         super({
             scheduling: "lifo",
             maxFreeSockets: Infinity,
-            getIdleLimit: headers => endpoint.isUsable() ? readIdleLimit(headers["keep-alive"]?.toString()) : 0,
+            getIdleLimit: headers => endpoint.isUsable() ? computeIdleLimit(headers) : 0,
         });
     }
 
@@ -33,13 +31,10 @@
     }
 }
 
-/** Returns the idle limit for a Keep-Alive header, in milliseconds. */
-function readIdleLimit(header: string | undefined): number {
-    const statedSeconds = header === undefined ? undefined : keepAlivePattern.exec(header)?.[1];
-    if (statedSeconds === undefined) {
-        return defaultIdleMilliseconds;
-    }
-    return Math.min(maximumIdleMilliseconds, Number(statedSeconds) * millisecondsPerSecond * usedShareOfIdleTimeout);
+/** Returns how long a connection may be idle after a response with the given headers, in milliseconds. */
+function computeIdleLimit(headers: IncomingHttpHeaders): number {
+    const stated = readStatedIdleTimeout(headers);
+    return stated === undefined ? defaultIdleMilliseconds : Math.min(maximumIdleMilliseconds, stated * usedShareOfIdleTimeout);
 }
 
 /** Keeps one pool of reusable connections for each endpoint. */
