Count only a peer that answered before as gone silent; one copy of the tests' call

A peer that had never answered, such as a dead node that is still registered, was taken for one that had gone silent at the first failed exchange: at a start each such node made the others renew their connections and read the store for six seconds, which the comments did not say. The new test of gossipExchange.test.ts fails without the change and passes with it.

Three test files built the same plain call; they share createPlainCall now, checks unchanged.

--- a/src/endpoints/endlessResponses.test.ts
+++ b/src/endpoints/endlessResponses.test.ts
@@ -8,6 +8,7 @@
 import { NetworkAddress } from "../config/types.js";
 import { EndlessServer, measureMemoryPeak } from "../standins/routed/endlessServer.js";
 import { startOnLoopback, stopServer } from "../standins/routed/loopbackHttp.js";
+import { createPlainCall } from "../testing/attemptSenders.js";
 import { TcpConnectionProbe } from "./connectionProbe.js";
 import { TcpEndpointConnector } from "./endpointConnector.js";
 import { HttpModelEndpointClient } from "./httpModelEndpoint.js";
@@ -33,21 +34,11 @@
 
 function sendPlainCall(address: NetworkAddress, signal: AbortSignal) {
     const connector = TcpEndpointConnector.create();
-    return HttpPlainEndpointClient.create(TcpConnectionProbe.create(connector, 300)).sendCall(address, {
-        requestId: "request-1",
-        attemptId: "attempt-1",
-        version: "v1",
-        method: "GET",
-        path: "lookup",
-        contentType: undefined,
-        idempotencyKey: undefined,
-        body: Buffer.alloc(0),
-        timeLimit: timeLimitMilliseconds,
-        connectTimeout: 300,
-        answerBytes: 1_000_000,
-        mayReuseConnection: false,
-        traceHeaders: {},
-    }, signal);
+    return HttpPlainEndpointClient.create(TcpConnectionProbe.create(connector, 300)).sendCall(
+        address,
+        createPlainCall("attempt-1", { timeLimit: timeLimitMilliseconds, answerBytes: 1_000_000 }),
+        signal,
+    );
 }
 
 function runGeneration(address: NetworkAddress, signal: AbortSignal) {
--- a/src/endpoints/plainEndpoint.test.ts
+++ b/src/endpoints/plainEndpoint.test.ts
@@ -4,6 +4,7 @@
 import { startListening } from "../common/listening.js";
 import { Result } from "../common/results.js";
 import { Verdict } from "../common/verdict.js";
+import { createPlainCall } from "../testing/attemptSenders.js";
 import { TcpConnectionProbe } from "./connectionProbe.js";
 import { TcpEndpointConnector } from "./endpointConnector.js";
 import { HttpPlainEndpointClient } from "./plainEndpoint.js";
@@ -19,21 +20,11 @@
     });
     const address = await startListening(server, { host: "127.0.0.1", port: 0 });
     context.after(() => server.close());
-    return HttpPlainEndpointClient.create(TcpConnectionProbe.create(TcpEndpointConnector.create(), 300)).sendCall(address, {
-        requestId: "request-1",
-        attemptId: "attempt-1",
-        version: "v1",
-        method: "GET",
-        path: "lookup",
-        contentType: undefined,
-        idempotencyKey: undefined,
-        body: Buffer.alloc(0),
-        timeLimit: 2_000,
-        connectTimeout: 300,
-        answerBytes: 1_000,
-        mayReuseConnection: false,
-        traceHeaders: {},
-    }, new AbortController().signal);
+    return HttpPlainEndpointClient.create(TcpConnectionProbe.create(TcpEndpointConnector.create(), 300)).sendCall(
+        address,
+        createPlainCall("attempt-1"),
+        new AbortController().signal,
+    );
 }
 
 function checkTruncated(result: Result<PlainResponse, { readonly verdict: Verdict; }>): void {
--- a/src/gossip/gossipExchange.test.ts
+++ b/src/gossip/gossipExchange.test.ts
@@ -90,3 +90,8 @@
     assert.equal((await runExchanges(10_000, isAnswered)).silences, 1);
     assert.equal((await runExchanges(10_000, isAnswered, 5)).silences, 0);
 });
+
+// Guards against a start at which every dead node that is still registered makes all nodes renew their connections to the store.
+test("a peer that has never answered is not reported to have gone silent", async () => {
+    assert.equal((await runExchanges(10_000, () => false)).silences, 0);
+});
--- a/src/gossip/gossipExchange.ts
+++ b/src/gossip/gossipExchange.ts
@@ -65,7 +65,7 @@
         this.seeds = seeds.filter(seed => formatAddress(seed) !== this.table.identity.address);
     }
 
-    /** Sets a function that is called when an exchange times out with a peer whose last exchange had not failed. */
+    /** Sets a function that is called when an exchange times out with a peer that answered the one before. */
     setSilenceHandler(handleSilence: () => void): void {
         this.handleSilence = handleSilence;
     }
@@ -142,7 +142,7 @@
         const exchanged = await this.client.exchangeDigests(address, this.digestHandler.createDigest(peer));
         if (exchanged.err || exchanged.val.digest === undefined) {
             this.table.recordFailure(peer);
-            if (peer.failuresInRow === 1 && this.clock.getMonotonicTime() - startedAt >= leastSilenceMilliseconds) {
+            if (this.isSilence(peer, startedAt)) {
                 this.table.recordSilence();
                 this.handleSilence();
             }
@@ -154,6 +154,12 @@
         await this.finishExchange(address, exchanged.val.digest, exchanged.val.state);
     }
 
+    /** Returns whether the exchange that began at `startedAt` and has failed timed out with a peer that answered the one before. */
+    private isSilence(peer: GatewayPeer, startedAt: number): boolean {
+        return peer.lastSeenAt > -Infinity && peer.failuresInRow === 1
+            && this.clock.getMonotonicTime() - startedAt >= leastSilenceMilliseconds;
+    }
+
     /** Exchanges digests with a seed address whose node name is not known yet. */
     private async exchangeAt(seed: NetworkAddress): Promise<void> {
         const exchanged = await this.client.exchangeDigests(seed, this.digestHandler.createDigest(undefined));
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -121,7 +121,7 @@
         peer.hasAllQuarantines = false;
     }
 
-    /** Records that an exchange timed out with a peer whose last exchange had not failed: open connections may have gone silent. */
+    /** Records that an exchange timed out with a peer that answered the one before: open connections may have gone silent. */
     recordSilence(): void {
         this.lastSilenceAt = this.clock.getMonotonicTime();
     }
--- a/src/testing/attemptSenders.ts
+++ b/src/testing/attemptSenders.ts
@@ -5,6 +5,7 @@
 import { TcpEndpointConnector } from "../endpoints/endpointConnector.js";
 import { HttpModelEndpointClient } from "../endpoints/httpModelEndpoint.js";
 import { HttpPlainEndpointClient } from "../endpoints/plainEndpoint.js";
+import { PlainCall } from "../endpoints/types.js";
 
 /** Sends one attempt to an endpoint. */
 export type SendAttempt = (
@@ -13,24 +14,30 @@
     handleToken?: (token: string) => void,
 ) => Promise<Result<unknown, { readonly verdict: Verdict; }>>;
 
+/** Creates a call to a plain service. */
+export function createPlainCall(attemptId: string, parts: Partial<PlainCall> = {}): PlainCall {
+    return {
+        requestId: "request-1",
+        attemptId,
+        version: "v1",
+        method: "GET",
+        path: "lookup",
+        contentType: undefined,
+        idempotencyKey: undefined,
+        body: Buffer.alloc(0),
+        timeLimit: 2_000,
+        connectTimeout: 300,
+        answerBytes: 1_000,
+        mayReuseConnection: false,
+        traceHeaders: {},
+        ...parts,
+    };
+}
+
 function createCallSender(): SendAttempt {
     const client = HttpPlainEndpointClient.create(TcpConnectionProbe.create(TcpEndpointConnector.create(), 300));
     return (address, attemptId) =>
-        client.sendCall(address, {
-            requestId: "request",
-            attemptId,
-            version: "v1",
-            method: "GET",
-            path: "lookup",
-            contentType: undefined,
-            idempotencyKey: undefined,
-            body: Buffer.alloc(0),
-            timeLimit: 2_000,
-            connectTimeout: 300,
-            answerBytes: 1_000,
-            mayReuseConnection: true,
-            traceHeaders: {},
-        }, new AbortController().signal);
+        client.sendCall(address, createPlainCall(attemptId, { mayReuseConnection: true }), new AbortController().signal);
 }
 
 function createGenerationSender(): SendAttempt {
