Log for how long an attempt's connection and its endpoint had been silent

An attempt that the node gave up for silence was logged as 'sent nothing for 1600 milliseconds' whatever the time was, and in a begun stream as a response that the endpoint broke off. The line now names the silence of the connection and of the endpoint, and whether the connection was reused; the cause names the time that was waited. No decision changes.

--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -7,7 +7,7 @@
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
 import { BufferingResponseRelay, isEventStream, RelayOutcome } from "./responseRelay.js";
-import { AttemptOptions, AttemptResult, CallAttemptDependencies, IncomingCall } from "./types.js";
+import { AttemptOptions, AttemptResult, AttemptSilence, CallAttemptDependencies, IncomingCall } from "./types.js";
 
 const statusServerError = 500;
 const statusGatewayTimeout = 504;
@@ -39,6 +39,7 @@
     private hasCheckedPath = false;
     private isPathLost = false;
     private isPastDeadline = false;
+    private isConnectionReused = false;
     private framing: ResponseFraming | undefined;
     private unprocessedPromptTokens: number;
 
@@ -166,7 +167,7 @@
         response.on("data", () => this.recordActivity());
         const outcome = await (relay ?? BufferingResponseRelay.create(options.caller)).forwardResponse(response, exchange);
         if (outcome !== RelayOutcome.Complete) {
-            return this.handleTruncatedResponse();
+            return this.handleTruncatedResponse(exchange);
         }
         this.recordCompleteResponse(status);
         if (status < statusServerError) {
@@ -217,14 +218,23 @@
         return (at - this.sentAt) / Math.max(minimumExpectedMilliseconds, this.options.placement.expectedTime);
     }
 
-    private handleTruncatedResponse(): AttemptResult {
+    private handleTruncatedResponse(exchange: EndpointExchange): AttemptResult {
         if (!this.abortController.signal.aborted) {
             this.endpoint.recordMissingResponse(this.dependencies.clock.getMonotonicTime());
             this.recordLoss();
         }
+        this.isConnectionReused = exchange.isConnectionReused();
+        if (this.hasExceededSilenceLimit) {
+            return this.createResult(this.createSilenceFailure(Verdict.MayHaveRun));
+        }
         return this.createResult(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
     }
 
+    private createSilenceFailure(verdict: Verdict): Failure {
+        const { connection } = this.getSilence();
+        return Failure.create(verdict, Diagnostics.Endpoint_sent_nothing_for_0_milliseconds, Math.round(connection));
+    }
+
     private handleFailure(failure: Failure, exchange: EndpointExchange): AttemptResult {
         const { dependencies, options } = this;
         const now = dependencies.clock.getMonotonicTime();
@@ -248,9 +258,9 @@
             this.recordPathEvidence(exchange);
             this.recordCrashEvidence(code, exchange);
         }
+        this.isConnectionReused = exchange.isConnectionReused();
         if (this.hasExceededSilenceLimit) {
-            const limit = dependencies.timing.endpointSilence;
-            return this.createResult(Failure.create(failure.verdict, Diagnostics.Endpoint_sent_nothing_for_0_milliseconds, limit));
+            return this.createResult(this.createSilenceFailure(failure.verdict));
         }
         const mayHaveArrived = failure.verdict !== Verdict.NotRun || exchange.hasConnection();
         return this.createResult(failure, mayHaveArrived);
@@ -289,7 +299,13 @@
     }
 
     private createResult(failure: Failure | undefined, mayHaveArrived = true): AttemptResult {
-        return { failure, mayHaveArrived, isPastDeadline: this.isPastDeadline, framing: this.framing, sentAt: this.sentAt };
+        const { isPastDeadline, isConnectionReused, framing, sentAt } = this;
+        return { failure, mayHaveArrived, isPastDeadline, isConnectionReused, silence: this.getSilence(), framing, sentAt };
+    }
+
+    private getSilence(): AttemptSilence {
+        const now = this.dependencies.clock.getMonotonicTime();
+        return { connection: now - this.lastReceivedAt, endpoint: now - Math.max(this.lastReceivedAt, this.endpoint.lastReceivedAt) };
     }
 
     private recordActivity(): void {
@@ -308,8 +324,8 @@
      * silence limit. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
      */
     private checkSilence(): void {
-        const { clock, timing } = this.dependencies;
-        const silence = clock.getMonotonicTime() - Math.max(this.lastReceivedAt, this.endpoint.lastReceivedAt);
+        const { timing } = this.dependencies;
+        const silence = this.getSilence().endpoint;
         if (silence > pathCheckMilliseconds && !this.hasCheckedPath) {
             this.hasCheckedPath = true;
             void this.checkPath();
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -106,6 +106,11 @@
         return this.request.connection.getVerdict() !== Verdict.NotRun;
     }
 
+    /** Returns whether the request was sent on a connection that had carried earlier requests. */
+    isConnectionReused(): boolean {
+        return this.request.isConnectionReused();
+    }
+
     /** Ends the exchange; closes the connection if the response is still incomplete. */
     close(): void {
         this.request.close();
@@ -149,7 +154,7 @@
     private isForThisAttempt(response: IncomingMessage): boolean {
         const responseAttemptId = response.headers[this.protocol.attemptId];
         // On a reused connection, a response without the id may be a late response to an earlier request.
-        return responseAttemptId === this.options.call.id || (responseAttemptId === undefined && !this.request.isConnectionReused());
+        return responseAttemptId === this.options.call.id || (responseAttemptId === undefined && !this.isConnectionReused());
     }
 
     private readNotice(response: IncomingMessage): EndpointNotice {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -103,6 +103,14 @@
     readonly mayRetry: boolean;
 }
 
+/** Times since data was received last, or since the request was sent, in milliseconds. */
+export interface AttemptSilence {
+    /** On the connection of the attempt. */
+    readonly connection: number;
+    /** On any of this node's connections to the endpoint. */
+    readonly endpoint: number;
+}
+
 /** Result of an attempt; without a failure, the complete response was written to the caller. */
 export interface AttemptResult {
     readonly failure: Failure | undefined;
@@ -110,6 +118,9 @@
     readonly isPastDeadline: boolean;
     /** Whether the request may have reached the endpoint. */
     readonly mayHaveArrived: boolean;
+    /** Whether a failed attempt was sent on a connection that had carried earlier requests. */
+    readonly isConnectionReused: boolean;
+    readonly silence: AttemptSilence;
     /** How the endpoint's response marked its end; undefined when there was none. */
     readonly framing: ResponseFraming | undefined;
     readonly sentAt: number;
