Let an attempt at a silent endpoint go on until another one has a response

Callers saw a stream that had begun end as 200 and cut, or a 502, 0.9 to 1.6 s after their endpoint had fallen silent, although it went on a moment later.

Cause: the silence of an endpoint was taken as its loss. The attempt was aborted before another endpoint had taken the call; where none did (all silent, the retry budget spent, no place), the call ended with it.

Change: an attempt whose endpoint is silent asks for a backup attempt, at another endpoint or by a peer, within the same limits as a retry. The first of them that has a response serves the call and the other one is aborted at that moment, so two endpoints work on one request only until the second one has its first token. A backup that fails or finds no place ends nothing.

--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -137,6 +137,7 @@
     Endpoint_did_not_answer_in_time: createError(3028, "The endpoint did not respond before the deadline.", 504),
     Deadline_passed_before_it_ran: createError(3029, "The deadline passed before the request could run.", 503),
 
+    Another_attempt_serves_the_request: createError(3033, "Another attempt serves the request.", 502),
     Node_stopped_before_the_response_was_complete: createError(3032, "The node stopped before the response was complete.", 502),
     Node_failed_to_serve_the_request_0: createError(3031, "The node failed to serve the request: {0}.", 500),
     Request_ended_0_endpoints_and_is_not_sent_again: createError(
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -35,7 +35,9 @@
     private lastReceivedAt: number;
     /** Whether the request has got past the point at which a poison request crashes its endpoint. */
     private isHarmless = false;
-    private hasExceededSilenceLimit = false;
+    /** Whether nothing has been received for longer than the silence limit. */
+    private isSilent = false;
+    private isSuperseded = false;
     private hasCheckedPath = false;
     private isPathLost = false;
     private isPastDeadline = false;
@@ -77,6 +79,12 @@
         }
     }
 
+    /** Aborts the attempt, since another one serves the call. */
+    abort(): void {
+        this.isSuperseded = true;
+        this.abortController.abort();
+    }
+
     /** Records the first event of the stream, which shows that the engine has processed the prompt. Later calls have no effect. */
     recordFirstEvent(): void {
         if (this.firstEventAt !== undefined) {
@@ -145,6 +153,9 @@
 
     private async relayResponse(response: IncomingMessage, exchange: EndpointExchange): Promise<AttemptResult> {
         const { options } = this;
+        if (this.isSuperseded) {
+            return this.handleTruncatedResponse(exchange);
+        }
         this.recordActivity();
         this.framing = readFraming(response);
         const load = exchange.readLoad(response);
@@ -155,7 +166,7 @@
         if (status >= statusServerError && status !== statusGatewayTimeout) {
             this.endpoint.recordErrorResponse();
             this.recordVersionAttempt(false, undefined);
-            if (options.mayRetry && !options.caller.hasStarted()) {
+            if (options.mayRetry() && !options.caller.hasStarted()) {
                 return this.discardFailure(response, exchange);
             }
         }
@@ -164,7 +175,11 @@
             // The caller has a part of a stream; the document of a failure cannot continue it.
             return this.discardFailure(response, exchange);
         }
-        response.on("data", () => this.recordActivity());
+        options.handleResponse();
+        response.on("data", () => {
+            this.recordActivity();
+            options.handleResponse();
+        });
         const outcome = await (relay ?? BufferingResponseRelay.create(options.caller)).forwardResponse(response, exchange);
         if (outcome !== RelayOutcome.Complete) {
             return this.handleTruncatedResponse(exchange);
@@ -224,13 +239,16 @@
             this.recordLoss();
         }
         this.isConnectionReused = exchange.isConnectionReused();
-        if (this.hasExceededSilenceLimit) {
-            return this.createResult(this.createSilenceFailure(Verdict.MayHaveRun));
+        if (this.isSuperseded) {
+            return this.createResult(this.createSupersededFailure(Verdict.MayHaveRun));
         }
         return this.createResult(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
     }
 
-    private createSilenceFailure(verdict: Verdict): Failure {
+    private createSupersededFailure(verdict: Verdict): Failure {
+        if (!this.isSilent) {
+            return Failure.create(verdict, Diagnostics.Another_attempt_serves_the_request);
+        }
         const { connection } = this.getSilence();
         return Failure.create(verdict, Diagnostics.Endpoint_sent_nothing_for_0_milliseconds, Math.round(connection));
     }
@@ -253,14 +271,14 @@
         else if (code === Diagnostics.Endpoint_failed_with_status_0.code) {
             this.endpoint.recordErrorResponse();
         }
-        else if (!options.caller.isCallerDisconnected()) {
+        else if (!options.caller.isCallerDisconnected() && (this.isSilent || !this.isSuperseded)) {
             this.endpoint.recordMissingResponse(now);
             this.recordPathEvidence(exchange);
             this.recordCrashEvidence(code, exchange);
         }
         this.isConnectionReused = exchange.isConnectionReused();
-        if (this.hasExceededSilenceLimit) {
-            return this.createResult(this.createSilenceFailure(failure.verdict));
+        if (this.isSuperseded) {
+            return this.createResult(this.createSupersededFailure(failure.verdict));
         }
         const mayHaveArrived = failure.verdict !== Verdict.NotRun || exchange.hasConnection();
         return this.createResult(failure, mayHaveArrived);
@@ -268,7 +286,7 @@
 
     private recordPathEvidence(exchange: EndpointExchange): void {
         const hasNoConnection = !exchange.hasConnection() && !this.abortController.signal.aborted;
-        if (hasNoConnection || this.hasExceededSilenceLimit) {
+        if (hasNoConnection || (this.isSilent && this.isSuperseded)) {
             this.dependencies.paths.recordFailure(this.endpoint);
         }
     }
@@ -313,6 +331,7 @@
         this.endpoint.lastReceivedAt = this.lastReceivedAt;
         this.hasCheckedPath = false;
         this.isPathLost = false;
+        this.isSilent = false;
         this.dependencies.paths.recordContact(this.endpoint);
         if (!this.isHarmless && this.firstEventAt !== undefined && this.lastReceivedAt - this.firstEventAt >= harmlessRunMilliseconds) {
             this.recordHarmless();
@@ -320,8 +339,8 @@
     }
 
     /**
-     * Aborts an attempt that may be retried when nothing has been received from the endpoint, on any of its connections, for the
-     * silence limit. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
+     * Reports when nothing has been received from the endpoint, on any of its connections, for the silence limit, again and again
+     * while that lasts. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
      */
     private checkSilence(): void {
         const { timing } = this.dependencies;
@@ -331,9 +350,9 @@
             void this.checkPath();
         }
         const limit = this.isPathLost ? lostPathSilenceMilliseconds : timing.endpointSilence;
-        if (this.options.mayRetry && silence > limit) {
-            this.hasExceededSilenceLimit = true;
-            this.abortController.abort();
+        this.isSilent = silence > limit;
+        if (this.isSilent) {
+            this.options.handleSilence();
         }
     }
 
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -15,6 +15,7 @@
 import { UsageCounter } from "../usage/usageCounter.js";
 import { CallAttempt } from "./callAttempt.js";
 import { CallerResponse } from "./callerResponse.js";
+import { OverlappingAttempts, RunnableAttempt } from "./overlappingAttempts.js";
 import { PeerAttemptResult, PeerCallAttempt } from "./peerCallAttempt.js";
 import { PeerForwarder } from "./peerForwarder.js";
 import { Admission } from "./poisonRequestDetector.js";
@@ -107,7 +108,9 @@
     private runs: number;
     private connectFailures = 0;
     private firstByteAt: number | undefined;
-    private attempt: CallAttempt | undefined;
+    private readonly attempts = OverlappingAttempts.create<CallReport>();
+    /** The attempt whose response is relayed; undefined before the first response. */
+    private servingAttempt: CallAttempt | undefined;
     private lastEndpoint: string | undefined;
     private lastPeer: string | undefined;
     private framing: ResponseFraming | undefined;
@@ -149,22 +152,15 @@
             }
             const placement = this.choosePlacement();
             const peer = this.hasLostPaths(placement) ? this.pickPeer() : undefined;
-            if (peer !== undefined) {
-                const report = await this.runPeerAttempt(peer);
-                if (report !== undefined) {
-                    return report;
-                }
-                continue;
-            }
-            if (this.hasExhaustedPaths()) {
+            if (peer === undefined && this.hasExhaustedPaths()) {
                 const failure = Failure.create(Verdict.NotRun, Diagnostics.No_endpoint_is_available_for_service_0, call.service);
                 return this.createFailureReport(failure);
             }
-            if (placement.err) {
+            if (peer === undefined && placement.err) {
                 this.recordUnplacedDemand();
                 return this.createFailureReport(placement.val);
             }
-            if (admission === Admission.NeedsTrial) {
+            if (peer === undefined && admission === Admission.NeedsTrial) {
                 if (await dependencies.poisonRequestDetector.claimTrial(call)) {
                     continue;
                 }
@@ -173,14 +169,38 @@
             if (this.sends > 0 && !dependencies.retryBudget.takeRetry(call.service)) {
                 return this.createFailureReport(Failure.create(this.verdict, Diagnostics.Retry_budget_is_spent));
             }
-            const result = await this.runAttempt(placement.val);
-            const report = this.finishAttempt(placement.val, result);
+            const report = await this.attempts.run(this.createAttempt(peer ?? placement.val as Placement));
             if (report !== undefined) {
                 return report;
             }
         }
     }
 
+    /**
+     * Starts another attempt beside one whose endpoint is silent, if the call may run once more and something can take it. The first
+     * one goes on: its endpoint may be sound.
+     */
+    private startBackupAttempt(): void {
+        const { call, caller, dependencies } = this;
+        const isPartlySent = caller.hasStarted() && call.route.kind !== RouteKind.Stream;
+        const mayRunAgain = this.isIdempotent && this.runs + this.attempts.count() < call.route.attempts;
+        if (this.attempts.count() > 1 || !mayRunAgain || isPartlySent || this.tried.size >= sendLimit || caller.isCallerDisconnected()) {
+            return;
+        }
+        if (dependencies.poisonRequestDetector.getAdmission(call) !== Admission.Allowed) {
+            return;
+        }
+        const placement = this.choosePlacement();
+        const target = (this.hasLostPaths(placement) ? this.pickPeer() : undefined) ?? (placement.ok ? placement.val : undefined);
+        if (target !== undefined && dependencies.retryBudget.takeRetry(call.service)) {
+            this.attempts.add(this.createAttempt(target));
+        }
+    }
+
+    private createAttempt(target: Placement | GatewayPeer): RunnableAttempt<CallReport> {
+        return "endpoint" in target ? this.createEndpointAttempt(target) : this.createPeerAttempt(target);
+    }
+
     /** Returns whether this node's own network paths are why the call cannot be placed here. */
     private hasLostPaths(placement: Result<Placement, Failure>): boolean {
         return this.dependencies.paths.isUnreachable(this.call.service)
@@ -201,30 +221,31 @@
         return this.dependencies.peers.pickPeer(this.call.service, this.triedPeers);
     }
 
-    /** Hands the call to a peer; returns the report when it has ended, or undefined when it is to be tried otherwise. */
-    private async runPeerAttempt(peer: GatewayPeer): Promise<CallReport | undefined> {
+    private createPeerAttempt(peer: GatewayPeer): RunnableAttempt<CallReport> {
         const { call, caller, dependencies } = this;
-        if (this.sends > 0 && !dependencies.retryBudget.takeRetry(call.service)) {
-            return this.createFailureReport(Failure.create(this.verdict, Diagnostics.Retry_budget_is_spent));
-        }
         this.triedPeers.add(peer.name);
-        this.lastPeer = peer.name;
-        const result = await PeerCallAttempt.create(dependencies.peers, {
+        const attempt = PeerCallAttempt.create(dependencies.peers, {
             call,
             caller,
             peer,
             stream: call.route.kind === RouteKind.Stream ? this.stream : undefined,
             configurationVersion: dependencies.configuration.getVersion(),
             timeLeft: this.deadline - dependencies.clock.getMonotonicTime(),
-            runs: this.runs,
-        }).run();
-        return this.finishPeerAttempt(peer, result);
+            runs: this.runs + this.attempts.count(),
+            handleResponse: () => this.attempts.abortOthers(runnable),
+        });
+        const runnable: RunnableAttempt<CallReport> = {
+            run: async () => this.finishPeerAttempt(peer, await attempt.run()),
+            abort: () => attempt.abort(),
+        };
+        return runnable;
     }
 
     private finishPeerAttempt(peer: GatewayPeer, result: PeerAttemptResult): CallReport | undefined {
         const { call, caller, dependencies } = this;
         const { failure } = result;
         this.lastEndpoint = result.endpoint;
+        this.lastPeer = peer.name;
         this.runs += result.runs;
         if (failure === undefined) {
             return this.createReport(CallOutcome.Completed, undefined);
@@ -278,33 +299,42 @@
         }
     }
 
-    private async runAttempt(placement: Placement): Promise<AttemptResult> {
+    private createEndpointAttempt(placement: Placement): RunnableAttempt<CallReport> {
         const { call, dependencies, caller } = this;
-        this.lastEndpoint = placement.endpoint.entry.id;
-        this.attempt = CallAttempt.create(dependencies, {
+        this.tried.add(placement.endpoint);
+        const attempt = CallAttempt.create(dependencies, {
             call,
             caller,
             placement,
             deadline: this.deadline,
             lastEventId: this.stream.getLastEventId(),
             stream: call.route.kind === RouteKind.Stream ? this.stream : undefined,
-            mayRetry: this.isIdempotent && this.runs + 1 < call.route.attempts,
+            mayRetry: () => this.attempts.count() > 1 || (this.isIdempotent && this.runs + 1 < call.route.attempts),
+            handleSilence: () => this.startBackupAttempt(),
+            handleResponse: () => {
+                this.servingAttempt = attempt;
+                this.attempts.abortOthers(runnable);
+            },
         });
-        return this.attempt.run();
+        const runnable: RunnableAttempt<CallReport> = {
+            run: async () => this.finishAttempt(placement, await attempt.run()),
+            abort: () => attempt.abort(),
+        };
+        return runnable;
     }
 
     /** Records the result of an attempt; returns the report when the call has ended, or undefined when it is to be retried. */
     private finishAttempt(placement: Placement, result: AttemptResult): CallReport | undefined {
         const { call, caller, dependencies } = this;
         this.framing = result.framing;
+        this.lastEndpoint = placement.endpoint.entry.id;
+        this.lastPeer = undefined;
         if (result.failure === undefined) {
             this.recordCallRun(result);
             return this.createReport(CallOutcome.Completed, undefined);
         }
-        this.tried.add(placement.endpoint);
         this.sends += result.mayHaveArrived ? 1 : 0;
         this.connectFailures += result.mayHaveArrived ? 0 : 1;
-        this.lastPeer = undefined;
         this.verdict = raiseVerdict(this.verdict, result.failure.verdict);
         if (result.failure.verdict !== Verdict.NotRun) {
             this.runs += 1;
@@ -335,7 +365,7 @@
     private handleFirstEvent(): void {
         const now = this.dependencies.clock.getMonotonicTime();
         this.firstByteAt ??= now;
-        this.attempt?.recordFirstEvent();
+        this.servingAttempt?.recordFirstEvent();
         // Recorded now and not at the end: a long stream ends after the usage report of the window in which it started.
         this.recordRun(now);
     }
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -20,6 +20,8 @@
     readonly timeLeft: number;
     /** Number of endpoints that may have run the call before. */
     readonly runs: number;
+    /** Called before the response of the peer, or a further part of it, is relayed. */
+    handleResponse(): void;
 }
 
 /** Result of a call that was handed to a peer; without a failure, the complete response was written to the caller. */
@@ -62,6 +64,11 @@
         }
     }
 
+    /** Aborts the attempt, since another one serves the call. */
+    abort(): void {
+        this.abortController.abort();
+    }
+
     private async forwardCall(): Promise<PeerAttemptResult> {
         const { call, peer, stream, configurationVersion, timeLeft, runs } = this.options;
         const address = parseAddress(peer.address) as NetworkAddress;
@@ -93,6 +100,12 @@
         const { caller } = this.options;
         let stream: EventStreamRelay | undefined;
         for await (const { event } of events) {
+            if (this.abortController.signal.aborted) {
+                break;
+            }
+            if (event.case === "head" || event.case === "body") {
+                this.options.handleResponse();
+            }
             if (event.case === "head") {
                 stream = this.findStream(event.value);
                 if (caller.hasStarted() && stream === undefined) {
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -149,13 +149,16 @@
                 resolve(hasEnded);
             };
             const relayChunk = (chunk: Buffer) => {
+                if (isFinished) {
+                    return;
+                }
                 const events = splitter.addBytes(chunk);
                 if (splitter.getIncompleteEvent().length > maximumEventBytes) {
                     exchange.close();
                     finish(false);
                     return;
                 }
-                if (events.length === 0 || isFinished) {
+                if (events.length === 0) {
                     return;
                 }
                 if (!hasEvent) {
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -99,8 +99,12 @@
     readonly lastEventId: string | undefined;
     /** Relay of the call's event stream; undefined for calls that are not streams. */
     readonly stream: EventStreamRelay | undefined;
-    /** Whether the call may run again if this attempt fails after it may have run. */
-    readonly mayRetry: boolean;
+    /** Returns whether the call may be served by another attempt if this one fails after it may have run. */
+    mayRetry(): boolean;
+    /** Called, again and again, while the endpoint is silent for longer than the limit. */
+    handleSilence(): void;
+    /** Called before the response, or a further part of it, is relayed. */
+    handleResponse(): void;
 }
 
 /** Times since data was received last, or since the request was sent, in milliseconds. */
--- a/src/testing/cuttableConnector.ts
+++ b/src/testing/cuttableConnector.ts
@@ -9,6 +9,8 @@
     None = "none",
     /** Open connections go silent, and new ones are never established. */
     Silent = "silent",
+    /** Open connections live on, and new ones are never established. */
+    NewSilent = "new-silent",
     /** Open connections are reset, and new ones refused. */
     Reset = "reset",
     /** Open connections live on, and new ones are refused. */
@@ -18,7 +20,7 @@
 /** A port of loopback on which nothing listens. */
 const closedAddress: NetworkAddress = { host: "127.0.0.1", port: 9 };
 
-/** What happens to open connections; with the other cut they live on. */
+/** What happens to open connections; with the other cuts they live on. */
 const moods: ReadonlyMap<PathCut, LinkMood> = new Map([
     [PathCut.None, LinkMood.Well],
     [PathCut.Silent, LinkMood.OpenOnesSilent],
@@ -57,7 +59,7 @@
 
     openConnection(address: NetworkAddress): Socket {
         const cut = this.cuts.get(formatAddress(address)) ?? PathCut.None;
-        if (cut === PathCut.Silent) {
+        if (cut === PathCut.Silent || cut === PathCut.NewSilent) {
             // The address is never resolved, so the socket stays in the state of a connection that gets no answer.
             return new Socket().connect({ host: "cut.invalid", port: address.port, lookup: () => {} });
         }
