Close an endpoint's idle connections when a call on one of its connections gets no data

Callers saw: after the open connections to an endpoint had gone silent for good, while new ones worked, one call after the other got 504 at its deadline, one for each idle connection, for up to 3 s (the idle limit). A call that may run once cannot be sent again.

Cause: an idle connection was trusted until its idle limit, whatever happened on other connections of the same endpoint.

Evidence: gateway/silentConnections.test.ts, four idle connections.

Change: an exchange that has waited for data for half a second and for three times the expected time makes the pool, once, close the endpoint's idle connections on which nothing was received for 250 ms. It counts checks without data, so that a process that stood still itself takes nothing for silence, and none while the caller does not read.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -74,6 +74,11 @@
         stateChangeLinesPerSecond,
         "The node lost its network paths to a service's endpoints, or has one again.",
     ),
+    IdleConnectionsClosed: createWarning(
+        "idle connections closed",
+        stateChangeLinesPerSecond,
+        "Idle connections to an endpoint may have gone silent; how many were closed, and the evidence.",
+    ),
     EndpointEntryFaulty: createWarning(
         "endpoint entry faulty",
         stateChangeLinesPerSecond,
--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -1,6 +1,7 @@
 import { Agent, ClientRequest, IncomingMessage, OutgoingHttpHeaders, request as openHttpRequest } from "node:http";
 import { Socket } from "node:net";
 import { observeInterimResponses } from "../common/interimResponses.js";
+import { Verdict } from "../common/verdict.js";
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
 import { readFraming, ResponseEndObserver, ResponseFraming } from "./responseEnd.js";
@@ -41,6 +42,7 @@
     private readonly endObserver = ResponseEndObserver.create();
     private response: IncomingMessage | undefined;
     private connectTimer: NodeJS.Timeout | undefined;
+    private bytesReadBefore = 0;
 
     private constructor(private readonly options: EndpointRequestOptions) {
         const { address, method, path, headers, agent, signal } = options;
@@ -84,6 +86,17 @@
         return this.request.reusedSocket;
     }
 
+    /** Returns the number of bytes that have been received on the connection since the request was given to it. */
+    countReceivedBytes(): number {
+        return (this.request.socket?.bytesRead ?? 0) - this.bytesReadBefore;
+    }
+
+    /** Returns whether the endpoint is to send data: it has the request on its connection, and this side reads what it sends. */
+    isWaitingForData(): boolean {
+        const isReading = this.response === undefined || (!this.response.complete && !this.response.isPaused());
+        return this.connection.getVerdict() !== Verdict.NotRun && isReading;
+    }
+
     /** Reads the response chunk by chunk until it ends or `handleChunk` returns false; rejects when it is truncated. */
     readChunks(handleChunk: (chunk: Buffer) => boolean): Promise<void> {
         const { response } = this;
@@ -129,6 +142,7 @@
     }
 
     private observeSocket(socket: Socket): void {
+        this.bytesReadBefore = socket.bytesRead;
         if (!socket.connecting) {
             return;
         }
--- a/src/endpoints/guardedAgent.ts
+++ b/src/endpoints/guardedAgent.ts
@@ -17,12 +17,20 @@
     readonly getIdleLimit: (headersOfLastResponse: IncomingHttpHeaders) => number;
 }
 
+/** What an agent keeps of an idle connection. */
+interface IdleConnection {
+    /** Monotonic time of the last data received, in milliseconds: that of the last response's end. */
+    readonly lastReceivedAt: number;
+    /** Closes it; called when its idle limit passes or data arrives. */
+    readonly destroy: () => void;
+}
+
 /**
  * Agent that closes an idle connection when its idle limit passes or data arrives on it. Such data belongs to no request, and a
  * response read after it might be one to another request.
  */
 export class GuardedAgent extends Agent {
-    private readonly unexpectedDataHandlers = new WeakMap<Duplex, () => void>();
+    private readonly idleConnections = new WeakMap<Duplex, IdleConnection>();
 
     protected constructor(private readonly guardOptions: GuardedAgentOptions) {
         super({ ...guardOptions, keepAlive: true });
@@ -32,6 +40,18 @@
         return new GuardedAgent(options);
     }
 
+    /**
+     * Closes the idle connections on which nothing was received for a number of milliseconds; returns how many. What silenced
+     * another connection may have silenced them too, while those that received data since then still carry it.
+     */
+    closeUnheard(milliseconds: number): number {
+        const heardBefore = performance.now() - milliseconds;
+        const sockets = Object.values(this.freeSockets).flatMap(free => free ?? []);
+        const unheard = sockets.filter(socket => (this.idleConnections.get(socket)?.lastReceivedAt ?? -Infinity) <= heardBefore);
+        unheard.forEach(socket => socket.destroy());
+        return unheard.length;
+    }
+
     override keepSocketAlive(stream: Duplex): boolean {
         const socket = stream as Socket;
         const response = (stream as { _httpMessage?: { res?: { headers: IncomingHttpHeaders; }; }; })._httpMessage?.res;
@@ -40,7 +60,7 @@
             return false;
         }
         const destroy = () => void socket.destroy();
-        this.unexpectedDataHandlers.set(socket, destroy);
+        this.idleConnections.set(socket, { lastReceivedAt: performance.now(), destroy });
         socket.on("data", destroy);
         socket.setTimeout(limit, destroy);
         // An idle connection must not keep a process from ending; the runtime refers to it again when it is reused.
@@ -50,10 +70,10 @@
 
     override reuseSocket(stream: Duplex, request: ClientRequest): void {
         const socket = stream as Socket;
-        const destroy = this.unexpectedDataHandlers.get(socket);
-        if (destroy !== undefined) {
-            socket.off("data", destroy);
-            socket.off("timeout", destroy);
+        const idle = this.idleConnections.get(socket);
+        if (idle !== undefined) {
+            socket.off("data", idle.destroy);
+            socket.off("timeout", idle.destroy);
         }
         socket.setTimeout(0);
         super.reuseSocket(stream, request);
--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -1,6 +1,8 @@
 import { Agent, IncomingHttpHeaders } from "node:http";
 import { Socket } from "node:net";
+import { EventLog } from "../common/eventLog.js";
 import { closeIdleConnections } from "../common/idleConnections.js";
+import { LogEvents } from "../common/logEvents.js";
 import { EndpointConnector } from "../endpoints/endpointConnector.js";
 import { GuardedAgent, readStatedIdleTimeout } from "../endpoints/guardedAgent.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
@@ -11,6 +13,8 @@
 const defaultIdleMilliseconds = 300;
 /** Fraction of the endpoint's idle timeout that is used, since the endpoint may close the connection while the next request is in transit. */
 const usedShareOfIdleTimeout = 0.6;
+/** Time after its last data for which an idle connection is still trusted once another one has gone silent, in milliseconds. */
+const trustedSilenceMilliseconds = 250;
 
 /** Pools the connections to one endpoint. */
 class EndpointAgent extends GuardedAgent {
@@ -41,10 +45,10 @@
 export class EndpointConnectionPool {
     private readonly agents = new Map<FleetEndpoint, EndpointAgent>();
 
-    private constructor(private readonly connector: EndpointConnector) {}
+    private constructor(private readonly connector: EndpointConnector, private readonly log: EventLog) {}
 
-    static create(connector: EndpointConnector): EndpointConnectionPool {
-        return new EndpointConnectionPool(connector);
+    static create(connector: EndpointConnector, log: EventLog): EndpointConnectionPool {
+        return new EndpointConnectionPool(connector, log);
     }
 
     /** Returns the agent that pools the connections of an endpoint. */
@@ -66,6 +70,21 @@
         }
     }
 
+    /**
+     * Closes the idle connections of an endpoint that may have gone silent together with one on which a call waits too long for
+     * data. Those that received data lately stay, so that a sound endpoint which is silent for a moment loses its connections once.
+     */
+    closeSilent(endpoint: FleetEndpoint): void {
+        const closed = this.agents.get(endpoint)?.closeUnheard(trustedSilenceMilliseconds) ?? 0;
+        if (closed > 0) {
+            this.log.log(LogEvents.IdleConnectionsClosed, {
+                endpoint: endpoint.entry.id,
+                connections: closed,
+                evidence: "a call got no data",
+            });
+        }
+    }
+
     /** Closes the idle connections of an endpoint that left the fleet and removes its pool. */
     removeEndpoint(endpoint: FleetEndpoint): void {
         this.closeIdle(endpoint);
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -1,4 +1,4 @@
-import { Agent, IncomingMessage } from "node:http";
+import { IncomingMessage } from "node:http";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { findResponseFault } from "../common/headCheck.js";
@@ -9,6 +9,7 @@
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { ReportedLoad } from "../fleet/types.js";
 import { CallProtocol } from "./callProtocol.js";
+import { EndpointConnectionPool } from "./endpointConnectionPool.js";
 import { EndpointCrashCheck } from "./endpointCrashCheck.js";
 import { IncomingCall } from "./types.js";
 
@@ -36,12 +37,21 @@
 /** Number of probes by which an endpoint is found to be there still after a response that ended with its connection. */
 const maximumProbesAtEnd = 2;
 
+/** Interval at which an exchange checks whether its connection has received data. */
+const silenceCheckMilliseconds = 250;
+/** Time without data after which other connections of the endpoint are in doubt, in milliseconds, as are those of a quick call. */
+const minimumSilenceMilliseconds = 500;
+/** The same as a multiple of the expected time: slow calls are no evidence. */
+const silenceTimeRatio = 3;
+
 /** Target, headers and limits of one attempt. Times are in milliseconds. */
 export interface ExchangeOptions {
     readonly call: IncomingCall;
     readonly endpoint: FleetEndpoint;
     readonly headers: readonly string[];
-    readonly agent: Agent;
+    readonly connections: EndpointConnectionPool;
+    /** Expected time until the endpoint sends the response, or the first event of a stream. */
+    readonly expectedTime: number;
     readonly connectTimeout: number;
     /** Longest time without socket activity. */
     readonly silenceLimit: number;
@@ -52,6 +62,10 @@
 export class EndpointExchange {
     private readonly request: EndpointRequest;
     private notice: EndpointNotice | undefined;
+    private silenceTimer: NodeJS.Timeout | undefined;
+    private receivedBytes = 0;
+    /** Number of checks in a row that found no new data. */
+    private silentChecks = 0;
 
     private constructor(
         private readonly options: ExchangeOptions,
@@ -65,7 +79,7 @@
             path: call.target,
             headers: options.headers,
             body: call.hasBody ? call.body : undefined,
-            agent: options.agent,
+            agent: options.connections.getAgent(endpoint),
             connectTimeout: options.connectTimeout,
             silenceLimit: options.silenceLimit,
             signal: options.signal,
@@ -79,6 +93,7 @@
     /** Sends the request; returns the response once its headers prove valid for this request, or a failure with its verdict. */
     async sendRequest(): Promise<Result<IncomingMessage, Failure>> {
         let response: IncomingMessage;
+        this.silenceTimer = setInterval(() => this.checkSilence(), silenceCheckMilliseconds);
         try {
             response = await this.request.send();
         }
@@ -108,6 +123,7 @@
 
     /** Ends the exchange; closes the connection if the response is still incomplete. */
     close(): void {
+        clearInterval(this.silenceTimer);
         this.request.close();
     }
 
@@ -141,6 +157,23 @@
         return { running, waiting, slots };
     }
 
+    /** Closes the endpoint's idle connections that may have gone silent as well, once this one has received nothing for too long. */
+    private checkSilence(): void {
+        const received = this.request.countReceivedBytes();
+        if (received !== this.receivedBytes || !this.request.isWaitingForData()) {
+            this.receivedBytes = received;
+            this.silentChecks = 0;
+            return;
+        }
+        // Checks are counted, and not the time between them: while this process does not run, it receives nothing either.
+        this.silentChecks += 1;
+        const { connections, endpoint, expectedTime } = this.options;
+        const limit = Math.max(minimumSilenceMilliseconds, expectedTime * silenceTimeRatio);
+        if (this.silentChecks === Math.ceil(limit / silenceCheckMilliseconds)) {
+            connections.closeSilent(endpoint);
+        }
+    }
+
     /** Returns whether a response belongs to this attempt and was sent by the expected endpoint. */
     private isFromEndpoint(response: IncomingMessage): boolean {
         return this.isForThisAttempt(response) && response.statusCode !== statusMisdirected;
--- /dev/null
+++ b/src/gateway/silentConnections.test.ts
@@ -0,0 +1,84 @@
+import assert from "node:assert/strict";
+import { test, TestContext } from "node:test";
+import { HeaderNames } from "../../platform/wire.js";
+import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
+import { RoutedGateway } from "../testing/routedGateway.js";
+
+/** Connections that are idle when all go silent. */
+const idleConnections = 4;
+/** Deadline of the calls that follow, in milliseconds. */
+const deadlineMilliseconds = 700;
+
+/** A gateway whose connections to endpoints can be silenced. */
+interface SilenceableFleet {
+    readonly platform: RoutedPlatform;
+    readonly connector: CuttableConnector;
+    readonly gateway: RoutedGateway;
+}
+
+/** Starts a gateway before a number of endpoints of each service, and leaves connections to the plain ones idle. */
+async function startFleet(context: TestContext, endpointsEach: number): Promise<SilenceableFleet> {
+    const platform = RoutedPlatform.create();
+    await platform.start(endpointsEach);
+    const connector = await CuttableConnector.start(platform.listWorkers().map(worker => worker.getAddress()));
+    const gateway = await RoutedGateway.start(platform, { connector });
+    context.after(async () => {
+        await gateway.stop();
+        await platform.stop();
+        await connector.stop();
+    });
+    const fleet = { platform, connector, gateway };
+    await sendTogether(fleet);
+    return fleet;
+}
+
+/** Sends calls at once, so that their connections are idle afterwards. */
+async function sendTogether({ platform, gateway }: SilenceableFleet): Promise<void> {
+    platform.callWorkers.forEach(worker => (worker.workMilliseconds = 40));
+    const responses = await Promise.all(Array.from({ length: idleConnections }, (_, index) => gateway.sendCall(`/lookup/${index}`)));
+    platform.callWorkers.forEach(worker => (worker.workMilliseconds = 0));
+    assert.deepEqual(responses.map(response => response.status), Array(idleConnections).fill(200));
+}
+
+/** Silences all open connections for good, and sends unsafe calls one after the other; returns their statuses. */
+async function sendAfterSilence({ connector, gateway }: SilenceableFleet): Promise<number[]> {
+    connector.setCut(PathCut.Silent);
+    connector.setCut(PathCut.None);
+    const statuses: number[] = [];
+    for (let sent = 0; sent < idleConnections; sent += 1) {
+        const headers = { [HeaderNames.deadline]: String(deadlineMilliseconds) };
+        statuses.push((await gateway.sendCall("/voucher/1", { method: "POST", body: "{}", headers })).status);
+    }
+    return statuses;
+}
+
+// Guards against calls that are sent on idle connections which have gone silent, one call on each, after one such call got no answer.
+test("one unsafe call is lost by idle connections that have gone silent, and the next ones are served", async context => {
+    const fleet = await startFleet(context, 1);
+    assert.deepEqual(await sendAfterSilence(fleet), [504, 200, 200, 200]);
+});
+
+// Guards against closing idle connections again and again for an endpoint that is sound.
+test("an endpoint that is silent for a second loses its idle connections once, and a stream that goes on closes none", async context => {
+    const fleet = await startFleet(context, 1);
+    const { platform, connector, gateway } = fleet;
+    const opened = connector.openedConnections;
+    platform.callWorkers.forEach(worker => worker.silenceFor(1_200));
+    assert.equal((await gateway.sendCall("/lookup/1")).status, 200);
+    await sendTogether(fleet);
+    assert.equal(connector.openedConnections - opened <= idleConnections, true);
+
+    const stream = { method: "POST", body: "{}", headers: { [HeaderNames.deadline]: "4000" } };
+    await Promise.all(["1", "2"].map(id => gateway.sendCall(`/notice/${id}`, stream)));
+    const openedByStreams = connector.openedConnections;
+    platform.engines.forEach(engine => {
+        engine.eventMilliseconds = 100;
+        engine.eventCount = 13;
+    });
+    const long = gateway.sendCall("/notice/3", stream);
+    await new Promise(resolve => setTimeout(resolve, 1_000));
+    const late = await gateway.sendCall("/notice/4", stream);
+    assert.equal((await long).isWhole && late.isWhole, true);
+    assert.equal(connector.openedConnections, openedByStreams);
+});
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -238,7 +238,9 @@
     container.bind(Keys.QuarantineTrials).toDynamicValue(context =>
         QuarantineTrials.create(context.get(Keys.StoredQuarantines), context.get(Keys.Clock), context.get(Keys.Log))
     );
-    container.bind(Keys.Connections).toDynamicValue(context => EndpointConnectionPool.create(context.get(Keys.Connector)));
+    container.bind(Keys.Connections).toDynamicValue(context =>
+        EndpointConnectionPool.create(context.get(Keys.Connector), context.get(Keys.Log))
+    );
     container.bind(Keys.Forwarder).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
         return CallForwarder.create({
