Try a repeatable call elsewhere when its own connection has gone silent

Callers saw lookups end with 504 and resumable streams end cut at their deadlines, while their endpoints answered on other connections: all open connections had gone silent for good, and new ones worked.

Cause: the last sign of life was taken over all of an endpoint's connections, for an attempt that runs on one of them.

Evidence: silentConnections.test.ts, third test: six streams and four lookups whose connections go silent while the endpoints answer others. Without the condition it fails (a begun stream ends cut at its deadline of 3 s).

Change: an attempt also asks for a backup attempt when its stream's events have stopped for the silence limit, or when the endpoint has answered requests that were sent much later than its own. The attempt itself goes on until the other one has a response.

--- a/src/fleet/fleetEndpoint.ts
+++ b/src/fleet/fleetEndpoint.ts
@@ -32,6 +32,8 @@
     reportedAt = -Infinity;
     /** Time of the last data received from it; -Infinity before the first. */
     lastReceivedAt = -Infinity;
+    /** Time at which the latest of the requests was sent that it has begun to answer; -Infinity before the first. */
+    answeredSentAt = -Infinity;
     /** Whether the endpoint was removed, or another endpoint responded at its address. Only a new entry makes it usable again. */
     isRemoved = false;
     /** Whether it said in a response that it is leaving. Holds for the rest of its incarnation, whatever its entry says. */
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -5,7 +5,7 @@
 import { formatAddress } from "../config/sectionReader.js";
 import { readFraming, ResponseFraming } from "../endpoints/responseEnd.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
+import { EndpointExchange, EndpointNotice, silenceCheckMilliseconds } from "./endpointExchange.js";
 import { BufferingResponseRelay, isEventStream, RelayOutcome } from "./responseRelay.js";
 import { AttemptOptions, AttemptResult, AttemptSilence, CallAttemptDependencies, IncomingCall } from "./types.js";
 
@@ -13,12 +13,14 @@
 const statusGatewayTimeout = 504;
 /** Time for which a stream runs on after its first event before it counts as harmless, in milliseconds; a poison request crashes its endpoint soon. */
 const harmlessRunMilliseconds = 1_000;
-/** Interval at which an attempt checks the silence limit of its endpoint. */
-const silenceCheckMilliseconds = 250;
 /** Silence of an endpoint after which the network path to it is checked, in milliseconds. */
 const pathCheckMilliseconds = 500;
 /** Silence limit of an endpoint that accepts no connections, in milliseconds; one that does may go on. */
 const lostPathSilenceMilliseconds = 900;
+/** Time by which an answered request must have been sent later than one that waits, to raise doubt about the connection of the latter, in milliseconds. */
+const minimumOvertakingMilliseconds = 500;
+/** The same as a multiple of the expected time: endpoints answer requests of different sizes and ranks in another order. */
+const overtakingTimeRatio = 2;
 /** Lower bound of the expected time that a response time is compared with; shorter times are mostly network latency. */
 const minimumExpectedMilliseconds = 30;
 
@@ -30,6 +32,7 @@
 export class CallAttempt {
     private readonly abortController = new AbortController();
     private readonly endpoint: FleetEndpoint;
+    private exchange: EndpointExchange | undefined;
     private readonly sentAt: number;
     private firstEventAt: number | undefined;
     private lastReceivedAt: number;
@@ -121,6 +124,7 @@
             dependencies.protocol,
             dependencies.crashCheck,
         );
+        this.exchange = exchange;
         try {
             const sent = await exchange.sendRequest();
             this.applyNotice(exchange.getNotice());
@@ -213,6 +217,7 @@
     /** Records the first event of a stream, or a complete response, as a success of the endpoint and its version. */
     private recordServed(servedAt: number): void {
         const timeRatio = this.computeTimeRatio(servedAt);
+        this.endpoint.answeredSentAt = Math.max(this.endpoint.answeredSentAt, this.sentAt);
         this.endpoint.recordSuccess(timeRatio);
         this.recordVersionAttempt(true, timeRatio);
     }
@@ -340,23 +345,36 @@
     }
 
     /**
-     * Reports when nothing has been received from the endpoint, on any of its connections, for the silence limit, again and again
-     * while that lasts. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
+     * Reports when nothing has been received from the endpoint, on any of its connections or on that of the attempt, for too long,
+     * again and again while that lasts. Checks the network path before that, also for attempts that only wait: later calls can avoid
+     * a lost one.
      */
     private checkSilence(): void {
-        const { timing } = this.dependencies;
-        const silence = this.getSilence().endpoint;
-        if (silence > pathCheckMilliseconds && !this.hasCheckedPath) {
+        const { endpoint: endpointSilence } = this.getSilence();
+        const connectionSilence = this.exchange?.checkSilence() ?? 0;
+        if (endpointSilence > pathCheckMilliseconds && !this.hasCheckedPath) {
             this.hasCheckedPath = true;
             void this.checkPath();
         }
-        const limit = this.isPathLost ? lostPathSilenceMilliseconds : timing.endpointSilence;
-        this.isSilent = silence > limit;
-        if (this.isSilent) {
+        const limit = this.isPathLost ? lostPathSilenceMilliseconds : this.dependencies.timing.endpointSilence;
+        this.isSilent = endpointSilence > limit;
+        if (this.isSilent || this.isConnectionSilent(connectionSilence)) {
             this.options.handleSilence();
         }
     }
 
+    /**
+     * Returns whether the attempt's connection may carry nothing any more while others to the endpoint do: the events of its stream
+     * have stopped, or the endpoint has answered requests that were sent much later. `silence` is in milliseconds.
+     */
+    private isConnectionSilent(silence: number): boolean {
+        if (this.framing !== undefined) {
+            return silence > this.dependencies.timing.endpointSilence;
+        }
+        const limit = Math.max(minimumOvertakingMilliseconds, this.options.placement.expectedTime * overtakingTimeRatio);
+        return silence >= limit && this.endpoint.answeredSentAt - this.sentAt >= limit;
+    }
+
     private async checkPath(): Promise<void> {
         this.isPathLost = !await this.dependencies.pathProber.checkEndpoint(this.endpoint);
     }
--- a/src/gateway/silentConnections.test.ts
+++ b/src/gateway/silentConnections.test.ts
@@ -3,7 +3,7 @@
 import { HeaderNames } from "../../platform/wire.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
-import { RoutedGateway } from "../testing/routedGateway.js";
+import { CallerView, RoutedGateway } from "../testing/routedGateway.js";
 
 /** Connections that are idle when all go silent. */
 const idleConnections = 4;
@@ -82,3 +82,35 @@
     assert.equal((await long).isWhole && late.isWhole, true);
     assert.equal(connector.openedConnections, openedByStreams);
 });
+
+// Guards against waiting until the deadline on a connection that has gone silent while the endpoint answers on others.
+test("lookups and resumable streams whose connections go silent are served by other endpoints before their deadlines", async context => {
+    const fleet = await startFleet(context, 2);
+    const { platform, connector, gateway } = fleet;
+    const eventCount = 10;
+    platform.engines.forEach(engine => Object.assign(engine, { eventMilliseconds: 50, eventCount }));
+    platform.callWorkers.forEach(worker => (worker.workMilliseconds = 200));
+    const sendStream = () =>
+        gateway.sendCall("/question/1", { method: "POST", body: gateway.createAttemptId(), headers: { [HeaderNames.deadline]: "3000" } });
+    const begunStreams = [sendStream(), sendStream(), sendStream()];
+    await new Promise(resolve => setTimeout(resolve, 150));
+    platform.engines.forEach(engine => (engine.workMilliseconds = 300));
+    const waitingStreams = [sendStream(), sendStream(), sendStream()];
+    const lookups = [1, 2, 3, 4].map(id => gateway.sendCall(`/lookup/${id}`));
+    await new Promise(resolve => setTimeout(resolve, 50));
+    connector.setCut(PathCut.Silent);
+    connector.setCut(PathCut.None);
+    platform.listWorkers().forEach(worker => (worker.workMilliseconds = 0));
+    // The endpoints answer on new connections all the while.
+    const later: Promise<CallerView>[] = [];
+    for (let round = 0; round < 20; round += 1) {
+        later.push(gateway.sendCall(`/lookup/${round}`), sendStream());
+        await new Promise(resolve => setTimeout(resolve, 100));
+    }
+    const everyId = Array.from({ length: eventCount }, (_, index) => `id: ${index + 1}`);
+    for (const response of await Promise.all([...begunStreams, ...waitingStreams])) {
+        assert.equal(response.status === 200 && response.isWhole, true, `${response.status}: ${response.body}`);
+        assert.deepEqual(response.body.match(/^id: \d+$/gm), everyId);
+    }
+    assert.deepEqual((await Promise.all([...lookups, ...later])).map(response => response.status), Array(44).fill(200));
+});
