Answer requests that cannot be parsed, after the earlier responses on their connection

What callers saw: a request whose head or chunks the runtime's parser rejects got neither an answer nor a refusal, only the end of its connection. With another request running before it on the same connection, that one lost its answer too, although an endpoint ran it: after malformed bytes behind it, or after any bytes behind a request that says `connection: close`.

Cause: the handler of the server's clientError event destroyed the connection, whatever else it carried. Class of fault: a fault of one request ends what its connection carries for another.

Change: the connections of callers wait for the earlier responses, send 400, 431 or 408 as a problem document with `connection: close`, read on and discard for a bounded time (a close at once would reset the connection before the caller has read the response), and close. Each case is counted in corianderward_calls_total and logged. Lost connections stay silent, also a head that the caller itself breaks off. The tracker of connections moves to common/, since the product's own interface needs it too.

--- /dev/null
+++ b/src/common/callerConnections.ts
@@ -0,0 +1,173 @@
+import { Server, ServerResponse, STATUS_CODES } from "node:http";
+import { Socket } from "node:net";
+import { Diagnostics } from "./diagnostics.js";
+import { describeError, Failure, readErrorCode } from "./failure.js";
+import { Verdict } from "./verdict.js";
+
+/**
+ * Time for which bytes of a caller are discarded after a response that ends its connection, in milliseconds. Closing a connection on
+ * which bytes arrive resets it, and the caller may lose the response.
+ */
+const lingerMilliseconds = 2_000;
+
+/** What a server tells callers and its operators about a request that cannot be parsed. */
+export interface RejectionHandler {
+    /** Returns the problem document of a failure. */
+    createProblem(failure: Failure): string;
+    /** Records a rejected request. `isAnswered` is false if its connection ended without a response to it. */
+    recordRejection(failure: Failure, isAnswered: boolean, bytesRead: number): void;
+}
+
+/** What a connection of a caller carries. */
+interface ConnectionState {
+    /** Responses that have not been sent completely, in the order of their requests. */
+    readonly openResponses: Set<ServerResponse>;
+    /** Number of requests whose heads have been read. */
+    requestCount: number;
+    /** Bytes that had been read when the last response was sent; more of them belong to a request that is still arriving. */
+    bytesRead: number;
+    /** Whether a response was sent that announced the end of the connection. */
+    isClosing: boolean;
+    /** Whether a request that cannot be parsed is being rejected. */
+    isRejecting: boolean;
+}
+
+/**
+ * Tracks the connections of callers, so that a node that stops closes those that carry no request, and no others, and so that no
+ * request is taken from a connection on which it cannot be answered. Rejects requests that cannot be parsed.
+ */
+export class CallerConnections {
+    private readonly states = new Map<Socket, ConnectionState>();
+    private isClosingIdle = false;
+
+    private constructor(private readonly server: Server, private readonly handler: RejectionHandler) {
+        server.on("connection", (socket: Socket) => {
+            this.states.set(socket, { openResponses: new Set(), requestCount: 0, bytesRead: 0, isClosing: false, isRejecting: false });
+            socket.once("close", () => this.states.delete(socket));
+        });
+        server.on("clientError", (error, socket) => this.handleParserError(error, socket as Socket));
+    }
+
+    static create(server: Server, handler: RejectionHandler): CallerConnections {
+        return new CallerConnections(server, handler);
+    }
+
+    /**
+     * Records that a request was received, whose response is open until it is sent completely or its connection is closed. Returns
+     * whether the request may be served, once the earlier requests on its connection have been answered: not if one of their
+     * responses ends the connection.
+     */
+    async addResponse(socket: Socket, response: ServerResponse): Promise<boolean> {
+        const state = this.states.get(socket);
+        if (state === undefined || state.isClosing) {
+            return false;
+        }
+        const earlier = [...state.openResponses];
+        state.requestCount += 1;
+        state.openResponses.add(response);
+        response.once("close", () => this.removeResponse(socket, state, response));
+        await waitUntilClosed(earlier);
+        return !state.isClosing && !socket.destroyed;
+    }
+
+    /** Returns whether a request was received behind the one of a response, on the same connection. */
+    hasLaterRequest(socket: Socket, response: ServerResponse): boolean {
+        const open = [...this.states.get(socket)?.openResponses ?? []];
+        return open.length > 0 && open[open.length - 1] !== response;
+    }
+
+    private removeResponse(socket: Socket, state: ConnectionState, response: ServerResponse): void {
+        state.openResponses.delete(response);
+        state.isClosing ||= !response.shouldKeepAlive;
+        if (state.openResponses.size === 0) {
+            state.bytesRead = socket.bytesRead;
+            this.closeIfIdle(socket, state);
+        }
+    }
+
+    /** Closes the connections that carry no request, from now on also each one whose last response ends. */
+    closeIdle(): void {
+        this.isClosingIdle = true;
+        this.states.forEach((state, socket) => this.closeIfIdle(socket, state));
+    }
+
+    private closeIfIdle(socket: Socket, state: ConnectionState): void {
+        const isIdle = state.openResponses.size === 0 && !state.isRejecting && socket.bytesRead === state.bytesRead;
+        if (this.isClosingIdle && isIdle) {
+            // Not ended in order: a request that is under way would still be read and could not be answered any more.
+            socket.destroy();
+        }
+    }
+
+    private handleParserError(error: Error, socket: Socket): void {
+        const state = this.states.get(socket);
+        const failure = createParserFailure(error, this.server);
+        if (state === undefined || failure === undefined || socket.bytesRead === 0) {
+            socket.destroy();
+            return;
+        }
+        if (state.isRejecting) {
+            // Bytes behind the rejected ones: they belong to no request.
+            return;
+        }
+        void this.rejectRequest(failure, socket, state);
+    }
+
+    /** Answers a request that cannot be parsed after the earlier ones on its connection, and closes the connection. */
+    private async rejectRequest(failure: Failure, socket: Socket, state: ConnectionState): Promise<void> {
+        const { requestCount } = state;
+        const open = [...state.openResponses];
+        const unread = open.find(response => !response.req.complete);
+        state.isRejecting = true;
+        await waitUntilClosed(open.filter(response => response !== unread || response.headersSent));
+        if (state.requestCount > requestCount) {
+            // The rest of a late head arrived while an earlier request was being served.
+            state.isRejecting = false;
+            return;
+        }
+        const isAnswered = socket.writable && !state.isClosing && unread?.headersSent !== true;
+        state.isClosing = true;
+        if (isAnswered) {
+            socket.end(formatResponse(failure, this.handler.createProblem(failure)));
+            const timer = setTimeout(() => socket.destroy(), lingerMilliseconds);
+            socket.once("close", () => clearTimeout(timer));
+        }
+        else {
+            socket.destroySoon();
+        }
+        this.handler.recordRejection(failure, isAnswered, socket.bytesRead);
+    }
+}
+
+async function waitUntilClosed(responses: readonly ServerResponse[]): Promise<void> {
+    await Promise.all(responses.map(response => new Promise(resolve => response.once("close", resolve))));
+}
+
+/** Returns the failure of a request that the runtime's parser gave up; undefined if the connection was lost. */
+function createParserFailure(error: Error, server: Server): Failure | undefined {
+    const code = readErrorCode(error);
+    switch (code) {
+        case "ERR_HTTP_REQUEST_TIMEOUT":
+            return Failure.create(Verdict.NotRun, Diagnostics.Request_head_was_not_complete_after_0_milliseconds, server.headersTimeout);
+        case "HPE_HEADER_OVERFLOW":
+            return Failure.create(Verdict.NotRun, Diagnostics.Headers_are_too_large);
+        case "HPE_INVALID_EOF_STATE":
+            return undefined;
+        default:
+            return code.startsWith("HPE_")
+                ? Failure.create(Verdict.NotRun, Diagnostics.Request_cannot_be_parsed_0, describeError(error))
+                : undefined;
+    }
+}
+
+function formatResponse(failure: Failure, problem: string): string {
+    const { status } = failure.message;
+    return [
+        `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`,
+        "content-type: application/problem+json",
+        `content-length: ${Buffer.byteLength(problem)}`,
+        "connection: close",
+        "",
+        problem,
+    ].join("\r\n");
+}
--- /dev/null
+++ b/src/gateway/callerConnections.test.ts
@@ -0,0 +1,115 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { HeaderNames } from "../../platform/wire.js";
+import { EventLog, LogFields } from "../common/eventLog.js";
+import { LogEventKind, LogEvents } from "../common/logEvents.js";
+import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
+import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { RawConnection } from "../testing/rawConnection.js";
+import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
+
+const workMilliseconds = 200;
+
+/** Keeps the lines of a gateway. */
+class MemoryEventLog implements EventLog {
+    readonly lines: { readonly kind: LogEventKind; readonly fields: LogFields; }[] = [];
+
+    private constructor() {}
+
+    static create(): MemoryEventLog {
+        return new MemoryEventLog();
+    }
+
+    log(kind: LogEventKind, fields: LogFields): void {
+        this.lines.push({ kind, fields });
+    }
+
+    async flush(): Promise<void> {}
+}
+
+const platform = RoutedPlatform.create();
+const log = MemoryEventLog.create();
+let gateway: RoutedGateway;
+
+before(async () => {
+    await platform.start();
+    platform.callWorkers.forEach(worker => (worker.workMilliseconds = workMilliseconds));
+    gateway = await RoutedGateway.start(platform, { log });
+});
+
+after(async () => {
+    await gateway.stop();
+    await platform.stop();
+});
+
+function createHead(id: string, ...lines: string[]): string {
+    return [
+        "POST /voucher/1 HTTP/1.1",
+        `host: ${routedNames.host}`,
+        `authorization: Bearer ${routedNames.key}`,
+        `${HeaderNames.attemptId}: ${id}`,
+        ...lines,
+        "",
+        "",
+    ].join("\r\n");
+}
+
+function createRequest(id: string, body = "{}"): string {
+    return createHead(id, `content-length: ${body.length}`) + body;
+}
+
+function hasRun(id: string): boolean {
+    return platform.listWorkers().some(worker => worker.runs.some(run => run.attemptId === id));
+}
+
+const unreadable = [
+    { title: "a malformed head", sent: createHead("head", "Cache Status: miss"), status: 400 },
+    { title: "a head that is too large", sent: createHead("large", `x-more: ${"x".repeat(80_000)}`), status: 431 },
+    { title: "a malformed chunk", sent: `${createHead("chunk", "transfer-encoding: chunked")}zz\r\n`, status: 400 },
+];
+
+for (const { title, sent, status } of unreadable) {
+    // Guards against connections that are closed without an answer, also to the earlier request on them that an endpoint runs.
+    test(`${title} is answered ${status}, after the response to an earlier request on its connection`, async () => {
+        for (const isBehind of [false, true]) {
+            const id = gateway.createAttemptId();
+            const connection = await RawConnection.open(gateway.getPort());
+            if (isBehind) {
+                connection.send(createRequest(id));
+                await waitUntil(() => hasRun(id));
+            }
+            log.lines.length = 0;
+            connection.send(sent);
+            await Promise.race([connection.closed, waitUntil(() => connection.listStatuses().includes(status))]);
+            connection.close();
+            assert.deepEqual(connection.listStatuses(), isBehind ? [200, status] : [status]);
+            assert.equal(connection.read().includes(`answer to ${id}`), isBehind);
+            assert.match(connection.read(), /"verdict":"NotRun"\}$/);
+            const line = log.lines.find(({ kind, fields }) => kind === LogEvents.RequestRefused && fields["status"] === status);
+            assert.equal(line?.fields["isAnswered"], true);
+        }
+        const text = await gateway.node.container.get(Keys.Metrics).registry.metrics();
+        assert.match(text, /corianderward_calls_total\{service="",outcome="rejected",cause="20(19|21)"\} [1-9]/);
+    });
+}
+
+// Guards against bytes that end the connection of the request before them, whose endpoint still runs it.
+test("bytes behind a request that ends its connection do not take its response away", async () => {
+    const id = gateway.createAttemptId();
+    const connection = await RawConnection.open(gateway.getPort());
+    connection.send(`${createHead(id, "connection: close", "content-length: 2")}{}${createRequest("behind")}`);
+    await connection.closed;
+    assert.deepEqual(connection.listStatuses(), [200]);
+    assert.equal(connection.read().endsWith(`answer to ${id}`), true);
+    assert.equal(hasRun("behind"), false);
+});
+
+test("a caller that closes its connection in the middle of a head gets no bytes", async () => {
+    const connection = await RawConnection.open(gateway.getPort());
+    connection.send(createRequest("half").slice(0, 30));
+    await sleep(20);
+    connection.socket.end();
+    await connection.closed;
+    assert.equal(connection.read(), "");
+});
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -3,6 +3,16 @@
 
 const problemContentType = "application/problem+json";
 
+/** Returns the problem document of a failure. */
+export function createProblem(failure: Failure): string {
+    return JSON.stringify({
+        code: `CW${failure.message.code}`,
+        title: failure.text,
+        status: failure.message.status,
+        verdict: failure.verdict,
+    });
+}
+
 /** Response to one caller, who may disconnect before it has ended. */
 export interface CallerResponse {
     /** Returns a signal that aborts when the caller disconnects before its response has ended. */
@@ -123,12 +133,7 @@
         if (this.isCallerDisconnected() || this.hasStarted()) {
             return;
         }
-        const body = Buffer.from(JSON.stringify({
-            code: `CW${failure.message.code}`,
-            title: failure.text,
-            status: failure.message.status,
-            verdict: failure.verdict,
-        }));
+        const body = Buffer.from(createProblem(failure));
         const headers = ["content-type", problemContentType, "content-length", String(body.length)];
         if (retryAfter !== undefined) {
             headers.push(retryAfterHeader, retryAfter.toFixed(2));
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,4 +1,5 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { CallerConnections } from "../common/callerConnections.js";
 import { Clock } from "../common/clock.js";
 import { Diagnostics } from "../common/diagnostics.js";
 import { EventLog } from "../common/eventLog.js";
@@ -11,8 +12,7 @@
 import { SharedRateLimiter } from "../quotas/sharedRateLimiter.js";
 import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { CallerLimits, UsageUnit } from "../routes/types.js";
-import { CallerConnections } from "./callerConnections.js";
-import { HttpCallerResponse } from "./callerResponse.js";
+import { createProblem, HttpCallerResponse } from "./callerResponse.js";
 import { CallForwarder, CallReport } from "./callForwarder.js";
 import { CallBody, CallReader } from "./callReader.js";
 import { DrainAdmission } from "./drainAdmission.js";
@@ -63,8 +63,10 @@
             requestTimeout: 0,
             noDelay: true,
         }, (request, response) => void this.serveRequest(request, response));
-        this.connections = CallerConnections.create(this.server);
-        this.server.on("clientError", (_error, socket) => socket.destroy());
+        this.connections = CallerConnections.create(this.server, {
+            createProblem,
+            recordRejection: (failure, isAnswered, bytesRead) => this.recordUnread(failure, isAnswered, bytesRead),
+        });
         dependencies.configuration.addListener(table => this.applyLimits(table.configuration.limits));
     }
 
@@ -245,6 +247,21 @@
         });
     }
 
+    /** Records a request that could not be parsed. */
+    private recordUnread(failure: Failure, isAnswered: boolean, bytesRead: number): void {
+        const { dependencies } = this;
+        const outcome = CallOutcome.Rejected;
+        dependencies.metrics.calls.inc({ service: "", outcome, cause: String(failure.message.code) });
+        dependencies.log.log(LogEvents.RequestRefused, {
+            outcome,
+            status: failure.message.status,
+            cause: failure.text,
+            isAnswered,
+            bytesRead,
+            configuration: dependencies.configuration.getVersion(),
+        });
+    }
+
     /** Ends a call after an unexpected error, which may have come at any time before, during or after an attempt. */
     private failCall(request: IncomingMessage, caller: HttpCallerResponse, error: unknown): void {
         const { dependencies } = this;
--- a/src/testing/routedGateway.ts
+++ b/src/testing/routedGateway.ts
@@ -1,7 +1,7 @@
 import { Agent, request as sendHttpRequest } from "node:http";
 import { addPlatformBindings } from "../../platform/bindings.js";
 import { HeaderNames } from "../../platform/wire.js";
-import { SilentEventLog } from "../common/eventLog.js";
+import { EventLog, SilentEventLog } from "../common/eventLog.js";
 import { GatewaySettings, parseGatewaySettings } from "../config/gatewaySettings.js";
 import { parseIniDocument } from "../config/iniDocument.js";
 import { formatAddress } from "../config/sectionReader.js";
@@ -39,6 +39,8 @@
     readonly tracing?: HopTracing;
     /** Opens its connections to endpoints, if not plain ones. */
     readonly connector?: EndpointConnector;
+    /** Where it writes its log lines; they are discarded without it. */
+    readonly log?: EventLog;
 }
 
 /** Creates settings for a gateway on loopback with free ports. */
@@ -82,7 +84,7 @@
         const node = GatewayNode.create(createGatewaySettings(platform, options), (container, settings) => {
             addPlatformBindings(container, settings);
             container.unbind(Keys.Log);
-            container.bind(Keys.Log).toConstantValue(SilentEventLog.create());
+            container.bind(Keys.Log).toConstantValue(options.log ?? SilentEventLog.create());
             if (options.connector !== undefined) {
                 container.unbind(Keys.Connector);
                 container.bind(Keys.Connector).toConstantValue(options.connector);
