Keep a connection whose last response is still being sent when a node stops

What callers saw: of a response that was ended but not yet sent completely when the node stopped listening, only the part that the system's buffers held; a caller that reads slowly lost the rest, with time left in the node's grace.

Cause: close() of the runtime's HTTP server also closes "idle" connections, and takes one for idle as soon as its response has been ended, not when its bytes have been handed over. The node tracks idle connections itself and does not need that.

Change: stopListening ends the listener alone.

--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -4,7 +4,7 @@
 import { Diagnostics } from "../common/diagnostics.js";
 import { EventLog } from "../common/eventLog.js";
 import { describeError, Failure, readErrorCode } from "../common/failure.js";
-import { startListening } from "../common/listening.js";
+import { startListening, stopListening } from "../common/listening.js";
 import { LogEvents } from "../common/logEvents.js";
 import { bytesPerKibibyte, bytesPerMebibyte, millisecondsPerSecond } from "../common/units.js";
 import { Verdict } from "../common/verdict.js";
@@ -95,7 +95,7 @@
 
     /** Stops listening and closes the connections that carry no request; the others are closed after their responses. */
     closeIdle(): void {
-        this.server.close();
+        stopListening(this.server);
         this.connections.closeIdle();
     }
 
