Read on for a while behind the refusal of a body that is over the limit

What callers saw: a caller that sends its whole body before it reads got a broken connection in place of 413 when the body was over the limit; a configuration that lowers the limit does that to callers that kept to the old one.

Cause: the response ended the connection at once, with bytes of the body unread or on their way. The system answers those with a reset, and the caller's own write fails before it has read the response.

--- a/src/common/callerConnections.ts
+++ b/src/common/callerConnections.ts
@@ -1,4 +1,4 @@
-import { Server, ServerResponse, STATUS_CODES } from "node:http";
+import { IncomingMessage, Server, ServerResponse, STATUS_CODES } from "node:http";
 import { Socket } from "node:net";
 import { Diagnostics } from "./diagnostics.js";
 import { describeError, Failure, readErrorCode } from "./failure.js";
@@ -139,6 +139,18 @@
     }
 }
 
+/** Discards what is left of a request until it has been read whole or its connection has closed, for a limited time. */
+export async function drainRequest(request: IncomingMessage): Promise<void> {
+    request.resume();
+    await new Promise<void>(resolve => {
+        const timer = setTimeout(resolve, lingerMilliseconds);
+        request.once("close", () => {
+            clearTimeout(timer);
+            resolve();
+        });
+    });
+}
+
 async function waitUntilClosed(responses: readonly ServerResponse[]): Promise<void> {
     await Promise.all(responses.map(response => new Promise(resolve => response.once("close", resolve))));
 }
--- a/src/gateway/callerConnections.test.ts
+++ b/src/gateway/callerConnections.test.ts
@@ -113,3 +113,21 @@
     await connection.closed;
     assert.equal(connection.read(), "");
 });
+
+// Guards against a reset that takes the refusal away from a caller which sends its whole body before it reads.
+test("a caller that sends a body over the limit and only then reads gets 413", async () => {
+    const body = "x".repeat(10_000_000);
+    for (
+        const sent of [
+            createRequest("too-large", body),
+            `${createHead("too-large", "transfer-encoding: chunked")}${body.length.toString(16)}\r\n${body}\r\n0\r\n\r\n`,
+        ]
+    ) {
+        const connection = await RawConnection.open(gateway.getPort());
+        connection.socket.pause();
+        await Promise.race([connection.closed, new Promise<void>(resolve => connection.socket.write(sent, () => resolve()))]);
+        connection.socket.resume();
+        await connection.closed;
+        assert.deepEqual(connection.listStatuses(), [413]);
+    }
+});
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -1,4 +1,5 @@
 import { ServerResponse } from "node:http";
+import { drainRequest } from "../common/callerConnections.js";
 import { Failure } from "../common/failure.js";
 
 const problemContentType = "application/problem+json";
@@ -140,7 +141,13 @@
         }
         this.addCloseHeader(headers);
         this.response.writeHead(failure.message.status, headers as unknown as never);
-        this.response.end(body);
+        if (this.response.req.complete) {
+            this.response.end(body);
+            return;
+        }
+        // Closing a connection on which bytes arrive resets it, and the caller may lose the response.
+        this.response.write(body);
+        void drainRequest(this.response.req).then(() => this.response.end());
     }
 
     private addCloseHeader(headers: string[]): void {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -198,22 +198,22 @@
             request.resume();
             return { bytes: Buffer.alloc(0), isPresent };
         }
-        const chunks: Buffer[] = [];
+        let chunks: Buffer[] = [];
         let size = 0;
-        try {
-            for await (const chunk of request as AsyncIterable<Buffer>) {
+        return new Promise(resolve => {
+            request.on("data", (chunk: Buffer) => {
                 size += chunk.length;
                 if (size > limit) {
-                    return createTooLarge();
+                    chunks = [];
+                    resolve(createTooLarge());
+                    return;
                 }
                 chunks.push(chunk);
-            }
-        }
-        catch {
-            // The caller disconnected while sending its body, so no response can be sent.
-            return undefined;
-        }
-        return { bytes: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks), isPresent };
+            });
+            request.once("end", () => resolve({ bytes: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks), isPresent }));
+            // Not ended before: the caller disconnected while sending its body, so no response can be sent.
+            request.once("close", () => resolve(undefined));
+        });
     }
 
     /** Takes the usage of a call from its team's cap; returns the refusal when too little is left. */
