--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -1,8 +1,19 @@
 import { ServerResponse } from "node:http";
+import { drainRequest } from "../common/callerConnections.js";
 import { Failure } from "../common/failure.js";
 
 const problemContentType = "application/problem+json";
 
+/** Returns the problem document of a failure. */
+export function createProblem(failure: Failure): string {
+    return JSON.stringify({
+        code: `CW${failure.message.code}`,
+        title: failure.text,
+        status: failure.message.status,
+        verdict: failure.verdict,
+    });
+}
+
 /** Response to one caller, who may disconnect before it has ended. */
 export interface CallerResponse {
     /** Returns a signal that aborts when the caller disconnects before its response has ended. */
@@ -123,19 +134,20 @@
         if (this.isCallerDisconnected() || this.hasStarted()) {
             return;
         }
-        const body = Buffer.from(JSON.stringify({
-            code: `CW${failure.message.code}`,
-            title: failure.text,
-            status: failure.message.status,
-            verdict: failure.verdict,
-        }));
+        const body = Buffer.from(createProblem(failure));
         const headers = ["content-type", problemContentType, "content-length", String(body.length)];
         if (retryAfter !== undefined) {
             headers.push(retryAfterHeader, retryAfter.toFixed(2));
         }
         this.addCloseHeader(headers);
         this.response.writeHead(failure.message.status, headers as unknown as never);
-        this.response.end(body);
+        if (this.response.req.complete) {
+            this.response.end(body);
+            return;
+        }
+        // Closing a connection on which bytes arrive resets it, and the caller may lose the response.
+        this.response.write(body);
+        void drainRequest(this.response.req).then(() => this.response.end());
     }
 
     private addCloseHeader(headers: string[]): void {
