Keep serving requests of a service that a configuration has removed

Callers saw requests end with 502, and streams cut short, although a sound endpoint of their service was there: they had arrived before a configuration removed the service, and their endpoint went away afterwards.

Cause: limits and kind of a service were looked up in the configuration in force at the time of a retry. For a service that is no longer declared the connection limit fell back to one request for each endpoint, and engines were chosen as plain services, so no endpoint that ran anything had a place.

Change: ConfigurationHolder keeps the newest declaration of each service; the chooser, the directory and the work tracker use it. Which routes lead to a service is up to the configuration in force, as before.

--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -79,7 +79,7 @@
     container.bind(Keys.Directory).toDynamicValue(context => {
         const directory = EndpointDirectory.create(context.get(Keys.Clock));
         const configuration = context.get(Keys.Configuration);
-        directory.setMemoryTokensSource(service => configuration.getTable()?.findService(service)?.engine?.memoryTokens ?? 0);
+        directory.setMemoryTokensSource(service => configuration.findService(service)?.engine?.memoryTokens ?? 0);
         return directory;
     });
     container.bind(Keys.EndpointFollower).toDynamicValue(context =>
@@ -164,7 +164,7 @@
     container.bind(Keys.ServiceWorkTracker).toDynamicValue(context => {
         const configuration = context.get(Keys.Configuration);
         const tracker = ServiceWorkTracker.create(context.get(Keys.Clock), settings.engines);
-        tracker.setSlotsSource(service => configuration.getTable()?.findService(service)?.engine?.slots ?? 1);
+        tracker.setSlotsSource(service => configuration.findService(service)?.engine?.slots ?? 1);
         return tracker;
     });
     container.bind(Keys.EnginePlacement).toDynamicValue(() => EnginePlacementPolicy.create(settings.engines, settings.failureDomain));
@@ -181,8 +181,8 @@
             context.get(Keys.Directory),
             context.get(Keys.Clock),
             context.get(Keys.Random),
-            service => (configuration.getTable()?.findService(service)?.engine === undefined ? calls : engines),
-            service => Math.floor((configuration.getTable()?.findService(service)?.connectionLimit ?? 1) / peers.countServingNodes()),
+            service => (configuration.findService(service)?.engine === undefined ? calls : engines),
+            service => Math.floor((configuration.findService(service)?.connectionLimit ?? 1) / peers.countServingNodes()),
             context.get(Keys.VersionTraffic),
             context.get(Keys.BrittleEndpoints),
         );
--- a/src/routes/configurationHolder.ts
+++ b/src/routes/configurationHolder.ts
@@ -1,5 +1,5 @@
 import { RouteTable } from "./routeTable.js";
-import { RouteConfiguration } from "./types.js";
+import { RouteConfiguration, RoutedService } from "./types.js";
 
 /** Called after a newer configuration has been applied. */
 export type ConfigurationListener = (table: RouteTable) => void;
@@ -10,6 +10,7 @@
  */
 export class ConfigurationHolder {
     private table: RouteTable | undefined;
+    private readonly servicesByName = new Map<string, RoutedService>();
     private readonly listeners: ConfigurationListener[] = [];
 
     private constructor() {}
@@ -28,6 +29,11 @@
         return this.table?.configuration.version ?? 0;
     }
 
+    /** Returns a service by the newest configuration that declares it: requests that arrived before its removal still run there. */
+    findService(name: string): RoutedService | undefined {
+        return this.servicesByName.get(name);
+    }
+
     addListener(listener: ConfigurationListener): void {
         this.listeners.push(listener);
     }
@@ -39,6 +45,7 @@
         }
         const table = RouteTable.create(configuration);
         this.table = table;
+        configuration.services.forEach(service => this.servicesByName.set(service.name, service));
         this.listeners.forEach(listener => listener(table));
         return true;
     }
--- a/src/routes/routeTable.ts
+++ b/src/routes/routeTable.ts
@@ -1,11 +1,10 @@
 import { RandomSource } from "../common/random.js";
-import { Route, RouteConfiguration, RoutedService, RoutedTeam } from "./types.js";
+import { Route, RouteConfiguration, RoutedTeam } from "./types.js";
 
 /** One version of the configuration, indexed for lookups on each request. */
 export class RouteTable {
     private readonly routesByHost = new Map<string, Map<string, Route>>();
     private readonly teamsByKey = new Map<string, RoutedTeam>();
-    private readonly servicesByName = new Map<string, RoutedService>();
     private readonly teamsByName = new Map<string, RoutedTeam>();
 
     private constructor(readonly configuration: RouteConfiguration) {
@@ -18,9 +17,6 @@
             this.teamsByName.set(team.name, team);
             team.keys.forEach(key => this.teamsByKey.set(key, team));
         }
-        for (const service of configuration.services) {
-            this.servicesByName.set(service.name, service);
-        }
     }
 
     static create(configuration: RouteConfiguration): RouteTable {
@@ -54,10 +50,6 @@
         return this.teamsByName.get(name);
     }
 
-    findService(name: string): RoutedService | undefined {
-        return this.servicesByName.get(name);
-    }
-
     hasTeams(): boolean {
         return this.configuration.teams.length > 0;
     }
