Do not count the end of endpoints that a version move replaces as crashes of their requests

Callers saw requests refused with 503 CW3030 ('3 endpoints crashed while running the request') after a move to another version, though nothing had crashed: every request with a prompt part that the old endpoints' requests had in common, until a trial cleared it.

Cause: old endpoints stop without draining when a move is done. The poison request detector took only draining endpoints for planned ends, so each old endpoint that lost a stream counted against that stream's prompt parts.

Change: VersionMoves.isReplaced tells the detector that an endpoint is of the old version of a move that sends nothing there any more. It counts from stage 'all' on, since the endpoints may stop before a node reads 'done'.

--- a/src/gateway/poisonRequestDetector.ts
+++ b/src/gateway/poisonRequestDetector.ts
@@ -2,6 +2,7 @@
 import { EventLog } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { EndpointEntry } from "../fleet/types.js";
 import { FingerprintRecord, QuarantineLedger } from "../requests/quarantineLedger.js";
 import { EndpointCrashCheck } from "./endpointCrashCheck.js";
 import { QuarantineTrials } from "./quarantineTrials.js";
@@ -45,6 +46,9 @@
     readonly at: number;
 }
 
+/** Returns whether an endpoint is replaced by one of another version, so that its end is planned although it does not drain. */
+export type ReplacementSource = (entry: EndpointEntry) => boolean;
+
 /** Detects poison requests: requests, or requests with a part in their prompts, that were lost several times at endpoints that had crashed. */
 export class PoisonRequestDetector {
     private readonly lostRequestsByEndpoint = new Map<FleetEndpoint, LostRequest[]>();
@@ -59,6 +63,7 @@
         private readonly crashCheck: EndpointCrashCheck,
         private readonly clock: Clock,
         private readonly log: EventLog,
+        private readonly isReplaced: ReplacementSource,
     ) {}
 
     static create(
@@ -68,8 +73,9 @@
         crashCheck: EndpointCrashCheck,
         clock: Clock,
         log: EventLog,
+        isReplaced: ReplacementSource = () => false,
     ): PoisonRequestDetector {
-        return new PoisonRequestDetector(ledger, stored, trials, crashCheck, clock, log);
+        return new PoisonRequestDetector(ledger, stored, trials, crashCheck, clock, log, isReplaced);
     }
 
     /** Sets a function that is called soon after a crash was counted, so that peers learn of it at once. */
@@ -131,7 +137,7 @@
 
     /** Records that the connection to an endpoint was lost while it ran a request. A planned end of the endpoint is no crash. */
     recordLoss(endpoint: FleetEndpoint, call: IncomingCall): void {
-        if (endpoint.entry.isDraining || endpoint.isLeaving) {
+        if (this.isEndPlanned(endpoint)) {
             listFingerprints(call).forEach(fingerprint => this.trials.releaseTrial(fingerprint, call.id));
             return;
         }
@@ -169,7 +175,8 @@
         const now = this.clock.getMonotonicTime();
         const requests = (this.lostRequestsByEndpoint.get(endpoint) ?? []).filter(({ at }) => now - at < crashConfirmationMilliseconds);
         this.lostRequestsByEndpoint.delete(endpoint);
-        if (requests.length === 0) {
+        // A move may have got that far since the loss.
+        if (requests.length === 0 || this.isReplaced(endpoint.entry)) {
             return;
         }
         this.log.log(LogEvents.CrashRecorded, { endpoint: endpoint.entry.id, evidence, requests: requests.length });
@@ -199,6 +206,10 @@
         }
     }
 
+    private isEndPlanned(endpoint: FleetEndpoint): boolean {
+        return endpoint.entry.isDraining || endpoint.isLeaving || this.isReplaced(endpoint.entry);
+    }
+
     /** Reports counted crashes, those of a short time together: endpoints also crash in large groups. */
     private async reportCrashes(): Promise<void> {
         if (this.isReporting) {
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -197,16 +197,18 @@
     container.bind(Keys.SharedRateLimiter).toDynamicValue(context => SharedRateLimiter.create(context.get(Keys.Clock), settings.caps));
     container.bind(Keys.FleetRetryBudget).toDynamicValue(context => FleetRetryBudget.create(context.get(Keys.Clock), settings.retries));
     container.bind(Keys.Ledger).toDynamicValue(context => QuarantineLedger.create(context.get(Keys.Clock), settings.timing.quarantineTerm));
-    container.bind(Keys.PoisonRequestDetector).toDynamicValue(context =>
-        PoisonRequestDetector.create(
+    container.bind(Keys.PoisonRequestDetector).toDynamicValue(context => {
+        const versions = context.get(Keys.Versions);
+        return PoisonRequestDetector.create(
             context.get(Keys.Ledger),
             context.get(Keys.StoredQuarantines),
             context.get(Keys.QuarantineTrials),
             context.get(Keys.CrashCheck),
             context.get(Keys.Clock),
             context.get(Keys.Log),
-        )
-    );
+            entry => versions.isReplaced(entry),
+        );
+    });
     container.bind(Keys.Connector).toDynamicValue(() => TcpEndpointConnector.create());
     container.bind(Keys.Probe).toDynamicValue(context =>
         TcpConnectionProbe.create(context.get(Keys.Connector), settings.timing.connectTimeout)
--- a/src/versions/versionMoves.ts
+++ b/src/versions/versionMoves.ts
@@ -4,6 +4,7 @@
 import { LatencyBaseline, LatencyKind } from "../control/moves/latencyBaseline.js";
 import { addCounts, createEmptyCounts, EvidenceCounts, EvidenceEntry, MoveEvidence } from "../control/moves/moveEvidence.js";
 import { VersionJudge } from "../control/moves/versionJudge.js";
+import { EndpointEntry } from "../fleet/types.js";
 import { ObjectChangeHandler } from "../provider/objectWatcher.js";
 import { getEra, Revision } from "../provider/revision.js";
 import { ObjectList, StoredObject } from "../provider/types.js";
@@ -164,6 +165,16 @@
         return move.finding !== undefined && stage !== MoveStage.Done ? MoveStage.RolledBack : stage;
     }
 
+    /** Returns whether an endpoint serves the old version of a move that sends nothing there any more: it may stop without draining. */
+    isReplaced({ service, version }: EndpointEntry): boolean {
+        const move = this.moves.get(service);
+        if (move === undefined || version === move.order.target) {
+            return false;
+        }
+        const stage = this.getStage(move);
+        return stage === MoveStage.All || stage === MoveStage.Done;
+    }
+
     /** Adds an attempt to the evidence or to the latency baseline of the old version. */
     recordAttempt(attempt: VersionAttempt): void {
         const move = this.moves.get(attempt.service);
