--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -7,7 +7,7 @@
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
 import { BufferingResponseRelay, isEventStream, RelayOutcome } from "./responseRelay.js";
-import { AttemptOptions, AttemptResult, CallAttemptDependencies, IncomingCall } from "./types.js";
+import { AttemptOptions, AttemptResult, AttemptSilence, CallAttemptDependencies, IncomingCall } from "./types.js";
 
 const statusServerError = 500;
 const statusGatewayTimeout = 504;
@@ -35,10 +35,13 @@
     private lastReceivedAt: number;
     /** Whether the request has got past the point at which a poison request crashes its endpoint. */
     private isHarmless = false;
-    private hasExceededSilenceLimit = false;
+    /** Whether nothing has been received for longer than the silence limit. */
+    private isSilent = false;
+    private isSuperseded = false;
     private hasCheckedPath = false;
     private isPathLost = false;
     private isPastDeadline = false;
+    private isConnectionReused = false;
     private framing: ResponseFraming | undefined;
     private unprocessedPromptTokens: number;
 
@@ -76,6 +79,12 @@
         }
     }
 
+    /** Aborts the attempt, since another one serves the call. */
+    abort(): void {
+        this.isSuperseded = true;
+        this.abortController.abort();
+    }
+
     /** Records the first event of the stream, which shows that the engine has processed the prompt. Later calls have no effect. */
     recordFirstEvent(): void {
         if (this.firstEventAt !== undefined) {
@@ -103,7 +112,8 @@
                     cacheSource: this.getCacheSource(),
                     traceHeaders: hop.createHeaders(),
                 }),
-                agent: dependencies.connections.getAgent(this.endpoint),
+                connections: dependencies.connections,
+                expectedTime: options.placement.expectedTime,
                 connectTimeout: Math.min(dependencies.timing.connectTimeout, timeLeft),
                 silenceLimit: timeLeft,
                 signal: this.abortController.signal,
@@ -144,6 +154,9 @@
 
     private async relayResponse(response: IncomingMessage, exchange: EndpointExchange): Promise<AttemptResult> {
         const { options } = this;
+        if (this.isSuperseded) {
+            return this.handleTruncatedResponse(exchange);
+        }
         this.recordActivity();
         this.framing = readFraming(response);
         const load = exchange.readLoad(response);
@@ -154,7 +167,7 @@
         if (status >= statusServerError && status !== statusGatewayTimeout) {
             this.endpoint.recordErrorResponse();
             this.recordVersionAttempt(false, undefined);
-            if (options.mayRetry && !options.caller.hasStarted()) {
+            if (options.mayRetry() && !options.caller.hasStarted()) {
                 return this.discardFailure(response, exchange);
             }
         }
@@ -163,10 +176,14 @@
             // The caller has a part of a stream; the document of a failure cannot continue it.
             return this.discardFailure(response, exchange);
         }
-        response.on("data", () => this.recordActivity());
+        options.handleResponse();
+        response.on("data", () => {
+            this.recordActivity();
+            options.handleResponse();
+        });
         const outcome = await (relay ?? BufferingResponseRelay.create(options.caller)).forwardResponse(response, exchange);
         if (outcome !== RelayOutcome.Complete) {
-            return this.handleTruncatedResponse();
+            return this.handleTruncatedResponse(exchange);
         }
         this.recordCompleteResponse(status);
         if (status < statusServerError) {
@@ -217,14 +234,26 @@
         return (at - this.sentAt) / Math.max(minimumExpectedMilliseconds, this.options.placement.expectedTime);
     }
 
-    private handleTruncatedResponse(): AttemptResult {
+    private handleTruncatedResponse(exchange: EndpointExchange): AttemptResult {
         if (!this.abortController.signal.aborted) {
             this.endpoint.recordMissingResponse(this.dependencies.clock.getMonotonicTime());
             this.recordLoss();
         }
+        this.isConnectionReused = exchange.isConnectionReused();
+        if (this.isSuperseded) {
+            return this.createResult(this.createSupersededFailure(Verdict.MayHaveRun));
+        }
         return this.createResult(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
     }
 
+    private createSupersededFailure(verdict: Verdict): Failure {
+        if (!this.isSilent) {
+            return Failure.create(verdict, Diagnostics.Another_attempt_serves_the_request);
+        }
+        const { connection } = this.getSilence();
+        return Failure.create(verdict, Diagnostics.Endpoint_sent_nothing_for_0_milliseconds, Math.round(connection));
+    }
+
     private handleFailure(failure: Failure, exchange: EndpointExchange): AttemptResult {
         const { dependencies, options } = this;
         const now = dependencies.clock.getMonotonicTime();
@@ -243,14 +272,14 @@
         else if (code === Diagnostics.Endpoint_failed_with_status_0.code) {
             this.endpoint.recordErrorResponse();
         }
-        else if (!options.caller.isCallerDisconnected()) {
+        else if (!options.caller.isCallerDisconnected() && (this.isSilent || !this.isSuperseded)) {
             this.endpoint.recordMissingResponse(now);
             this.recordPathEvidence(exchange);
             this.recordCrashEvidence(code, exchange);
         }
-        if (this.hasExceededSilenceLimit) {
-            const limit = dependencies.timing.endpointSilence;
-            return this.createResult(Failure.create(failure.verdict, Diagnostics.Endpoint_sent_nothing_for_0_milliseconds, limit));
+        this.isConnectionReused = exchange.isConnectionReused();
+        if (this.isSuperseded) {
+            return this.createResult(this.createSupersededFailure(failure.verdict));
         }
         const mayHaveArrived = failure.verdict !== Verdict.NotRun || exchange.hasConnection();
         return this.createResult(failure, mayHaveArrived);
@@ -258,7 +287,7 @@
 
     private recordPathEvidence(exchange: EndpointExchange): void {
         const hasNoConnection = !exchange.hasConnection() && !this.abortController.signal.aborted;
-        if (hasNoConnection || this.hasExceededSilenceLimit) {
+        if (hasNoConnection || (this.isSilent && this.isSuperseded)) {
             this.dependencies.paths.recordFailure(this.endpoint);
         }
     }
@@ -289,7 +318,13 @@
     }
 
     private createResult(failure: Failure | undefined, mayHaveArrived = true): AttemptResult {
-        return { failure, mayHaveArrived, isPastDeadline: this.isPastDeadline, framing: this.framing, sentAt: this.sentAt };
+        const { isPastDeadline, isConnectionReused, framing, sentAt } = this;
+        return { failure, mayHaveArrived, isPastDeadline, isConnectionReused, silence: this.getSilence(), framing, sentAt };
+    }
+
+    private getSilence(): AttemptSilence {
+        const now = this.dependencies.clock.getMonotonicTime();
+        return { connection: now - this.lastReceivedAt, endpoint: now - Math.max(this.lastReceivedAt, this.endpoint.lastReceivedAt) };
     }
 
     private recordActivity(): void {
@@ -297,6 +332,7 @@
         this.endpoint.lastReceivedAt = this.lastReceivedAt;
         this.hasCheckedPath = false;
         this.isPathLost = false;
+        this.isSilent = false;
         this.dependencies.paths.recordContact(this.endpoint);
         if (!this.isHarmless && this.firstEventAt !== undefined && this.lastReceivedAt - this.firstEventAt >= harmlessRunMilliseconds) {
             this.recordHarmless();
@@ -304,20 +340,20 @@
     }
 
     /**
-     * Aborts an attempt that may be retried when nothing has been received from the endpoint, on any of its connections, for the
-     * silence limit. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
+     * Reports when nothing has been received from the endpoint, on any of its connections, for the silence limit, again and again
+     * while that lasts. Checks the network path before that, also for attempts that only wait: later calls can avoid a lost one.
      */
     private checkSilence(): void {
-        const { clock, timing } = this.dependencies;
-        const silence = clock.getMonotonicTime() - Math.max(this.lastReceivedAt, this.endpoint.lastReceivedAt);
+        const { timing } = this.dependencies;
+        const silence = this.getSilence().endpoint;
         if (silence > pathCheckMilliseconds && !this.hasCheckedPath) {
             this.hasCheckedPath = true;
             void this.checkPath();
         }
         const limit = this.isPathLost ? lostPathSilenceMilliseconds : timing.endpointSilence;
-        if (this.options.mayRetry && silence > limit) {
-            this.hasExceededSilenceLimit = true;
-            this.abortController.abort();
+        this.isSilent = silence > limit;
+        if (this.isSilent) {
+            this.options.handleSilence();
         }
     }
 
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -99,8 +99,20 @@
     readonly lastEventId: string | undefined;
     /** Relay of the call's event stream; undefined for calls that are not streams. */
     readonly stream: EventStreamRelay | undefined;
-    /** Whether the call may run again if this attempt fails after it may have run. */
-    readonly mayRetry: boolean;
+    /** Returns whether the call may be served by another attempt if this one fails after it may have run. */
+    mayRetry(): boolean;
+    /** Called, again and again, while the endpoint is silent for longer than the limit. */
+    handleSilence(): void;
+    /** Called before the response, or a further part of it, is relayed. */
+    handleResponse(): void;
+}
+
+/** Times since data was received last, or since the request was sent, in milliseconds. */
+export interface AttemptSilence {
+    /** On the connection of the attempt. */
+    readonly connection: number;
+    /** On any of this node's connections to the endpoint. */
+    readonly endpoint: number;
 }
 
 /** Result of an attempt; without a failure, the complete response was written to the caller. */
@@ -110,6 +122,9 @@
     readonly isPastDeadline: boolean;
     /** Whether the request may have reached the endpoint. */
     readonly mayHaveArrived: boolean;
+    /** Whether a failed attempt was sent on a connection that had carried earlier requests. */
+    readonly isConnectionReused: boolean;
+    readonly silence: AttemptSilence;
     /** How the endpoint's response marked its end; undefined when there was none. */
     readonly framing: ResponseFraming | undefined;
     readonly sentAt: number;
