Admit teams within a lowered usage cap at once

Callers of a team were refused with 429 for seconds after a configuration had lowered their team's cap, although they stayed within the old cap before and within the new one afterwards.

Cause: what was admitted under the larger cap counted in full against the smaller one until it had left the window.

A flood gets no more than the halved cap in any window after the change (same file).

Change: each admission, and each count of a peer, keeps the size of the cap at its time. Under a smaller cap it counts as the same part of that one; if the cap is raised again, in full.

--- a/src/quotas/sharedLimits.test.ts
+++ b/src/quotas/sharedLimits.test.ts
@@ -102,6 +102,42 @@
     assert.equal(refused <= sent * refusedShareBound, true, `${refused} of ${sent} refused`);
 });
 
+/** Halves a limit after 30 of 60 seconds, in which a team asks for a share of the limit in force; returns what it got afterwards. */
+async function runHalvedLimit(askedShare: number): Promise<{ asked: number; passed: { at: number; units: number; }[]; }> {
+    const clock = VirtualClock.create();
+    const limiters = Array.from({ length: nodeCount }, () => SharedRateLimiter.create(clock, { slack: 100, window: 8_000 }));
+    limiters.forEach(limiter => limiter.setNodeCount(nodeCount));
+    const passed: { at: number; units: number; }[] = [];
+    for (let step = 0; step < 6_000; step += 1) {
+        await clock.runUntil(step * 10);
+        if (step % 50 === 0) {
+            exchangeDemands(limiters);
+        }
+        const rate = step < 3_000 ? 1_000 : 500;
+        const units = rate / 100 * askedShare;
+        const refusal = limiters[step % nodeCount]?.takeUnits({ name: "halved", rate, burst: rate }, units, units);
+        if (step >= 3_000 && refusal === undefined) {
+            passed.push({ at: step * 10, units });
+        }
+    }
+    return { asked: 3_000, passed };
+}
+
+// Guards against refusing a team that stays within its new limit because of what a larger limit admitted before.
+test("a team that stays within its limits when they are halved is almost never refused", async () => {
+    const { asked, passed } = await runHalvedLimit(0.9);
+    assert.equal(passed.length >= asked * (1 - refusedShareBound), true, `${passed.length} of ${asked} admitted`);
+});
+
+test("a flood gets no more than a halved limit in any window after the change", async () => {
+    const { passed } = await runHalvedLimit(3);
+    const bound = (500 * 8 + 500) * 1.1 + 100;
+    for (const { at } of passed) {
+        const sum = passed.filter(other => other.at >= at && other.at < at + 8_000).reduce((total, other) => total + other.units, 0);
+        assert.equal(sum <= bound, true, `${sum} units from ${at} on, bound ${bound}`);
+    }
+});
+
 test("retries of all nodes together stay within ratio and slack in every window", async () => {
     const clock = VirtualClock.create();
     const random = SeededRandom.create(3);
--- a/src/quotas/sharedRateLimiter.ts
+++ b/src/quotas/sharedRateLimiter.ts
@@ -30,6 +30,16 @@
 /** Demand reported by a peer or a group of nodes, and the monotonic time at which the report arrived. */
 interface PeerDemand extends RateDemand {
     readonly at: number;
+    /** Units that the limit allowed in a window at that time. */
+    readonly allowed: number;
+}
+
+/** Units that this node admitted at a time, in monotonic milliseconds. */
+interface Admission {
+    readonly units: number;
+    readonly at: number;
+    /** Units that the limit allowed in a window at that time. */
+    readonly allowed: number;
 }
 
 /** Share of a limit up to which units are admitted whatever this node's part is; the rest allows for slightly outdated peer counts. */
@@ -60,7 +70,7 @@
     /** Moving average of the requested units per second, valid at `demandAt`. */
     demand: number;
     demandAt: number;
-    readonly admissions: { readonly units: number; readonly at: number; }[];
+    readonly admissions: Admission[];
     readonly peerDemands: Map<string, PeerDemand>;
 }
 
@@ -118,7 +128,7 @@
             return { wait: Math.max(minimumRetryAfterSeconds, (units - bucket.available) / rate), passed, allowed: bucket.allowed };
         }
         bucket.available = Math.max(0, bucket.available - units);
-        bucket.admissions.push({ units, at: now });
+        bucket.admissions.push({ units, at: now, allowed: bucket.allowed });
         return undefined;
     }
 
@@ -133,7 +143,8 @@
                 continue;
             }
             reportedNodes += other.nodes;
-            passed += age <= freshCountAgeLimitMilliseconds ? other.passed : Math.max(other.passed, nodePart * other.nodes);
+            const otherPassed = other.passed * getCountedShare(bucket, other.allowed);
+            passed += age <= freshCountAgeLimitMilliseconds ? otherPassed : Math.max(otherPassed, nodePart * other.nodes);
         }
         return passed + Math.max(0, this.nodeCount - 1 - reportedNodes) * nodePart;
     }
@@ -150,13 +161,14 @@
         while (bucket.admissions[0] !== undefined && bucket.admissions[0].at < oldest) {
             bucket.admissions.shift();
         }
-        return bucket.admissions.reduce((sum, pass) => sum + pass.units, 0);
+        return bucket.admissions.reduce((sum, pass) => sum + pass.units * getCountedShare(bucket, pass.allowed), 0);
     }
 
     /** Replaces the demand for a limit that a peer, or a group of nodes, reports. */
     recordPeerDemand(demand: RateDemand, source: string): void {
         const now = this.clock.getMonotonicTime();
-        this.getBucket(demand.name, now).peerDemands.set(source, { ...demand, at: now });
+        const bucket = this.getBucket(demand.name, now);
+        bucket.peerDemands.set(source, { ...demand, at: now, allowed: bucket.allowed });
     }
 
     /** Removes the sources that the predicate rejects, because another source's sum includes their nodes. */
@@ -241,6 +253,14 @@
     }
 }
 
+/**
+ * Returns the share of units admitted earlier that counts against a limit: where it has been lowered since, they count as the same part
+ * of the lower limit. They were within the limit of their time, and a team within the new one must not wait until they leave the window.
+ */
+function getCountedShare(bucket: RateBucket, allowedThen: number): number {
+    return allowedThen > bucket.allowed ? bucket.allowed / allowedThen : 1;
+}
+
 /** Returns a bucket's demand, decayed to the given monotonic time. */
 function computeDemand(bucket: RateBucket, now: number): number {
     return bucket.demand * Math.exp(-(now - bucket.demandAt) / demandTimeConstantMilliseconds);
