Let calls to peers outlive a short silence of their session; put no further calls on a silent one

Callers of a node that had lost its paths, whose calls a peer served: - a stream that had begun was broken off (200, incomplete), and other calls got 502, after the peer or the link had been silent for 1.3 s; calls that came meanwhile got 503; - while a session was silent for good and new ones worked, waiting lookups and resumable streams got 502 after 2 s, and new calls of all kinds 503. On the product's own interface, a call that reached its time limit, and a renewal of certificates, broke off all other calls on the session.

Cause: one decision, that a session shows no sign of life, did everything at once: the HTTP/2 session manager's ping timeout of 1 s (and the time limit of any one call) destroyed the session with all its calls, and until then all further calls went on it or were refused when its verification took longer than the connect timeout.

Now the two are apart. A session whose ping is not answered for 0.5 s is replaced for further calls; its open calls go on until no ping was answered for 3.5 s, counted in intervals, so that a pause of this process is not a silence of the peer. A call that may be repeated leaves it as soon as the peer answers on the newer session. A session that gets no further calls is closed when its open ones have ended.

--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -217,6 +217,7 @@
             configurationVersion: dependencies.configuration.getVersion(),
             timeLeft: this.deadline - dependencies.clock.getMonotonicTime(),
             runs: this.runs,
+            mayRetry: this.isIdempotent && this.runs + 1 < call.route.attempts,
         }).run();
         return this.finishPeerAttempt(peer, result);
     }
@@ -226,6 +227,9 @@
         const { failure } = result;
         this.lastEndpoint = result.endpoint;
         this.runs += result.runs;
+        if (result.isSessionReplaced) {
+            this.triedPeers.delete(peer.name);
+        }
         if (failure === undefined) {
             return this.createReport(CallOutcome.Completed, undefined);
         }
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -20,6 +20,8 @@
     readonly timeLeft: number;
     /** Number of endpoints that may have run the call before. */
     readonly runs: number;
+    /** Whether the call may run again if this attempt fails after it may have run. */
+    readonly mayRetry: boolean;
 }
 
 /** Result of a call that was handed to a peer; without a failure, the complete response was written to the caller. */
@@ -29,12 +31,15 @@
     readonly runs: number;
     readonly endpoint: string | undefined;
     readonly isPastDeadline: boolean;
+    /** Whether the attempt was given up because its session was silent, while the peer answered on a newer one. */
+    readonly isSessionReplaced: boolean;
 }
 
 /** Hands a call to a peer and relays the peer's response. */
 export class PeerCallAttempt {
     private readonly abortController = new AbortController();
     private isPastDeadline = false;
+    private isSessionReplaced = false;
 
     private constructor(private readonly peers: PeerForwarder, private readonly options: PeerAttemptOptions) {}
 
@@ -65,7 +70,7 @@
     private async forwardCall(): Promise<PeerAttemptResult> {
         const { call, peer, stream, configurationVersion, timeLeft, runs } = this.options;
         const address = parseAddress(peer.address) as NetworkAddress;
-        const events = await this.peers.client.forwardCall(address, {
+        const handed = await this.peers.client.forwardCall(address, {
             node: this.peers.getNodeName(),
             method: call.method,
             target: call.target,
@@ -78,15 +83,28 @@
             lastEventId: stream?.getLastEventId() ?? call.lastEventId ?? "",
             runs,
         }, this.abortController.signal);
-        if (events.err) {
-            return this.createResult(events.val, 0);
+        if (handed.err) {
+            return this.createResult(handed.val, 0);
         }
+        const { events, replacedSignal } = handed.val;
+        const leaveSession = () => this.handleSessionReplaced();
+        replacedSignal.addEventListener("abort", leaveSession);
         try {
-            return await this.relayEvents(events.val);
+            return await this.relayEvents(events);
         }
         catch (error) {
             return this.createLostResult(error);
         }
+        finally {
+            replacedSignal.removeEventListener("abort", leaveSession);
+        }
+    }
+
+    private handleSessionReplaced(): void {
+        if (this.options.mayRetry) {
+            this.isSessionReplaced = true;
+            this.abortController.abort();
+        }
     }
 
     private async relayEvents(events: AsyncIterable<ForwardCallEvent>): Promise<PeerAttemptResult> {
@@ -156,6 +174,7 @@
     }
 
     private createResult(failure: Failure | undefined, runs: number, endpoint = ""): PeerAttemptResult {
-        return { failure, runs, endpoint: endpoint === "" ? undefined : endpoint, isPastDeadline: this.isPastDeadline };
+        const { isPastDeadline, isSessionReplaced } = this;
+        return { failure, runs, endpoint: endpoint === "" ? undefined : endpoint, isPastDeadline, isSessionReplaced };
     }
 }
--- a/src/gateway/peerCallClient.ts
+++ b/src/gateway/peerCallClient.ts
@@ -11,14 +11,18 @@
 /** A call as it is handed to a peer. */
 export type ForwardCallRequestInit = MessageInitShape<typeof ForwardCallRequestSchema>;
 
+/** A call that was handed to a peer. */
+export interface PeerCall {
+    /** The peer's events. Reading rejects when the peer is lost. */
+    readonly events: AsyncIterable<ForwardCallEvent>;
+    /** Aborts when the call's session is silent while the peer answers on a newer one; the call goes on, but little speaks for an answer. */
+    readonly replacedSignal: AbortSignal;
+}
+
 /** Client for the calls that a node hands to its peers. */
 export interface PeerCallClient {
-    /** Hands a call to a peer and returns its events; fails with NotRun when the peer cannot be reached. Reading rejects when the peer is lost. */
-    forwardCall(
-        address: NetworkAddress,
-        call: ForwardCallRequestInit,
-        signal: AbortSignal,
-    ): Promise<Result<AsyncIterable<ForwardCallEvent>, Failure>>;
+    /** Hands a call to a peer; fails with NotRun when the peer cannot be reached. */
+    forwardCall(address: NetworkAddress, call: ForwardCallRequestInit, signal: AbortSignal): Promise<Result<PeerCall, Failure>>;
     /** Closes the connections to all peers. */
     stop(): void;
 }
@@ -31,14 +35,10 @@
         return new ConnectPeerCallClient(sessions);
     }
 
-    async forwardCall(
-        address: NetworkAddress,
-        call: ForwardCallRequestInit,
-        signal: AbortSignal,
-    ): Promise<Result<AsyncIterable<ForwardCallEvent>, Failure>> {
+    async forwardCall(address: NetworkAddress, call: ForwardCallRequestInit, signal: AbortSignal): Promise<Result<PeerCall, Failure>> {
         try {
-            const client = await this.sessions.openClient(address, signal);
-            return Ok(client.forwardCall(call, { signal }));
+            const session = await this.sessions.openSession(address, signal);
+            return Ok({ events: session.client.forwardCall(call, { signal }), replacedSignal: session.getReplacedSignal() });
         }
         catch (error) {
             const message = Diagnostics.Node_at_0_did_not_answer_1;
--- a/src/peers/connectPeerLink.ts
+++ b/src/peers/connectPeerLink.ts
@@ -67,7 +67,7 @@
     }
 
     async adoptRequest(address: NetworkAddress, request: AdoptRequestInit): Promise<PeerResult<boolean>> {
-        const result = await this.sessions.send(
+        const result = await this.sessions.sendOnCheckedSession(
             address,
             client => client.adoptRequest(request, { timeoutMs: adoptCallTimeoutMilliseconds }),
         );
@@ -85,7 +85,7 @@
     }
 
     async forwardCall(address: NetworkAddress, call: ForwardCallInit, timeLimit: number): Promise<PeerResult<ForwardCallResponse>> {
-        return this.sessions.send(address, client => client.forwardCall(call, { timeoutMs: timeLimit }));
+        return this.sessions.sendOnCheckedSession(address, client => client.forwardCall(call, { timeoutMs: timeLimit }));
     }
 
     async describeRequest(address: NetworkAddress, requestId: string): Promise<PeerResult<ExplainRequestResponse>> {
--- a/src/peers/peerSessions.ts
+++ b/src/peers/peerSessions.ts
@@ -1,7 +1,6 @@
 import { DescService } from "@bufbuild/protobuf";
 import { Client, Code, ConnectError, createClient, Transport } from "@connectrpc/connect";
 import { createConnectTransport, Http2SessionManager } from "@connectrpc/connect-node";
-import { EventEmitter } from "node:events";
 import { SecureContextOptions } from "node:tls";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure, isConnectFailure } from "../common/failure.js";
@@ -9,27 +8,15 @@
 import { Verdict } from "../common/verdict.js";
 import { formatAddress } from "../config/sectionReader.js";
 import { NetworkAddress } from "../config/types.js";
+import { PeerSession } from "./peerSession.js";
 import { TlsMaterial } from "./tlsMaterial.js";
 
 /** Largest message that is read from a peer, in bytes: the endpoints and the configuration of a large fleet take less than one megabyte. */
 export const maximumPeerMessageBytes = 8_388_608;
 
-/** Interval of the HTTP/2 pings on a connection with open calls. */
-const pingIntervalMilliseconds = 1_000;
-const pingTimeoutMilliseconds = 1_000;
 /** Time after which an unused connection is closed. */
 const idleConnectionMilliseconds = 10_000;
 
-/** Internal state of Http2SessionManager that holds its HTTP/2 session; the package does not export it. */
-interface SessionManagerState {
-    readonly s: { readonly conn?: unknown; };
-}
-
-interface OpenPeer<S extends DescService> {
-    readonly client: Client<S>;
-    readonly sessions: Http2SessionManager;
-}
-
 /** Counts unresponsive peers and session errors in the metrics. */
 export interface SessionObserver {
     recordUnresponsivePeer(): void;
@@ -38,8 +25,9 @@
 
 /** Keeps one HTTP/2 session per peer for calls over Connect, with mutual TLS when certificates are configured. */
 export class PeerSessions<S extends DescService> {
-    private readonly peers = new Map<string, OpenPeer<S>>();
-    private readonly observedSessions = new WeakSet<EventEmitter>();
+    private readonly currentSessions = new Map<string, PeerSession<S>>();
+    /** All sessions that are not closed; those that are not current get no further calls. */
+    private readonly openSessions = new Set<PeerSession<S>>();
 
     private constructor(
         private readonly service: S,
@@ -47,7 +35,7 @@
         private readonly observer: SessionObserver,
         private readonly connectTimeout: number,
     ) {
-        tls?.addListener(() => this.closePeers());
+        tls?.addListener(() => [...this.currentSessions].forEach(([key, session]) => this.retireSession(key, session)));
     }
 
     /** `connectTimeout` is the longest wait for a session, in milliseconds: a host without power refuses no connection. */
@@ -60,97 +48,114 @@
         return new PeerSessions(service, tls, observer, connectTimeout);
     }
 
-    /** Makes one call. After a timeout or connection failure the session is aborted, and the next call opens a new one. */
-    async send<T>(address: NetworkAddress, call: (client: Client<S>) => Promise<T>): Promise<Result<T, Failure>> {
-        const peer = this.openPeer(address);
-        let verdict = Verdict.NotRun;
-        try {
-            await this.connect(peer);
-            verdict = Verdict.MayHaveRun;
-            return Ok(await call(peer.client));
-        }
-        catch (error) {
-            const connectError = ConnectError.from(error);
-            if (connectError.code === Code.DeadlineExceeded || connectError.code === Code.Unavailable) {
-                // A broken connection may stay open although nothing arrives on it any more, so it is not reused.
-                this.observer.recordUnresponsivePeer();
-                peer.sessions.abort();
-                this.peers.delete(formatAddress(address));
-            }
-            return Err(createPeerFailure(address, connectError, verdict));
-        }
+    /** Makes one call. After a timeout or connection failure the next call opens a new session; other calls on this one go on. */
+    send<T>(address: NetworkAddress, call: (client: Client<S>) => Promise<T>): Promise<Result<T, Failure>> {
+        return this.sendOnSession(address, () => this.openCurrentSession(formatAddress(address)), call);
+    }
+
+    /** Makes one call on a session that shows signs of life: for calls whose time limit is no measure of the session. */
+    sendOnCheckedSession<T>(address: NetworkAddress, call: (client: Client<S>) => Promise<T>): Promise<Result<T, Failure>> {
+        return this.sendOnSession(address, () => this.openSession(address), call);
     }
 
     /** Returns a client after its session has been opened; throws when that fails or the signal aborts. */
     async openClient(address: NetworkAddress, signal: AbortSignal): Promise<Client<S>> {
-        const peer = this.openPeer(address);
-        await this.connect(peer, signal);
-        return peer.client;
+        return (await this.openSession(address, signal)).client;
     }
 
-    closePeers(): void {
-        for (const peer of this.peers.values()) {
-            peer.sessions.abort();
+    /** Returns an open session that shows signs of life, or a new one; throws when none can be opened or the signal aborts. */
+    async openSession(address: NetworkAddress, signal?: AbortSignal): Promise<PeerSession<S>> {
+        const key = formatAddress(address);
+        const session = await this.openCurrentSession(key, signal);
+        const isAnswering = await session.checkAnswers(signal);
+        signal?.throwIfAborted();
+        if (isAnswering) {
+            return session;
         }
-        this.peers.clear();
+        this.retireSession(key, session);
+        return this.openCurrentSession(key, signal);
     }
 
-    /** Waits until the session is open; throws when it cannot be opened, its time limit passes or the signal aborts. */
-    private async connect(peer: OpenPeer<S>, signal?: AbortSignal): Promise<void> {
-        const { sessions } = peer;
-        const timeout = AbortSignal.timeout(this.connectTimeout);
-        const state = await Promise.race([
-            sessions.connect(),
-            waitForAbort(signal === undefined ? timeout : AbortSignal.any([timeout, signal])),
-        ]);
-        if (state === undefined && timeout.aborted && sessions.state() === "connecting") {
-            // All calls that wait for this connection have waited in vain. The next one opens another.
-            sessions.abort();
+    closePeers(): void {
+        this.currentSessions.clear();
+        [...this.openSessions].forEach(session => session.close());
+    }
+
+    private async sendOnSession<T>(
+        address: NetworkAddress,
+        open: () => Promise<PeerSession<S>>,
+        call: (client: Client<S>) => Promise<T>,
+    ): Promise<Result<T, Failure>> {
+        let session: PeerSession<S> | undefined;
+        try {
+            session = await open();
+            return Ok(await call(session.client));
         }
-        if (state === undefined || state === "error") {
-            const text = state === undefined ? `no session was opened within ${this.connectTimeout} ms` : describeError(sessions.error());
-            throw new ConnectError(text, Code.Unavailable, undefined, undefined, sessions.error());
+        catch (error) {
+            const connectError = ConnectError.from(error);
+            if (connectError.code === Code.DeadlineExceeded || connectError.code === Code.Unavailable) {
+                // A broken connection may stay open although nothing arrives on it any more, so it is not reused.
+                this.observer.recordUnresponsivePeer();
+                this.retireSession(formatAddress(address), session);
+            }
+            return Err(createPeerFailure(address, connectError, session === undefined ? Verdict.NotRun : Verdict.MayHaveRun));
         }
-        this.handleSessionErrors(sessions);
     }
 
-    private openPeer(address: NetworkAddress): OpenPeer<S> {
-        const key = formatAddress(address);
-        const existing = this.peers.get(key);
-        if (existing !== undefined) {
-            return existing;
-        }
+    private async openCurrentSession(key: string, signal?: AbortSignal): Promise<PeerSession<S>> {
+        const session = this.currentSessions.get(key) ?? this.createSession(key);
+        await session.open(this.connectTimeout, signal);
+        // A session that was closed meanwhile has opened another connection.
+        this.openSessions.add(session);
+        return session;
+    }
+
+    private createSession(key: string): PeerSession<S> {
         const scheme = this.tls === undefined ? "http" : "https";
         const baseUrl = `${scheme}://${key}`;
         const options = this.tls === undefined ? undefined : createClientOptions(this.tls.getOptions());
-        const sessions = new Http2SessionManager(baseUrl, {
-            pingIntervalMs: pingIntervalMilliseconds,
-            pingTimeoutMs: pingTimeoutMilliseconds,
-            idleConnectionTimeoutMs: idleConnectionMilliseconds,
-        }, options);
+        const sessionManager = new Http2SessionManager(baseUrl, { idleConnectionTimeoutMs: idleConnectionMilliseconds }, options);
         // Within a region, network traffic costs less than the processor time for compression.
         const transport: Transport = createConnectTransport({
             httpVersion: "2",
             baseUrl,
-            sessionManager: sessions,
+            sessionManager,
             acceptCompression: [],
             readMaxBytes: maximumPeerMessageBytes,
         });
-        const peer: OpenPeer<S> = { client: createClient(this.service, transport), sessions };
-        this.peers.set(key, peer);
-        return peer;
+        const session: PeerSession<S> = PeerSession.create(createClient(this.service, transport), sessionManager, {
+            handleSilence: () => this.replaceSession(key, session),
+            handleClosing: () => this.retireSession(key, session),
+            isPeerAnswering: () => this.currentSessions.get(key) !== session && this.currentSessions.get(key)?.hasAnswered() === true,
+            recordError: () => this.observer.recordSessionError(),
+            handleClosed: () => this.removeSession(key, session),
+        });
+        this.currentSessions.set(key, session);
+        this.openSessions.add(session);
+        return session;
+    }
+
+    private removeSession(key: string, session: PeerSession<S>): void {
+        this.openSessions.delete(session);
+        if (this.currentSessions.get(key) === session) {
+            this.currentSessions.delete(key);
+        }
+    }
+
+    private retireSession(key: string, session: PeerSession<S> | undefined): void {
+        if (session !== undefined && this.currentSessions.get(key) === session) {
+            this.currentSessions.delete(key);
+            session.closeWhenIdle();
+        }
     }
 
-    /**
-     * Prevents errors of a session from crashing the process. When a peer sends GOAWAY, the session manager destroys its idle
-     * session with an error, sometimes after it has removed its own error listener.
-     */
-    private handleSessionErrors(sessions: Http2SessionManager): void {
-        const state = (sessions as unknown as SessionManagerState).s;
-        if (state.conn instanceof EventEmitter && !this.observedSessions.has(state.conn)) {
-            this.observedSessions.add(state.conn);
-            state.conn.on("error", () => this.observer.recordSessionError());
+    /** Opens another session to a peer in place of one that does not answer, to find out whether it is the session or the peer that is silent. */
+    private replaceSession(key: string, session: PeerSession<S>): void {
+        if (this.currentSessions.get(key) !== session) {
+            return;
         }
+        this.retireSession(key, session);
+        void this.openCurrentSession(key).then(next => next.sendPing()).catch(() => this.observer.recordSessionError());
     }
 }
 
@@ -162,16 +167,6 @@
     };
 }
 
-/** Resolves with undefined when the signal aborts. */
-function waitForAbort(signal: AbortSignal): Promise<undefined> {
-    return new Promise(resolve => {
-        if (signal.aborted) {
-            resolve(undefined);
-        }
-        signal.addEventListener("abort", () => resolve(undefined), { once: true });
-    });
-}
-
 /** Creates the failure of a call to a peer. The verdict is that of a call whose connection was established before. */
 function createPeerFailure(address: NetworkAddress, error: ConnectError, connectedVerdict: Verdict): Failure {
     const verdict = isConnectFailure(error.cause) ? Verdict.NotRun : connectedVerdict;
--- a/src/testing/soak/faultProxy.ts
+++ b/src/testing/soak/faultProxy.ts
@@ -14,6 +14,8 @@
     AnswersLost = "answers-lost",
     /** The connections that were open go silent for good; new ones work. */
     OpenOnesSilent = "open-ones-silent",
+    /** All bytes are held up; they go on with the next mood. */
+    Held = "held",
 }
 
 /** Delay of a delayed link, in milliseconds: a slow link between regions. */
@@ -55,6 +57,7 @@
     setMood(mood: LinkMood): void {
         this.mood = mood;
         for (const connection of [...this.connections]) {
+            applyHold(connection, mood);
             if (mood === LinkMood.Resetting || (mood === LinkMood.Well && connection.hasLostBytes)) {
                 this.abort(connection);
             }
@@ -81,6 +84,7 @@
         this.connections.add(connection);
         this.forward(connection, near, far, LinkMood.RequestsLost);
         this.forward(connection, far, near, LinkMood.AnswersLost);
+        applyHold(connection, this.mood);
     }
 
     /** Passes bytes from one side to the other, but in the mood in which this direction loses them. */
@@ -124,6 +128,17 @@
     }
 }
 
+function applyHold({ near, far }: ProxiedConnection, mood: LinkMood): void {
+    for (const socket of [near, far]) {
+        if (mood === LinkMood.Held) {
+            socket.pause();
+        }
+        else {
+            socket.resume();
+        }
+    }
+}
+
 /** Resets a connection. One whose end is under way cannot be reset any more: the runtime would wait for that end for good when it exits. */
 function abortSocket(socket: Socket): void {
     if (socket.writableEnded) {
