Send the rest of the answers to peers before a gateway ends

Callers of a node that had lost its paths saw their connection closed without a byte (status 0, neither an answer nor a refusal), while the peer that served the call was stopped in order.

Cause: a call of a peer no longer counted as open when its last event had been queued. A large answer then waits for the flow control of HTTP/2, one round trip for each 64 KB, and the end of the process destroyed its session meanwhile.

Now a call of a peer counts as open until its stream is closed, that is until its response has been sent in full.

--- a/src/gateway/peerCallServer.ts
+++ b/src/gateway/peerCallServer.ts
@@ -24,19 +24,12 @@
 
 /** Forwards calls for peers that have lost their own network paths to the endpoints. The peer has enforced the team's usage cap. */
 export class PeerCallServer {
-    private openCalls = 0;
-
     private constructor(private readonly dependencies: PeerCallServerDependencies) {}
 
     static create(dependencies: PeerCallServerDependencies): PeerCallServer {
         return new PeerCallServer(dependencies);
     }
 
-    /** Returns the number of peers' calls that have not ended. */
-    countOpenCalls(): number {
-        return this.openCalls;
-    }
-
     /** Forwards a peer's call; the events end with the call's outcome. The signal aborts when the peer gives it up or is lost. */
     serveCall(request: ForwardCallRequest, signal: AbortSignal): AsyncIterable<ForwardCallEventInit> {
         const caller = PeerCallerResponse.create(signal);
@@ -45,7 +38,6 @@
     }
 
     private async runCall(request: ForwardCallRequest, caller: PeerCallerResponse): Promise<void> {
-        this.openCalls += 1;
         try {
             const call = this.acceptCall(request);
             caller.endEvents(call.err ? createEnd(call.val) : await this.forwardCall(call.val, request, caller));
@@ -56,9 +48,6 @@
             const failure = Failure.create(Verdict.MayHaveRun, Diagnostics.Connection_was_lost_after_the_request_was_sent_0, cause);
             caller.endEvents(createEnd(failure));
         }
-        finally {
-            this.openCalls -= 1;
-        }
     }
 
     private async forwardCall(call: IncomingCall, request: ForwardCallRequest, caller: PeerCallerResponse): Promise<ForwardCallEndInit> {
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -129,8 +129,7 @@
         void container.get(Keys.Lease).release().then(() => container.get(Keys.Gossip).publishNow());
         await clock.sleep(timing.listenerGrace);
         server.closeIdle();
-        const peerCalls = container.get(Keys.PeerCallServer);
-        const countOpenCalls = () => server.countOpenCalls() + peerCalls.countOpenCalls();
+        const countOpenCalls = () => server.countOpenCalls() + this.peerServer.countOpenCalls(GatewayPeerService.method.forwardCall);
         while (countOpenCalls() > 0 && clock.getMonotonicTime() < forcedCloseAt) {
             await clock.sleep(drainPollMilliseconds);
         }
--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -1,6 +1,15 @@
+import { DescMethod } from "@bufbuild/protobuf";
 import { ConnectRouter } from "@connectrpc/connect";
 import { connectNodeAdapter } from "@connectrpc/connect-node";
-import { createSecureServer, createServer, Http2SecureServer, Http2Server, ServerHttp2Session } from "node:http2";
+import {
+    createSecureServer,
+    createServer,
+    Http2SecureServer,
+    Http2Server,
+    IncomingHttpHeaders,
+    ServerHttp2Session,
+    ServerHttp2Stream,
+} from "node:http2";
 import { Socket } from "node:net";
 import { startListening } from "../common/listening.js";
 import { NetworkAddress } from "../config/types.js";
@@ -15,6 +24,7 @@
     private readonly sockets = new Set<Socket>();
     private closedBytes = 0;
     private readonly sessions = new Set<ServerHttp2Session>();
+    private readonly pathsByStream = new Map<ServerHttp2Stream, string>();
 
     private constructor(routes: (router: ConnectRouter) => void, tls: TlsMaterial | undefined) {
         const listener = connectNodeAdapter({ routes, readMaxBytes: maximumPeerMessageBytes });
@@ -31,6 +41,10 @@
             session.on("error", () => {});
             session.on("close", () => this.sessions.delete(session));
         });
+        this.server.on("stream", (stream: ServerHttp2Stream, headers: IncomingHttpHeaders) => {
+            this.pathsByStream.set(stream, headers[":path"] ?? "");
+            stream.once("close", () => this.pathsByStream.delete(stream));
+        });
     }
 
     static create(handler: PeerHandler, tls: TlsMaterial | undefined): PeerServer {
@@ -56,6 +70,12 @@
         return bytes;
     }
 
+    /** Returns the number of peers' calls of a method whose response has not been sent in full. */
+    countOpenCalls(method: DescMethod): number {
+        const path = `/${method.parent.typeName}/${method.name}`;
+        return [...this.pathsByStream.values()].filter(open => open === path).length;
+    }
+
     /** Stops listening and destroys every session. */
     async stop(): Promise<void> {
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -86,6 +86,8 @@
     /** Number of rejections in a second that it survives, which it states in all its answers; undefined if it is not brittle. */
     rejectionLimit: number | undefined;
     workMilliseconds = 0;
+    /** Number of bytes that are added to its plain answers. */
+    answerPadding = 0;
     eventCount = 5;
     eventMilliseconds = 5;
     /** Returns whether running a request crashes the process; an engine crashes after its first event. */
@@ -232,7 +234,7 @@
         if (!socket) {
             return;
         }
-        const text = `answer to ${run.attemptId}`;
+        const text = `answer to ${run.attemptId}${" ".repeat(this.answerPadding)}`;
         const seal = `seal-${run.attemptId}`;
         const head = `HTTP/1.1 200 OK\r\n${HeaderNames.attemptId}: ${run.attemptId}\r\n${HeaderNames.seal}: ${seal}\r\n`;
         switch (fault) {
