Let a node of the product's own interface end the calls of its peers before it stops

Callers whose plain call was forwarded to a peer got a failure (the call may have run) when the peer was stopped in order, although the endpoint went on and the drain limit was far.

Cause: the shutdown waits for the requests in the node's own table; calls that peers forwarded are not in it.

Failed before: nodeStop.test.ts, the call failed 0.4 s after the stop began.

--- a/src/node/corianderNode.ts
+++ b/src/node/corianderNode.ts
@@ -1,6 +1,7 @@
 import { Container } from "inversify";
 import { NetworkAddress, NodeSettings } from "../config/types.js";
 import { MoveWebhook } from "../control/moves/moveWebhook.js";
+import { PeerService } from "../generated/corianderward/v1/peer_pb.js";
 import { createNodeContainer } from "./composition.js";
 import { Keys } from "./keys.js";
 
@@ -143,9 +144,12 @@
         return this.container.get(Keys.Table).countActive();
     }
 
+    /** Waits for this node's own requests, and the calls that peers forwarded to it, until a monotonic time. */
     private async waitForRequests(until: number): Promise<void> {
         const clock = this.container.get(Keys.Clock);
-        while (this.countActiveRequests() > 0 && clock.getMonotonicTime() < until) {
+        const server = this.container.get(Keys.PeerServer);
+        const countOpen = () => this.countActiveRequests() + server.countOpenCalls(PeerService.method.forwardCall);
+        while (countOpen() > 0 && clock.getMonotonicTime() < until) {
             await clock.sleep(drainPollMilliseconds);
         }
     }
