Answer the caller when a peer is lost in the middle of an answer; retry at a peer whose session was lost

Callers of a node that had lost its paths saw their connection closed without a byte (status 0, neither an answer nor a refusal) when the session to the peer ended after the head of the peer's answer had arrived and before its body. A lookup was not tried again either: the only peer counted as tried, although just its session had been reset.

Cause: the node that handed the call over started the response with the peer's head. The attempts at endpoints buffer a response that is useful only when complete; calls at peers did not.

Now they do too, up to the same size, and a stream starts with its first event. A peer whose session was lost is tried again where the call may be repeated and no other peer is left.

Failed before, 2 of 2 runs: peerCallLoss.test.ts, status 0 for the lookup and the unsafe call. Now 200 and 502.

--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -97,6 +97,8 @@
 class ForwardedCall {
     private readonly tried = new Set<FleetEndpoint>();
     private readonly triedPeers = new Set<string>();
+    /** The tried peers, but for those whose session was lost. */
+    private readonly failedPeers = new Set<string>();
     private readonly isIdempotent: boolean;
     private readonly deadline: number;
     private readonly stream: EventStreamRelay;
@@ -193,12 +195,13 @@
         return this.connectFailures >= connectFailuresUntilPeer && this.dependencies.paths.isUnreachable(this.call.service);
     }
 
-    /** Picks a peer for the call. A call that came from a peer stays here, so that no two nodes pass it to and fro. */
+    /** Picks a peer for the call, one that was not tried if there is any. A call that came from a peer stays here, so that no two nodes pass it to and fro. */
     private pickPeer(): GatewayPeer | undefined {
         if (this.origin !== undefined || this.triedPeers.size >= peerLimit) {
             return undefined;
         }
-        return this.dependencies.peers.pickPeer(this.call.service, this.triedPeers);
+        const { peers } = this.dependencies;
+        return peers.pickPeer(this.call.service, this.triedPeers) ?? peers.pickPeer(this.call.service, this.failedPeers);
     }
 
     /** Hands the call to a peer; returns the report when it has ended, or undefined when it is to be tried otherwise. */
@@ -227,12 +230,12 @@
         const { failure } = result;
         this.lastEndpoint = result.endpoint;
         this.runs += result.runs;
-        if (result.isSessionReplaced) {
-            this.triedPeers.delete(peer.name);
-        }
         if (failure === undefined) {
             return this.createReport(CallOutcome.Completed, undefined);
         }
+        if (!result.isSessionLost) {
+            this.failedPeers.add(peer.name);
+        }
         this.verdict = raiseVerdict(this.verdict, failure.verdict);
         this.sends += failure.verdict === Verdict.NotRun ? 0 : 1;
         if (failure.message === Diagnostics.Node_at_0_did_not_answer_1 && failure.verdict === Verdict.NotRun && !result.isPastDeadline) {
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -7,7 +7,7 @@
 import { GatewayPeer } from "../gossip/types.js";
 import { CallerResponse } from "./callerResponse.js";
 import { PeerForwarder } from "./peerForwarder.js";
-import { EventStreamRelay, isEventStream } from "./responseRelay.js";
+import { bufferedResponseBytes, EventStreamRelay, isEventStream } from "./responseRelay.js";
 import { IncomingCall } from "./types.js";
 
 /** A call that is handed to a peer. Times are monotonic milliseconds. */
@@ -31,15 +31,21 @@
     readonly runs: number;
     readonly endpoint: string | undefined;
     readonly isPastDeadline: boolean;
-    /** Whether the attempt was given up because its session was silent, while the peer answered on a newer one. */
-    readonly isSessionReplaced: boolean;
+    /** Whether the session was lost after the call was handed over; the peer itself may work. */
+    readonly isSessionLost: boolean;
 }
 
-/** Hands a call to a peer and relays the peer's response. */
+/**
+ * Hands a call to a peer and relays the peer's response. A response that is useful only when complete is buffered until it is, unless
+ * it is large, so that the call can be retried, or answered as failed, when the peer is lost meanwhile.
+ */
 export class PeerCallAttempt {
     private readonly abortController = new AbortController();
     private isPastDeadline = false;
-    private isSessionReplaced = false;
+    private isSessionLost = false;
+    private head: ResponseHead | undefined;
+    private buffered: Buffer[] = [];
+    private bufferedSize = 0;
 
     private constructor(private readonly peers: PeerForwarder, private readonly options: PeerAttemptOptions) {}
 
@@ -102,7 +108,6 @@
 
     private handleSessionReplaced(): void {
         if (this.options.mayRetry) {
-            this.isSessionReplaced = true;
             this.abortController.abort();
         }
     }
@@ -117,7 +122,7 @@
                     const { status } = event.value;
                     return this.createResult(Failure.create(Verdict.Ran, Diagnostics.Endpoint_failed_with_status_0, status), 1);
                 }
-                this.startResponse(event.value);
+                this.head = event.value;
             }
             else if (event.case === "body") {
                 await this.writeBytes(Buffer.from(event.value), stream);
@@ -139,16 +144,24 @@
         return this.options.stream;
     }
 
-    private startResponse(head: ResponseHead): void {
+    private startResponse(): void {
         const { caller } = this.options;
-        if (!caller.hasStarted()) {
-            caller.startResponse(head.status, head.headers);
+        if (this.head !== undefined && !caller.hasStarted()) {
+            caller.startResponse(this.head.status, this.head.headers);
         }
     }
 
     private async writeBytes(bytes: Buffer, stream: EventStreamRelay | undefined): Promise<void> {
         const { caller } = this.options;
-        const isFlushed = stream === undefined ? caller.writeBytes(bytes) : stream.writeEvents(bytes);
+        this.bufferedSize += bytes.length;
+        if (stream === undefined && !caller.hasStarted() && this.bufferedSize <= bufferedResponseBytes) {
+            this.buffered.push(bytes);
+            return;
+        }
+        this.startResponse();
+        const isFlushed = stream === undefined
+            ? caller.writeBytes(Buffer.concat([...this.buffered.splice(0), bytes]))
+            : stream.writeEvents(bytes);
         if (!isFlushed) {
             await caller.waitForDrain();
         }
@@ -156,7 +169,8 @@
 
     private finishResponse(end: ForwardCallEnd): PeerAttemptResult {
         if (end.failureCode === 0) {
-            this.options.caller.finishResponse();
+            this.startResponse();
+            this.options.caller.finishResponse(Buffer.concat(this.buffered));
             return this.createResult(undefined, end.runs, end.endpoint);
         }
         const verdict = Object.values(Verdict).find(known => known === end.verdict) ?? Verdict.MayHaveRun;
@@ -169,12 +183,13 @@
     private createLostResult(error: unknown): PeerAttemptResult {
         const isNotRun = error instanceof Error && isConnectFailure(error.cause);
         const verdict = isNotRun ? Verdict.NotRun : Verdict.MayHaveRun;
+        this.isSessionLost = !isNotRun && !this.isPastDeadline;
         const failure = Failure.create(verdict, Diagnostics.Node_at_0_did_not_answer_1, this.options.peer.address, describeError(error));
         return this.createResult(failure, isNotRun ? 0 : 1);
     }
 
     private createResult(failure: Failure | undefined, runs: number, endpoint = ""): PeerAttemptResult {
-        const { isPastDeadline, isSessionReplaced } = this;
-        return { failure, runs, endpoint: endpoint === "" ? undefined : endpoint, isPastDeadline, isSessionReplaced };
+        const { isPastDeadline, isSessionLost } = this;
+        return { failure, runs, endpoint: endpoint === "" ? undefined : endpoint, isPastDeadline, isSessionLost };
     }
 }
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -5,7 +5,7 @@
 import { createResponseHeaders } from "./forwardedHeaders.js";
 
 /** Size up to which a response is buffered until it is complete; well above ordinary responses. Larger ones are streamed. */
-const bufferedResponseBytes = 262_144;
+export const bufferedResponseBytes = 262_144;
 
 const statusOk = 200;
 const statusRedirect = 300;
