Close sessions to peers in order instead of destroying them

A process that stopped gateways could end by SIGABRT or SIGSEGV ("corrupted size vs. prev_size") instead of code 0.

Cause, as far as traced: the sessions to peers were destroyed (Http2SessionManager.abort) while their peers, which stop too, ended them from the other side; the heap of the runtime (Node.js 20.20.2) is corrupted then.

Now a session is closed, which tells the peer and waits for open calls for 0.5 s at most, and destroyed only after that.

--- a/src/peers/peerSession.ts
+++ b/src/peers/peerSession.ts
@@ -17,6 +17,8 @@
 const answerTimeoutMilliseconds = 500;
 /** Number of intervals without open calls after which a session that gets no further ones is closed: a call may be about to start. */
 const idleIntervalsUntilClosed = 2;
+/** Time for which a session that is being closed waits for its open calls, in milliseconds. */
+const closeTimeoutMilliseconds = 500;
 
 /** Internal state of Http2SessionManager that holds its HTTP/2 session; the package does not export it. */
 interface SessionManagerState {
@@ -111,10 +113,16 @@
         }
     }
 
-    /** Closes the session and breaks off its open calls. */
-    close(reason?: ConnectError): void {
-        this.manager.abort(reason);
-        this.handleConnectionClosed();
+    /** Closes the session. Its open calls have a short time to end, and are then broken off. */
+    close(): void {
+        const { connection } = this;
+        if (connection === undefined || connection.destroyed) {
+            this.abort();
+            return;
+        }
+        // Not destroyed at once: in Node.js 20, doing so while the peer ends the session too can corrupt the heap of the process.
+        connection.close();
+        setTimeout(() => this.abort(), closeTimeoutMilliseconds).unref();
     }
 
     /** Sends a ping unless one is under way; resolves with whether it was answered. */
@@ -155,6 +163,11 @@
         this.timer ??= setInterval(() => this.checkSilence(), pingIntervalMilliseconds).unref();
     }
 
+    private abort(reason?: ConnectError): void {
+        this.manager.abort(reason);
+        this.handleConnectionClosed();
+    }
+
     private handleConnectionClosed(): void {
         const state = this.manager.state();
         if (state === "closed" || state === "error") {
@@ -181,7 +194,7 @@
         }
         else if (this.unansweredIntervals >= intervalsUntilLost) {
             const silence = intervalsUntilLost * pingIntervalMilliseconds;
-            this.close(new ConnectError(`the peer answered no ping for ${silence} ms`, Code.Unavailable));
+            this.abort(new ConnectError(`the peer answered no ping for ${silence} ms`, Code.Unavailable));
         }
         else if (this.unansweredIntervals > intervalsUntilSilent && this.handler.isPeerAnswering()) {
             this.replacedController.abort();
