Stop a peer server that has connections without a session

Cause: the server's close waits for every connection; those whose handshake is not finished have no session yet, so nothing ended them.

Change: the stop destroys the connections as well.

--- a/src/peers/peerServer.ts
+++ b/src/peers/peerServer.ts
@@ -76,12 +76,16 @@
         return [...this.pathsByStream.values()].filter(open => open === path).length;
     }
 
-    /** Stops listening and destroys every session. */
+    /** Stops listening and destroys every session and connection. */
     async stop(): Promise<void> {
         const closed = new Promise<void>(resolve => this.server.close(() => resolve()));
         for (const session of this.sessions) {
             session.destroy();
         }
+        // A connection that is still being established has no session yet, and would keep the server open.
+        for (const socket of this.sockets) {
+            socket.destroy();
+        }
         await closed;
     }
 }
--- a/src/peers/peerTls.test.ts
+++ b/src/peers/peerTls.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { mkdtempSync, rmSync, utimesSync, writeFileSync } from "node:fs";
+import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, test } from "node:test";
@@ -67,3 +68,19 @@
     [serverTls, trusted.material, untrusted.material].forEach(material => material.stop());
     await server.stop();
 });
+
+// Guards against a stop that waits for good for a peer whose connection is still being established.
+test("a server stops while a connection has not finished its handshake", async () => {
+    const now = Date.now();
+    const authority = createAuthority("site", 10, now);
+    const tls = TlsMaterial.create(
+        writeKeys("stopping", authority, createNodeCertificate(authority, "stopping", 5, now)),
+        createSilentLogger(),
+    );
+    const server = PeerServer.create(handler, tls);
+    const socket = connect(await server.start({ host: "127.0.0.1", port: 0 }));
+    const closed = new Promise(resolve => socket.once("close", resolve));
+    await new Promise<void>(resolve => socket.once("connect", () => setImmediate(resolve)));
+    await Promise.all([server.stop(), closed]);
+    tls.stop();
+});
