Send requests to endpoints with a free slot however slow their last responses were

Callers of a service were refused with 503 CW3009 ('the expected wait passes the deadline') for good, on a node whose endpoints for it were all idle: after the endpoints had been silent for a second, and after a route was moved to a service whose first calls took longer than assumed.

Cause: the expected time is the average call time multiplied by how much slower than expected the last responses of an endpoint were. A burst of slow responses raises both, their product passes every deadline, nothing is sent any more, and only responses could have lowered them.

Evidence: two endpoints, 16 calls at once, endpoints silent for 1.2 s: all of 40 later calls refused, over 6 s; the same after first calls of 700 ms (50 of 50).

Change: a cost states the time that a request must be able to wait. Where it need not queue, the slowness of the last responses is left out of that time; it still counts in the choice between endpoints. A request goes to the cheapest endpoint that can serve it in time, and is refused if there is none.

--- a/src/placement/callPlacementPolicy.ts
+++ b/src/placement/callPlacementPolicy.ts
@@ -64,7 +64,8 @@
         }
         // Below its slot count a busier endpoint costs slightly more: calls that other nodes are sending to it are not counted yet.
         const cost = fixedCost + expectedTime + callTime * requestCount / endpoint.entry.slots / 2;
-        return { cost, fixedCost, expectedTime, tokensToRead: 0, cacheSource: undefined };
+        const requiredTime = waiting === 0 ? callTime : expectedTime;
+        return { cost, fixedCost, expectedTime, requiredTime, tokensToRead: 0, cacheSource: undefined };
     }
 
     /** Returns the larger of this node's count of requests at an endpoint and the endpoint's own recent report. */
--- a/src/placement/endpointChooser.ts
+++ b/src/placement/endpointChooser.ts
@@ -92,13 +92,14 @@
 
     /** Chooses an endpoint of one group; undefined when the group has none that can take the request. */
     private choosePlacementInGroup(group: readonly FleetEndpoint[], query: PlacementQuery): Result<Placement, Failure> | undefined {
-        const best = this.selectBest(this.pickSample(this.listOptions(group, query)));
-        if (best === undefined) {
+        const sample = this.pickSample(this.listOptions(group, query));
+        if (sample.length === 0) {
             return undefined;
         }
         const longestWait = Math.min(query.timeLeft * usableShareOfTimeLeft, this.getPolicy(query.service).computeLongestWait(query));
-        if (best.expectedTime > longestWait) {
-            const wait = Math.round(best.expectedTime);
+        const best = this.selectBest(sample.filter(option => option.requiredTime <= longestWait));
+        if (best === undefined) {
+            const wait = Math.round(Math.min(...sample.map(option => option.requiredTime)));
             return Err(Failure.create(Verdict.NotRun, Diagnostics.Expected_wait_of_0_milliseconds_passes_the_deadline, wait));
         }
         return Ok(best);
--- a/src/placement/enginePlacementPolicy.ts
+++ b/src/placement/enginePlacementPolicy.ts
@@ -75,7 +75,8 @@
         // Close to the objective each further millisecond makes a late response more likely.
         const latenessCost = Math.max(0, expectedTime - query.objective * unpenalizedShareOfObjective) * latenessWeight;
         const cost = fixedCost + waitCost + latenessCost;
-        return { cost, fixedCost, expectedTime, tokensToRead, cacheSource: source?.endpoint };
+        const requiredTime = endpoint.countRequests() === 0 ? readTime : expectedTime;
+        return { cost, fixedCost, expectedTime, requiredTime, tokensToRead, cacheSource: source?.endpoint };
     }
 
     /** Returns the cost that does not depend on the endpoint's load, without the time to process uncached tokens. */
--- a/src/placement/types.ts
+++ b/src/placement/types.ts
@@ -36,6 +36,11 @@
     /** Part of the cost that does not depend on the endpoint's load: failure domain, cached prompt parts, health. */
     readonly fixedCost: number;
     readonly expectedTime: number;
+    /**
+     * Time that a request must be able to wait to be sent there. Where it need not queue this leaves out how slow the last responses
+     * were: only further responses can show that the endpoint is fast again.
+     */
+    readonly requiredTime: number;
     readonly tokensToRead: number;
     readonly cacheSource: FleetEndpoint | undefined;
 }
