--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -1,9 +1,10 @@
 import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
+import { CallerConnections } from "../common/callerConnections.js";
 import { Clock } from "../common/clock.js";
 import { Diagnostics } from "../common/diagnostics.js";
 import { EventLog } from "../common/eventLog.js";
 import { describeError, Failure, readErrorCode } from "../common/failure.js";
-import { startListening } from "../common/listening.js";
+import { startListening, stopListening } from "../common/listening.js";
 import { LogEvents } from "../common/logEvents.js";
 import { bytesPerKibibyte, bytesPerMebibyte, millisecondsPerSecond } from "../common/units.js";
 import { Verdict } from "../common/verdict.js";
@@ -11,8 +12,7 @@
 import { SharedRateLimiter } from "../quotas/sharedRateLimiter.js";
 import { ConfigurationHolder } from "../routes/configurationHolder.js";
 import { CallerLimits, UsageUnit } from "../routes/types.js";
-import { CallerConnections } from "./callerConnections.js";
-import { HttpCallerResponse } from "./callerResponse.js";
+import { createProblem, HttpCallerResponse } from "./callerResponse.js";
 import { CallForwarder, CallReport } from "./callForwarder.js";
 import { CallBody, CallReader } from "./callReader.js";
 import { DrainAdmission } from "./drainAdmission.js";
@@ -63,8 +63,10 @@
             requestTimeout: 0,
             noDelay: true,
         }, (request, response) => void this.serveRequest(request, response));
-        this.connections = CallerConnections.create(this.server);
-        this.server.on("clientError", (_error, socket) => socket.destroy());
+        this.connections = CallerConnections.create(this.server, {
+            createProblem,
+            recordRejection: (failure, isAnswered, bytesRead) => this.recordUnread(failure, isAnswered, bytesRead),
+        });
         dependencies.configuration.addListener(table => this.applyLimits(table.configuration.limits));
     }
 
@@ -93,7 +95,7 @@
 
     /** Stops listening and closes the connections that carry no request; the others are closed after their responses. */
     closeIdle(): void {
-        this.server.close();
+        stopListening(this.server);
         this.connections.closeIdle();
     }
 
@@ -196,22 +198,22 @@
             request.resume();
             return { bytes: Buffer.alloc(0), isPresent };
         }
-        const chunks: Buffer[] = [];
+        let chunks: Buffer[] = [];
         let size = 0;
-        try {
-            for await (const chunk of request as AsyncIterable<Buffer>) {
+        return new Promise(resolve => {
+            request.on("data", (chunk: Buffer) => {
                 size += chunk.length;
                 if (size > limit) {
-                    return createTooLarge();
+                    chunks = [];
+                    resolve(createTooLarge());
+                    return;
                 }
                 chunks.push(chunk);
-            }
-        }
-        catch {
-            // The caller disconnected while sending its body, so no response can be sent.
-            return undefined;
-        }
-        return { bytes: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks), isPresent };
+            });
+            request.once("end", () => resolve({ bytes: chunks.length === 1 ? chunks[0] as Buffer : Buffer.concat(chunks), isPresent }));
+            // Not ended before: the caller disconnected while sending its body, so no response can be sent.
+            request.once("close", () => resolve(undefined));
+        });
     }
 
     /** Takes the usage of a call from its team's cap; returns the refusal when too little is left. */
@@ -245,6 +247,21 @@
         });
     }
 
+    /** Records a request that could not be parsed. */
+    private recordUnread(failure: Failure, isAnswered: boolean, bytesRead: number): void {
+        const { dependencies } = this;
+        const outcome = CallOutcome.Rejected;
+        dependencies.metrics.calls.inc({ service: "", outcome, cause: String(failure.message.code) });
+        dependencies.log.log(LogEvents.RequestRefused, {
+            outcome,
+            status: failure.message.status,
+            cause: failure.text,
+            isAnswered,
+            bytesRead,
+            configuration: dependencies.configuration.getVersion(),
+        });
+    }
+
     /** Ends a call after an unexpected error, which may have come at any time before, during or after an attempt. */
     private failCall(request: IncomingMessage, caller: HttpCallerResponse, error: unknown): void {
         const { dependencies } = this;
