End requests that wait behind another when their connection ends, and log each that the node cuts off

What callers saw: nothing new; a request behind another one on its connection is not passed on when that one's response ends the connection, or breaks off. But the node kept each such request open for ever: a stop then waited to the end of its grace and counted them as cut off, and no line named a request that ended without an answer.

Cause: the runtime emits the close event only for the first open response of a connection, not for those queued behind it. Nothing ended them.

Change: the tracker of connections closes the queued responses with their connection. A line `request unanswered` names each request whose connection the node ended before a whole response, and tells whether it was read whole, handed on, and begun. A malformed body is answered by the response that its request has.

--- a/src/common/callerConnections.ts
+++ b/src/common/callerConnections.ts
@@ -43,7 +43,7 @@
     private constructor(private readonly server: Server, private readonly handler: RejectionHandler) {
         server.on("connection", (socket: Socket) => {
             this.states.set(socket, { openResponses: new Set(), requestCount: 0, bytesRead: 0, isClosing: false, isRejecting: false });
-            socket.once("close", () => this.states.delete(socket));
+            socket.once("close", () => this.removeConnection(socket));
         });
         server.on("clientError", (error, socket) => this.handleParserError(error, socket as Socket));
     }
@@ -59,7 +59,7 @@
      */
     async addResponse(socket: Socket, response: ServerResponse): Promise<boolean> {
         const state = this.states.get(socket);
-        if (state === undefined || state.isClosing) {
+        if (state === undefined) {
             return false;
         }
         const earlier = [...state.openResponses];
@@ -76,6 +76,13 @@
         return open.length > 0 && open[open.length - 1] !== response;
     }
 
+    private removeConnection(socket: Socket): void {
+        const queued = [...this.states.get(socket)?.openResponses ?? []].filter(response => !response.socket);
+        this.states.delete(socket);
+        // The runtime closes only the first open response of a connection; those behind it would stay open.
+        queued.forEach(response => response.emit("close"));
+    }
+
     private removeResponse(socket: Socket, state: ConnectionState, response: ServerResponse): void {
         state.openResponses.delete(response);
         state.isClosing ||= !response.shouldKeepAlive;
@@ -125,22 +132,40 @@
             state.isRejecting = false;
             return;
         }
+        const problem = this.handler.createProblem(failure);
         const isAnswered = socket.writable && !state.isClosing && unread?.headersSent !== true;
         state.isClosing = true;
-        if (isAnswered) {
-            socket.end(formatResponse(failure, this.handler.createProblem(failure)));
-            const timer = setTimeout(() => socket.destroy(), lingerMilliseconds);
-            socket.once("close", () => clearTimeout(timer));
+        if (!isAnswered) {
+            socket.destroySoon();
+        }
+        else if (unread !== undefined) {
+            sendResponse(unread, failure.message.status, createLastHeaders(problem), problem);
         }
         else {
-            socket.destroySoon();
+            socket.end(formatResponse(failure.message.status, problem));
+            const timer = setTimeout(() => socket.destroy(), lingerMilliseconds);
+            socket.once("close", () => clearTimeout(timer));
         }
         this.handler.recordRejection(failure, isAnswered, socket.bytesRead);
     }
 }
 
+/**
+ * Sends a whole response. If its request has not been read whole, the response and its connection end once the rest has been discarded,
+ * for a limited time. The headers are a flat list of names and values.
+ */
+export function sendResponse(response: ServerResponse, status: number, headers: readonly string[], body: string | Buffer): void {
+    response.writeHead(status, headers as unknown as never);
+    if (response.req.complete) {
+        response.end(body);
+        return;
+    }
+    response.write(body);
+    void drainRequest(response.req).then(() => response.end());
+}
+
 /** Discards what is left of a request until it has been read whole or its connection has closed, for a limited time. */
-export async function drainRequest(request: IncomingMessage): Promise<void> {
+async function drainRequest(request: IncomingMessage): Promise<void> {
     request.resume();
     await new Promise<void>(resolve => {
         const timer = setTimeout(resolve, lingerMilliseconds);
@@ -172,14 +197,17 @@
     }
 }
 
-function formatResponse(failure: Failure, problem: string): string {
-    const { status } = failure.message;
-    return [
-        `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`,
-        "content-type: application/problem+json",
-        `content-length: ${Buffer.byteLength(problem)}`,
-        "connection: close",
-        "",
-        problem,
-    ].join("\r\n");
+/** Returns the headers of a problem document that ends its connection, as a flat list of names and values. */
+function createLastHeaders(problem: string): string[] {
+    return ["content-type", "application/problem+json", "content-length", String(Buffer.byteLength(problem)), "connection", "close"];
+}
+
+/** Formats a response to a request for which the runtime has made none. */
+function formatResponse(status: number, problem: string): string {
+    const headers = createLastHeaders(problem);
+    const lines = [`HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ""}`];
+    for (let index = 0; index < headers.length; index += 2) {
+        lines.push(`${headers[index]}: ${headers[index + 1]}`);
+    }
+    return [...lines, "", problem].join("\r\n");
 }
--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -48,6 +48,11 @@
     RequestServed: createInfo("request served", servedLinesPerSecond, "A request was answered by an endpoint."),
     RequestRefused: createWarning("request refused", failureLinesPerSecond, "A request was refused without having run, and why."),
     RequestFailed: createWarning("request failed", failureLinesPerSecond, "A request failed and may have run, and why."),
+    RequestUnanswered: createWarning(
+        "request unanswered",
+        failureLinesPerSecond,
+        "The node ended a connection before a request on it had a whole response; why, and whether it was read and passed on.",
+    ),
     PeerCallForwarded: createInfo(
         "peer call forwarded",
         servedLinesPerSecond,
--- a/src/gateway/callerConnections.test.ts
+++ b/src/gateway/callerConnections.test.ts
@@ -6,11 +6,19 @@
 import { LogEventKind, LogEvents } from "../common/logEvents.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { WorkerFault } from "../standins/routed/routedWorker.js";
 import { RawConnection } from "../testing/rawConnection.js";
 import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
 
 const workMilliseconds = 200;
 
+/** What a caller sends of a request that is not served, and what ends its connection. */
+const unserved = [
+    { title: "behind a response that ends the connection", endedBy: "node", first: createRequest("first", "x".repeat(100_000)) },
+    { title: "behind a stream that breaks off", endedBy: "node", first: createRequest("first").replace("voucher", "notice") },
+    { title: "on a connection that its caller closes", endedBy: "caller", first: createRequest("first") },
+];
+
 /** Keeps the lines of a gateway. */
 class MemoryEventLog implements EventLog {
     readonly lines: { readonly kind: LogEventKind; readonly fields: LogFields; }[] = [];
@@ -105,6 +113,29 @@
     assert.equal(hasRun("behind"), false);
 });
 
+for (const { title, endedBy, first } of unserved) {
+    // Guards against requests that end without an answer and without a trace, and that count as open for ever.
+    test(`a request ${title} is not passed on, and does not stay open`, async () => {
+        platform.engines.forEach(engine => (engine.faults[0] = WorkerFault.BreakStream));
+        const id = gateway.createAttemptId();
+        const connection = await RawConnection.open(gateway.getPort());
+        log.lines.length = 0;
+        connection.send(first + createRequest(id) + createRequest(`${id}-last`));
+        const server = gateway.node.container.get(Keys.Server);
+        if (endedBy === "caller") {
+            await sleep(workMilliseconds / 2);
+            connection.close();
+        }
+        await connection.closed;
+        await waitUntil(() => server.countOpenCalls() === 0);
+        platform.engines.forEach(engine => (engine.faults.length = 0));
+        assert.equal(hasRun(id) || hasRun(`${id}-last`), false);
+        const lines = log.lines.filter(({ kind, fields }) => kind === LogEvents.RequestUnanswered && fields["request"] !== "first");
+        const seen = lines.map(({ fields }) => [fields["request"], fields["isRead"], fields["isForwarded"]]);
+        assert.deepEqual(seen, endedBy === "node" ? [[id, true, false], [`${id}-last`, true, false]] : []);
+    });
+}
+
 test("a caller that closes its connection in the middle of a head gets no bytes", async () => {
     const connection = await RawConnection.open(gateway.getPort());
     connection.send(createRequest("half").slice(0, 30));
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -1,5 +1,5 @@
 import { ServerResponse } from "node:http";
-import { drainRequest } from "../common/callerConnections.js";
+import { sendResponse } from "../common/callerConnections.js";
 import { Failure } from "../common/failure.js";
 
 const problemContentType = "application/problem+json";
@@ -39,6 +39,7 @@
     private endFailure: Failure | undefined;
     /** Whether the sent headers give the response neither a length nor chunks, so that the connection's end marks its end. */
     private endsWithConnection = false;
+    private isCallForwarded = false;
 
     private constructor(private readonly response: ServerResponse, private readonly endsConnection: () => boolean) {
         response.once("close", () => {
@@ -124,6 +125,22 @@
         this.disconnectController.abort();
     }
 
+    /** Records that the call was handed to the forwarder, so that an endpoint may have got it. */
+    markForwarded(): void {
+        this.isCallForwarded = true;
+    }
+
+    /** Returns whether the call was handed to the forwarder. */
+    isForwarded(): boolean {
+        return this.isCallForwarded;
+    }
+
+    /** Returns whether the connection ended before the response had been sent completely, and its caller did not end it. */
+    isCutOff(): boolean {
+        const { socket } = this.response.req;
+        return !this.response.writableFinished && !socket.readableEnded && !socket.errored;
+    }
+
     /** Returns the failure with which the node ended the call; undefined if it did not. */
     getEndFailure(): Failure | undefined {
         return this.endFailure;
@@ -140,14 +157,7 @@
             headers.push(retryAfterHeader, retryAfter.toFixed(2));
         }
         this.addCloseHeader(headers);
-        this.response.writeHead(failure.message.status, headers as unknown as never);
-        if (this.response.req.complete) {
-            this.response.end(body);
-            return;
-        }
-        // Closing a connection on which bytes arrive resets it, and the caller may lose the response.
-        this.response.write(body);
-        void drainRequest(this.response.req).then(() => this.response.end());
+        sendResponse(this.response, failure.message.status, headers, body);
     }
 
     private addCloseHeader(headers: string[]): void {
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -124,7 +124,10 @@
         const { socket } = request;
         const caller = HttpCallerResponse.create(response, () => this.isStopping && !this.connections.hasLaterRequest(socket, response));
         this.openResponses.add(caller);
-        response.once("close", () => this.openResponses.delete(caller));
+        response.once("close", () => {
+            this.openResponses.delete(caller);
+            this.recordCutOff(request, caller);
+        });
         if (!await this.connections.addResponse(socket, response)) {
             return;
         }
@@ -177,6 +180,7 @@
         }
         this.drainAdmission.addCall(call);
         try {
+            caller.markForwarded();
             const report = await this.dependencies.forwarder.forwardCall(call, caller);
             this.finishCall(call, caller, report);
         }
@@ -247,6 +251,23 @@
         });
     }
 
+    /** Logs a request whose connection the node has ended before its response was complete. */
+    private recordCutOff(request: IncomingMessage, caller: HttpCallerResponse): void {
+        if (!caller.isCutOff()) {
+            return;
+        }
+        const { dependencies } = this;
+        dependencies.log.log(LogEvents.RequestUnanswered, {
+            request: request.headers[dependencies.attemptIdHeader]?.toString(),
+            cause: caller.getEndFailure()?.text,
+            isRead: request.complete,
+            isForwarded: caller.isForwarded(),
+            isStarted: caller.hasStarted(),
+            bytesRead: request.socket.bytesRead,
+            configuration: dependencies.configuration.getVersion(),
+        });
+    }
+
     /** Records a request that could not be parsed. */
     private recordUnread(failure: Failure, isAnswered: boolean, bytesRead: number): void {
         const { dependencies } = this;
