--- a/src/gateway/callerConnections.test.ts
+++ b/src/gateway/callerConnections.test.ts
@@ -6,10 +6,19 @@
 import { LogEventKind, LogEvents } from "../common/logEvents.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
+import { WorkerFault } from "../standins/routed/routedWorker.js";
 import { RawConnection } from "../testing/rawConnection.js";
 import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
 
 const workMilliseconds = 200;
+const limits = { "max-header-bytes": 16_384, "max-body-bytes": 65_536, "header-timeout-ms": 3_000, "idle-timeout-ms": 15_000 };
+
+/** What a caller sends of a request that is not served, and what ends its connection. */
+const unserved = [
+    { title: "behind a response that ends the connection", endedBy: "node", first: createRequest("first", "x".repeat(100_000)) },
+    { title: "behind a stream that breaks off", endedBy: "node", first: createRequest("first").replace("voucher", "notice") },
+    { title: "on a connection that its caller closes", endedBy: "caller", first: createRequest("first") },
+];
 
 /** Keeps the lines of a gateway. */
 class MemoryEventLog implements EventLog {
@@ -105,6 +114,29 @@
     assert.equal(hasRun("behind"), false);
 });
 
+for (const { title, endedBy, first } of unserved) {
+    // Guards against requests that end without an answer and without a trace, and that count as open for ever.
+    test(`a request ${title} is not passed on, and does not stay open`, async () => {
+        platform.engines.forEach(engine => (engine.faults[0] = WorkerFault.BreakStream));
+        const id = gateway.createAttemptId();
+        const connection = await RawConnection.open(gateway.getPort());
+        log.lines.length = 0;
+        connection.send(first + createRequest(id) + createRequest(`${id}-last`));
+        const server = gateway.node.container.get(Keys.Server);
+        if (endedBy === "caller") {
+            await sleep(workMilliseconds / 2);
+            connection.close();
+        }
+        await connection.closed;
+        await waitUntil(() => server.countOpenCalls() === 0);
+        platform.engines.forEach(engine => (engine.faults.length = 0));
+        assert.equal(hasRun(id) || hasRun(`${id}-last`), false);
+        const lines = log.lines.filter(({ kind, fields }) => kind === LogEvents.RequestUnanswered && fields["request"] !== "first");
+        const seen = lines.map(({ fields }) => [fields["request"], fields["isRead"], fields["isForwarded"]]);
+        assert.deepEqual(seen, endedBy === "node" ? [[id, true, false], [`${id}-last`, true, false]] : []);
+    });
+}
+
 test("a caller that closes its connection in the middle of a head gets no bytes", async () => {
     const connection = await RawConnection.open(gateway.getPort());
     connection.send(createRequest("half").slice(0, 30));
@@ -131,3 +163,51 @@
         assert.deepEqual(connection.listStatuses(), [413]);
     }
 });
+
+// Guards against a head that stays incomplete and takes the running response of an earlier request away, and against one without an answer.
+test("a head that is not complete in time is answered 408, after the response to an earlier request on its connection", async () => {
+    platform.publishManifest({ limits: { ...limits, "header-timeout-ms": 100 } });
+    platform.engines.forEach(engine => (engine.eventMilliseconds = 800));
+    const alone = await RawConnection.open(gateway.getPort());
+    const behind = await RawConnection.open(gateway.getPort());
+    const late = await RawConnection.open(gateway.getPort());
+    const half = createRequest("half").slice(0, 60);
+    alone.send(half);
+    behind.send(createRequest(gateway.createAttemptId()).replace("voucher", "notice") + half);
+    late.send(createRequest(gateway.createAttemptId()).replace("voucher", "notice") + half);
+    await waitUntil(() => alone.socket.destroyed);
+    assert.deepEqual(alone.listStatuses(), [408]);
+    late.send(createRequest("half").slice(60));
+    await Promise.all([behind.closed, waitUntil(() => late.read().includes("answer to half"))]);
+    late.close();
+    assert.deepEqual(behind.listStatuses(), [200, 408]);
+    assert.equal(behind.read().includes("piece 5"), true);
+    assert.deepEqual(late.listStatuses(), [200, 200]);
+    platform.engines.forEach(engine => (engine.eventMilliseconds = 5));
+});
+
+// Guards against a change of the limits that ends connections on which callers keep to the limits before.
+test("a change of the limits takes nothing from callers that are idle, in the middle of a request or of a response", async () => {
+    const lowered = { "max-header-bytes": 8_192, "max-body-bytes": 10, "header-timeout-ms": 100, "idle-timeout-ms": 100 };
+    for (const next of [lowered, limits]) {
+        const ids = ["idle", "head", "body", "stream"].map(name => `${name}-${gateway.createAttemptId()}`);
+        const [idle, head, body, stream] = await Promise.all(ids.map(() => RawConnection.open(gateway.getPort())));
+        const sent = ids.map((id, index) => createRequest(id, index === 2 && next === lowered ? "x".repeat(1_000) : "{}"));
+        idle?.send(createRequest("before"));
+        await waitUntil(() => idle?.read().includes("answer to before") === true);
+        head?.send(sent[1]?.slice(0, 60) ?? "");
+        body?.send(sent[2]?.slice(0, -1) ?? "");
+        platform.engines.forEach(engine => (engine.eventMilliseconds = 200));
+        stream?.send(sent[3]?.replace("voucher", "notice") ?? "");
+        const version = platform.publishManifest({ limits: next });
+        await waitUntil(() => gateway.node.container.get(Keys.Configuration).getVersion() === version);
+        await sleep(500);
+        idle?.send(sent[0] ?? "");
+        head?.send(sent[1]?.slice(60) ?? "");
+        body?.send(sent[2]?.slice(-1) ?? "");
+        await waitUntil(() => [idle, head, body].every((connection, index) => connection?.read().includes(`answer to ${ids[index]}`)));
+        await waitUntil(() => stream?.read().endsWith("0\r\n\r\n") === true);
+        assert.equal(stream?.read().includes("piece 5"), true);
+        [idle, head, body, stream].forEach(connection => connection?.close());
+    }
+});
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -29,6 +29,8 @@
 };
 /** Time beyond the idle limit for which a connection is kept open, because a request may be in transit. */
 const idleMarginMilliseconds = 2_000;
+/** Interval of the runtime's checks whether heads are complete in time. */
+const headerCheckMilliseconds = 1_000;
 /** Backlog of connections that are not accepted yet; sized for the burst of callers after many nodes stopped at once. */
 const listenBacklog = 1_024;
 
@@ -61,6 +63,7 @@
             headersTimeout: initialLimits.headerTimeout,
             keepAliveTimeout: initialLimits.idleTimeout,
             requestTimeout: 0,
+            connectionsCheckingInterval: headerCheckMilliseconds,
             noDelay: true,
         }, (request, response) => void this.serveRequest(request, response));
         this.connections = CallerConnections.create(this.server, {
@@ -124,7 +127,10 @@
         const { socket } = request;
         const caller = HttpCallerResponse.create(response, () => this.isStopping && !this.connections.hasLaterRequest(socket, response));
         this.openResponses.add(caller);
-        response.once("close", () => this.openResponses.delete(caller));
+        response.once("close", () => {
+            this.openResponses.delete(caller);
+            this.recordCutOff(request, caller);
+        });
         if (!await this.connections.addResponse(socket, response)) {
             return;
         }
@@ -177,6 +183,7 @@
         }
         this.drainAdmission.addCall(call);
         try {
+            caller.markForwarded();
             const report = await this.dependencies.forwarder.forwardCall(call, caller);
             this.finishCall(call, caller, report);
         }
@@ -247,6 +254,23 @@
         });
     }
 
+    /** Logs a request whose connection the node has ended before its response was complete. */
+    private recordCutOff(request: IncomingMessage, caller: HttpCallerResponse): void {
+        if (!caller.isCutOff()) {
+            return;
+        }
+        const { dependencies } = this;
+        dependencies.log.log(LogEvents.RequestUnanswered, {
+            request: request.headers[dependencies.attemptIdHeader]?.toString(),
+            cause: caller.getEndFailure()?.text,
+            isRead: request.complete,
+            isForwarded: caller.isForwarded(),
+            isStarted: caller.hasStarted(),
+            bytesRead: request.socket.bytesRead,
+            configuration: dependencies.configuration.getVersion(),
+        });
+    }
+
     /** Records a request that could not be parsed. */
     private recordUnread(failure: Failure, isAnswered: boolean, bytesRead: number): void {
         const { dependencies } = this;
