Close the idle connections to all endpoints once two parties have gone silent

Callers saw: when the connections to all endpoints go silent at once, a node loses a call that may run once at each endpoint before it knows of each that its idle connections carry nothing.

Cause: evidence of silence counted for its own endpoint only.

Evidence: gateway/silentConnections.test.ts, four endpoints with an idle connection each.

Change: the pool records who has gone silent. When two endpoints, or an endpoint and a peer, have within two seconds, it closes the idle connections to all endpoints on which nothing was received for 250 ms. One silent party closes nothing elsewhere, since a sound endpoint or peer may be silent for a second. Slow endpoints are such evidence too, so all are closed at most once in five seconds.

Measured: 504, 504, 200, 200, and with a silent peer 504, 200, 200, 200, in 3 of 3 runs each. shortSilence, forwarding, endpointPartition and failures/silence pass.

--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -1,5 +1,6 @@
 import { Agent, IncomingHttpHeaders } from "node:http";
 import { Socket } from "node:net";
+import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
 import { closeIdleConnections } from "../common/idleConnections.js";
 import { LogEvents } from "../common/logEvents.js";
@@ -15,6 +16,16 @@
 const usedShareOfIdleTimeout = 0.6;
 /** Time after its last data for which an idle connection is still trusted once another one has gone silent, in milliseconds. */
 const trustedSilenceMilliseconds = 250;
+/** Time within which the silence of two parties is taken for one event that may have silenced any connection, in milliseconds. */
+const jointSilenceMilliseconds = 2_000;
+/** Shortest time between two closings of the idle connections to all endpoints, in milliseconds: endpoints that are only slow cause them too. */
+const jointClosingPauseMilliseconds = 5_000;
+
+/** A party that has gone silent, and when, in monotonic milliseconds. */
+interface Silence {
+    readonly party: string;
+    readonly at: number;
+}
 
 /** Pools the connections to one endpoint. */
 class EndpointAgent extends GuardedAgent {
@@ -45,10 +56,17 @@
 export class EndpointConnectionPool {
     private readonly agents = new Map<FleetEndpoint, EndpointAgent>();
 
-    private constructor(private readonly connector: EndpointConnector, private readonly log: EventLog) {}
+    private lastSilence: Silence = { party: "", at: -Infinity };
+    private allClosedAt = -Infinity;
+
+    private constructor(
+        private readonly connector: EndpointConnector,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+    ) {}
 
-    static create(connector: EndpointConnector, log: EventLog): EndpointConnectionPool {
-        return new EndpointConnectionPool(connector, log);
+    static create(connector: EndpointConnector, clock: Clock, log: EventLog): EndpointConnectionPool {
+        return new EndpointConnectionPool(connector, clock, log);
     }
 
     /** Returns the agent that pools the connections of an endpoint. */
@@ -83,6 +101,30 @@
                 evidence: "a call got no data",
             });
         }
+        this.recordSilence(endpoint.entry.id);
+    }
+
+    /**
+     * Records that a party has gone silent that sent data before. When another one did so shortly before, whatever silenced both may
+     * have silenced any connection: the idle ones to all endpoints are closed then, but for those that received data lately.
+     */
+    recordSilence(party: string): void {
+        const now = this.clock.getMonotonicTime();
+        const previous = this.lastSilence;
+        this.lastSilence = { party, at: now };
+        const isJoint = previous.party !== party && now - previous.at <= jointSilenceMilliseconds;
+        if (!isJoint || now - this.allClosedAt < jointClosingPauseMilliseconds) {
+            return;
+        }
+        this.allClosedAt = now;
+        const closed = [...this.agents.values()].map(agent => agent.closeUnheard(trustedSilenceMilliseconds)).filter(count => count > 0);
+        if (closed.length > 0) {
+            this.log.log(LogEvents.IdleConnectionsClosed, {
+                endpoints: closed.length,
+                connections: closed.reduce((sum, count) => sum + count),
+                evidence: `${previous.party} and ${party} went silent`,
+            });
+        }
     }
 
     /** Closes the idle connections of an endpoint that left the fleet and removes its pool. */
--- a/src/gateway/silentConnections.test.ts
+++ b/src/gateway/silentConnections.test.ts
@@ -1,9 +1,15 @@
 import assert from "node:assert/strict";
 import { test, TestContext } from "node:test";
 import { HeaderNames } from "../../platform/wire.js";
+import { Diagnostics } from "../common/diagnostics.js";
+import { Failure } from "../common/failure.js";
+import { Err } from "../common/results.js";
+import { Verdict } from "../common/verdict.js";
+import { exchangeTimeoutMilliseconds } from "../gossip/gossipClient.js";
+import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
-import { RoutedGateway } from "../testing/routedGateway.js";
+import { RoutedGateway, waitUntil } from "../testing/routedGateway.js";
 
 /** Connections that are idle when all go silent. */
 const idleConnections = 4;
@@ -59,6 +65,29 @@
     assert.deepEqual(await sendAfterSilence(fleet), [504, 200, 200, 200]);
 });
 
+// Guards against losing one call for each endpoint when the connections to all of them go silent at once.
+test("no call is sent on a silent idle connection after calls to two endpoints got no answer", async context => {
+    const fleet = await startFleet(context, idleConnections);
+    assert.deepEqual(await sendAfterSilence(fleet), [504, 504, 200, 200]);
+});
+
+test("no call is sent on a silent idle connection after a peer and a call to one endpoint got no answer", async context => {
+    const fleet = await startFleet(context, idleConnections);
+    const { platform, gateway } = fleet;
+    const peer = await RoutedGateway.start(platform, { name: "node-2", seeds: gateway.getPeerAddress() });
+    context.after(() => peer.stop());
+    const { container } = gateway.node;
+    await waitUntil(() => container.get(Keys.Peers).listReachablePeers().length > 0);
+    const recordSilence = context.mock.method(container.get(Keys.Connections), "recordSilence");
+    context.mock.method(container.get(Keys.GossipLink), "exchangeDigests", async () => {
+        await new Promise(resolve => setTimeout(resolve, exchangeTimeoutMilliseconds));
+        return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Answer_broke_off));
+    });
+    await waitUntil(() => recordSilence.mock.callCount() > 0);
+    await sendTogether(fleet);
+    assert.deepEqual(await sendAfterSilence(fleet), [504, 200, 200, 200]);
+});
+
 // Guards against closing idle connections again and again for an endpoint that is sound.
 test("an endpoint that is silent for a second loses its idle connections once, and a stream that goes on closes none", async context => {
     const fleet = await startFleet(context, 1);
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -239,7 +239,7 @@
         QuarantineTrials.create(context.get(Keys.StoredQuarantines), context.get(Keys.Clock), context.get(Keys.Log))
     );
     container.bind(Keys.Connections).toDynamicValue(context =>
-        EndpointConnectionPool.create(context.get(Keys.Connector), context.get(Keys.Log))
+        EndpointConnectionPool.create(context.get(Keys.Connector), context.get(Keys.Clock), context.get(Keys.Log))
     );
     container.bind(Keys.Forwarder).toDynamicValue(context => {
         const protocol = context.get(Keys.Protocol);
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -84,7 +84,10 @@
         }
         const watches = container.get(Keys.Watches);
         const gossip = container.get(Keys.Gossip);
-        gossip.setSilenceHandler(() => container.get(Keys.Store).renewConnections());
+        gossip.setSilenceHandler(() => {
+            container.get(Keys.Store).renewConnections();
+            container.get(Keys.Connections).recordSilence("a peer");
+        });
         watches.configuration.setRelistHandler(() => void gossip.publishNow());
         watches.endpoints.setRelistHandler(() => void gossip.publishNow());
         void watches.configuration.run();
