Close idle connections that may have gone silent on the product's own interface

Callers saw: calls to idempotent services and generations were sent on silent idle connections, one attempt on each, and an engine's reports of its load were asked for on them, several in a row. Calls that may run once use a connection each and were not affected.

Cause: the pools of both clients trusted an idle connection until its idle limit of up to 3 s, as the gateway's did.

Change: the check for data moves from the gateway's exchange to EndpointRequest, which all three clients use. In the own interface a connection counts as silent at half of the attempt's limit, at most one second; a report that times out counts too. The agent of all clients then closes the idle connections to that address, but for those that received data in the last 250 ms. This interface has no event log, so no line is written.

--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -18,9 +18,16 @@
     readonly connectTimeout: number;
     /** Longest time without socket activity; the request fails with a SilenceError when it is exceeded. */
     readonly silenceLimit: number;
+    /** Time without data on its connection after which it is likely silent for good, in milliseconds. */
+    readonly suspiciousSilence: number;
+    /** Called when that time has passed, once for each silence. */
+    readonly handleSilence: () => void;
     readonly signal: AbortSignal;
 }
 
+/** Number of checks in a row without data that make a silence. */
+const silentCheckCount = 2;
+
 /** Reports that the endpoint sent nothing for longer than the silence limit. */
 export class SilenceError extends Error {
     private constructor(limit: number) {
@@ -42,7 +49,9 @@
     private readonly endObserver = ResponseEndObserver.create();
     private response: IncomingMessage | undefined;
     private connectTimer: NodeJS.Timeout | undefined;
-    private bytesReadBefore = 0;
+    private silenceTimer: NodeJS.Timeout | undefined;
+    private bytesRead = 0;
+    private silentChecks = 0;
 
     private constructor(private readonly options: EndpointRequestOptions) {
         const { address, method, path, headers, agent, signal } = options;
@@ -77,6 +86,7 @@
             // Later errors are reported by the response stream; without a listener they would be uncaught.
             this.request.on("error", () => {});
             this.request.setTimeout(this.options.silenceLimit);
+            this.silenceTimer = setInterval(() => this.checkSilence(), this.options.suspiciousSilence / silentCheckCount);
             this.request.end(this.options.body);
         });
     }
@@ -86,17 +96,6 @@
         return this.request.reusedSocket;
     }
 
-    /** Returns the number of bytes that have been received on the connection since the request was given to it. */
-    countReceivedBytes(): number {
-        return (this.request.socket?.bytesRead ?? 0) - this.bytesReadBefore;
-    }
-
-    /** Returns whether the endpoint is to send data: it has the request on its connection, and this side reads what it sends. */
-    isWaitingForData(): boolean {
-        const isReading = this.response === undefined || (!this.response.complete && !this.response.isPaused());
-        return this.connection.getVerdict() !== Verdict.NotRun && isReading;
-    }
-
     /** Reads the response chunk by chunk until it ends or `handleChunk` returns false; rejects when it is truncated. */
     readChunks(handleChunk: (chunk: Buffer) => boolean): Promise<void> {
         const { response } = this;
@@ -135,14 +134,35 @@
     /** Ends the request; closes its connection if the response is still incomplete. */
     close(): void {
         clearTimeout(this.connectTimer);
+        clearInterval(this.silenceTimer);
         this.endObserver.stop();
         if (!this.request.destroyed && this.response?.complete !== true) {
             this.request.destroy();
         }
     }
 
+    /** Counts checks and not the time between them: while this process stands still, it receives nothing either. */
+    private checkSilence(): void {
+        const bytesRead = this.request.socket?.bytesRead ?? 0;
+        if (bytesRead !== this.bytesRead || !this.isWaitingForData()) {
+            this.bytesRead = bytesRead;
+            this.silentChecks = 0;
+            return;
+        }
+        this.silentChecks += 1;
+        if (this.silentChecks === silentCheckCount) {
+            this.options.handleSilence();
+        }
+    }
+
+    /** Returns whether the endpoint is to send data: it has the request on its connection, and this side reads what it sends. */
+    private isWaitingForData(): boolean {
+        const isReading = this.response === undefined || (!this.response.complete && !this.response.isPaused());
+        return this.connection.getVerdict() !== Verdict.NotRun && isReading;
+    }
+
     private observeSocket(socket: Socket): void {
-        this.bytesReadBefore = socket.bytesRead;
+        this.bytesRead = socket.bytesRead;
         if (!socket.connecting) {
             return;
         }
--- a/src/endpoints/guardedAgent.ts
+++ b/src/endpoints/guardedAgent.ts
@@ -2,9 +2,21 @@
 import { Socket } from "node:net";
 import { Duplex } from "node:stream";
 import { millisecondsPerSecond } from "../common/units.js";
+import { NetworkAddress } from "../config/types.js";
 
+/** Time after its last data for which an idle connection is still trusted once another one has gone silent, in milliseconds. */
+const trustedSilenceMilliseconds = 250;
 const keepAlivePattern = /timeout=(\d+)/;
 
+/** Longest time for which an attempt waits for data before its connection counts as silent, in milliseconds. */
+const maximumSuspiciousMilliseconds = 1_000;
+const suspiciousShareOfLimit = 0.5;
+
+/** Returns the time without data, in milliseconds, after which the connection of an attempt that fails after `limit` counts as silent. */
+export function computeSuspiciousSilence(limit: number): number {
+    return Math.min(maximumSuspiciousMilliseconds, limit * suspiciousShareOfLimit);
+}
+
 /** Returns the idle timeout that an endpoint states in its Keep-Alive header, in milliseconds; undefined if it states none. */
 export function readStatedIdleTimeout(headers: IncomingHttpHeaders): number | undefined {
     const seconds = keepAlivePattern.exec(headers["keep-alive"]?.toString() ?? "")?.[1];
@@ -41,12 +53,13 @@
     }
 
     /**
-     * Closes the idle connections on which nothing was received for a number of milliseconds; returns how many. What silenced
-     * another connection may have silenced them too, while those that received data since then still carry it.
+     * Closes the idle connections, to one address or to all, that may have gone silent together with one in use; returns how many.
+     * Those that received data lately stay.
      */
-    closeUnheard(milliseconds: number): number {
-        const heardBefore = performance.now() - milliseconds;
-        const sockets = Object.values(this.freeSockets).flatMap(free => free ?? []);
+    closeSilent(address?: NetworkAddress): number {
+        const heardBefore = performance.now() - trustedSilenceMilliseconds;
+        const prefix = address === undefined ? "" : `${address.host}:${address.port}:`;
+        const sockets = Object.entries(this.freeSockets).flatMap(([name, free]) => name.startsWith(prefix) ? free ?? [] : []);
         const unheard = sockets.filter(socket => (this.idleConnections.get(socket)?.lastReceivedAt ?? -Infinity) <= heardBefore);
         unheard.forEach(socket => socket.destroy());
         return unheard.length;
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -1,6 +1,6 @@
 import { createParser, ParseError } from "eventsource-parser";
-import got, { Got } from "got";
-import { Agent, ClientRequest, IncomingMessage } from "node:http";
+import got, { Got, TimeoutError } from "got";
+import { ClientRequest, IncomingMessage } from "node:http";
 import { z } from "zod";
 import { Diagnostics } from "../common/diagnostics.js";
 import { describeError, Failure } from "../common/failure.js";
@@ -11,7 +11,7 @@
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionTracker } from "./connectionTracker.js";
 import { EndpointRequest, SilenceError } from "./endpointRequest.js";
-import { GuardedAgent, readStatedIdleTimeout } from "./guardedAgent.js";
+import { computeSuspiciousSilence, GuardedAgent, readStatedIdleTimeout } from "./guardedAgent.js";
 import { CacheEvents, EngineModels, EngineOrder, ModelEndpointClient, TokenSink } from "./modelEndpoint.js";
 import { FinishReason, GenerationAttempt, GenerationEnd, LoadReport, loadReportSchema } from "./types.js";
 
@@ -50,7 +50,7 @@
 
 /** Client for model engines that offer OpenAI completions over server-sent events, with the extensions listed in docs/INTERFACES.md. */
 export class HttpModelEndpointClient implements ModelEndpointClient {
-    private constructor(private readonly client: Got, private readonly agent: Agent) {}
+    private constructor(private readonly client: Got, private readonly agent: GuardedAgent) {}
 
     static create(): HttpModelEndpointClient {
         const agent = GuardedAgent.createGuarded({
@@ -91,6 +91,8 @@
             agent: this.agent,
             connectTimeout: attempt.connectTimeout,
             silenceLimit: attempt.silenceLimit,
+            suspiciousSilence: computeSuspiciousSilence(attempt.silenceLimit),
+            handleSilence: () => this.agent.closeSilent(address),
             signal,
         });
         try {
@@ -173,6 +175,9 @@
             return Ok(schema.parse(JSON.parse(response.body)));
         }
         catch (error) {
+            if (error instanceof TimeoutError && connection.getVerdict() !== Verdict.NotRun) {
+                this.agent.closeSilent(address);
+            }
             return Err(connection.createFailure(error));
         }
     }
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -7,7 +7,7 @@
 import { NetworkAddress } from "../config/types.js";
 import { ConnectionProbe, ProbeResult } from "./connectionProbe.js";
 import { EndpointRequest } from "./endpointRequest.js";
-import { GuardedAgent, readStatedIdleTimeout } from "./guardedAgent.js";
+import { computeSuspiciousSilence, GuardedAgent, readStatedIdleTimeout } from "./guardedAgent.js";
 import { attemptIdHeader, createAttemptFailure, leavingHeader, notRunHeader } from "./httpModelEndpoint.js";
 import { PlainCall, PlainResponse } from "./types.js";
 
@@ -23,7 +23,7 @@
 /** Calls plain services over HTTP, with pooled connections for calls that may be retried and a new connection for all others. */
 export class HttpPlainEndpointClient implements PlainEndpointClient {
     private constructor(
-        private readonly pooledAgent: Agent,
+        private readonly pooledAgent: GuardedAgent,
         private readonly singleUseAgent: Agent,
         private readonly probe: ConnectionProbe,
     ) {}
@@ -47,6 +47,8 @@
             agent: call.mayReuseConnection ? this.pooledAgent : this.singleUseAgent,
             connectTimeout: call.connectTimeout,
             silenceLimit: call.timeLimit,
+            suspiciousSilence: computeSuspiciousSilence(call.timeLimit),
+            handleSilence: () => this.pooledAgent.closeSilent(address),
             signal,
         });
         // The time limit applies to the whole call; the request's silence limit alone would not bound a slow response.
--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -14,8 +14,6 @@
 const defaultIdleMilliseconds = 300;
 /** Fraction of the endpoint's idle timeout that is used, since the endpoint may close the connection while the next request is in transit. */
 const usedShareOfIdleTimeout = 0.6;
-/** Time after its last data for which an idle connection is still trusted once another one has gone silent, in milliseconds. */
-const trustedSilenceMilliseconds = 250;
 /** Time within which the silence of two parties is taken for one event that may have silenced any connection, in milliseconds. */
 const jointSilenceMilliseconds = 2_000;
 /** Shortest time between two closings of the idle connections to all endpoints, in milliseconds: endpoints that are only slow cause them too. */
@@ -93,7 +91,7 @@
      * data. Those that received data lately stay, so that a sound endpoint which is silent for a moment loses its connections once.
      */
     closeSilent(endpoint: FleetEndpoint): void {
-        const closed = this.agents.get(endpoint)?.closeUnheard(trustedSilenceMilliseconds) ?? 0;
+        const closed = this.agents.get(endpoint)?.closeSilent() ?? 0;
         if (closed > 0) {
             this.log.log(LogEvents.IdleConnectionsClosed, {
                 endpoint: endpoint.entry.id,
@@ -117,7 +115,7 @@
             return;
         }
         this.allClosedAt = now;
-        const closed = [...this.agents.values()].map(agent => agent.closeUnheard(trustedSilenceMilliseconds)).filter(count => count > 0);
+        const closed = [...this.agents.values()].map(agent => agent.closeSilent()).filter(count => count > 0);
         if (closed.length > 0) {
             this.log.log(LogEvents.IdleConnectionsClosed, {
                 endpoints: closed.length,
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -37,8 +37,6 @@
 /** Number of probes by which an endpoint is found to be there still after a response that ended with its connection. */
 const maximumProbesAtEnd = 2;
 
-/** Interval at which an exchange checks whether its connection has received data. */
-const silenceCheckMilliseconds = 250;
 /** Time without data after which other connections of the endpoint are in doubt, in milliseconds, as are those of a quick call. */
 const minimumSilenceMilliseconds = 500;
 /** The same as a multiple of the expected time: slow calls are no evidence. */
@@ -62,10 +60,6 @@
 export class EndpointExchange {
     private readonly request: EndpointRequest;
     private notice: EndpointNotice | undefined;
-    private silenceTimer: NodeJS.Timeout | undefined;
-    private receivedBytes = 0;
-    /** Number of checks in a row that found no new data. */
-    private silentChecks = 0;
 
     private constructor(
         private readonly options: ExchangeOptions,
@@ -82,6 +76,8 @@
             agent: options.connections.getAgent(endpoint),
             connectTimeout: options.connectTimeout,
             silenceLimit: options.silenceLimit,
+            suspiciousSilence: Math.max(minimumSilenceMilliseconds, options.expectedTime * silenceTimeRatio),
+            handleSilence: () => options.connections.closeSilent(endpoint),
             signal: options.signal,
         });
     }
@@ -93,7 +89,6 @@
     /** Sends the request; returns the response once its headers prove valid for this request, or a failure with its verdict. */
     async sendRequest(): Promise<Result<IncomingMessage, Failure>> {
         let response: IncomingMessage;
-        this.silenceTimer = setInterval(() => this.checkSilence(), silenceCheckMilliseconds);
         try {
             response = await this.request.send();
         }
@@ -123,7 +118,6 @@
 
     /** Ends the exchange; closes the connection if the response is still incomplete. */
     close(): void {
-        clearInterval(this.silenceTimer);
         this.request.close();
     }
 
@@ -157,23 +151,6 @@
         return { running, waiting, slots };
     }
 
-    /** Closes the endpoint's idle connections that may have gone silent as well, once this one has received nothing for too long. */
-    private checkSilence(): void {
-        const received = this.request.countReceivedBytes();
-        if (received !== this.receivedBytes || !this.request.isWaitingForData()) {
-            this.receivedBytes = received;
-            this.silentChecks = 0;
-            return;
-        }
-        // Checks are counted, and not the time between them: while this process does not run, it receives nothing either.
-        this.silentChecks += 1;
-        const { connections, endpoint, expectedTime } = this.options;
-        const limit = Math.max(minimumSilenceMilliseconds, expectedTime * silenceTimeRatio);
-        if (this.silentChecks === Math.ceil(limit / silenceCheckMilliseconds)) {
-            connections.closeSilent(endpoint);
-        }
-    }
-
     /** Returns whether a response belongs to this attempt and was sent by the expected endpoint. */
     private isFromEndpoint(response: IncomingMessage): boolean {
         return this.isForThisAttempt(response) && response.statusCode !== statusMisdirected;
--- a/src/testing/attemptSenders.ts
+++ b/src/testing/attemptSenders.ts
@@ -34,13 +34,13 @@
     };
 }
 
-function createCallSender(): SendAttempt {
+function createCallSender(timeLimit = 2_000): SendAttempt {
     const client = HttpPlainEndpointClient.create(TcpConnectionProbe.create(TcpEndpointConnector.create(), 300));
     return (address, attemptId) =>
-        client.sendCall(address, createPlainCall(attemptId, { mayReuseConnection: true }), new AbortController().signal);
+        client.sendCall(address, createPlainCall(attemptId, { mayReuseConnection: true, timeLimit }), new AbortController().signal);
 }
 
-function createGenerationSender(): SendAttempt {
+function createGenerationSender(silenceLimit = 2_000): SendAttempt {
     const client = HttpModelEndpointClient.create();
     return (address, attemptId, handleToken = () => {}) =>
         client.runGeneration(
@@ -55,7 +55,7 @@
                 priority: 1,
                 emittedTokens: [],
                 cacheHandle: undefined,
-                silenceLimit: 2_000,
+                silenceLimit,
                 connectTimeout: 300,
                 traceHeaders: {},
             },
@@ -64,7 +64,7 @@
         );
 }
 
-/** Clients of the product's own interface that use kept connections. */
+/** Clients of the product's own interface that use kept connections; each sender takes its time without an answer in milliseconds. */
 export const attemptSenders = [
     { title: "call", createSender: createCallSender },
     { title: "generation", createSender: createGenerationSender },
