Wait for running calls and unsent responses when a node stops

Callers of the product's own interface saw the connections of calls to plain services closed, with neither an answer nor a refusal, as soon as a node that was told to stop had passed its readiness grace. A response that its caller had not read to the end, and calls that a peer had forwarded, were cut off in the same way.

Cause: the shutdown waited only for the generations in the request table. With none running it closed all connections at once, long before the drain limit.

The older test of SIGTERM missed it because its calls end within its readiness grace.

Change: each response that a caller or a peer waits for is counted until it has been sent, and the shutdown waits for these as well, up to the drain limit as before.

--- a/src/callers/commands/serveCall.ts
+++ b/src/callers/commands/serveCall.ts
@@ -31,6 +31,7 @@
         return;
     }
     const { request: call, service } = accepted.val;
+    response.once("close", dependencies.requestTable.addOpenResponse());
     const history = RequestHistory.create();
     const span = dependencies.tracing.startSpanFromHeaders("caller request", readTraceHeaders(request.headers));
     span.setAttributes({ "corianderward.request": requestId, "corianderward.service": service.name, "corianderward.team": call.team });
--- a/src/callers/commands/serveRecord.ts
+++ b/src/callers/commands/serveRecord.ts
@@ -17,6 +17,7 @@
     offset: number,
     response: Response,
 ): Promise<void> {
+    response.once("close", dependencies.requestTable.addOpenResponse());
     dependencies.service.addReader(record);
     dependencies.metrics.openStreams.inc();
     try {
--- a/src/node/corianderNode.ts
+++ b/src/node/corianderNode.ts
@@ -64,7 +64,7 @@
         const { container, settings } = this;
         const clock = container.get(Keys.Clock);
         const startedAt = clock.getMonotonicTime();
-        container.get(Keys.Logger).info("node is shutting down", { active: container.get(Keys.Table).countActive() });
+        container.get(Keys.Logger).info("node is shutting down", { active: this.countActiveRequests() });
         container.get(Keys.Gate).endReadiness();
         container.get(Keys.Digests).markLeaving();
         void container.get(Keys.Exchange).sendUrgentDigest();
@@ -74,7 +74,7 @@
         void container.get(Keys.FleetLease).release();
         await container.get(Keys.CallerServer).stopAccepting();
         await this.waitForRequests(startedAt + settings.timing.drainLimit - handoverReserveMilliseconds);
-        if (this.countActiveRequests() > 0) {
+        if (container.get(Keys.Table).countActive() > 0) {
             await container.get(Keys.RequestHandover).drainRequests();
             await clock.sleep(finalEventsMilliseconds);
         }
@@ -139,8 +139,10 @@
         }
     }
 
+    /** Returns the number of running generations and of responses, to calls as well, that are not sent yet. */
     private countActiveRequests(): number {
-        return this.container.get(Keys.Table).countActive();
+        const table = this.container.get(Keys.Table);
+        return table.countActive() + table.countOpenResponses();
     }
 
     private async waitForRequests(until: number): Promise<void> {
--- a/src/node/nodePeerHandler.ts
+++ b/src/node/nodePeerHandler.ts
@@ -77,6 +77,7 @@
         if (record === undefined || record.getEnd()?.outcome === RequestOutcome.HandedOver) {
             return;
         }
+        const finishResponse = this.dependencies.table.addOpenResponse();
         this.dependencies.service.addReader(record);
         try {
             // The first event confirms that this node has the request, and names its team.
@@ -96,6 +97,7 @@
         }
         finally {
             this.dependencies.service.removeReader(record);
+            finishResponse();
         }
     }
 
@@ -120,7 +122,9 @@
             arrivedAt: this.dependencies.clock.getWallTime(),
             fingerprint: hashCall(call.service, call.method, call.path, body),
         };
-        const result = await this.dependencies.plainCalls.runCall(request, service, history, span, new AbortController().signal, true);
+        const finishResponse = this.dependencies.table.addOpenResponse();
+        const result = await this.dependencies.plainCalls.runCall(request, service, history, span, new AbortController().signal, true)
+            .finally(finishResponse);
         span.end();
         if (result.err) {
             return { ...createRefusal(result.val.message.code, result.val.text), verdict: result.val.verdict };
--- a/src/requests/requestTable.ts
+++ b/src/requests/requestTable.ts
@@ -13,11 +13,15 @@
     readonly expiresAt: number;
 }
 
-/** Holds the requests that a node runs, and the records and explanations of recently ended ones. */
+/**
+ * Holds the generations that a node runs, the records and explanations of recently ended requests, and the number of responses that
+ * callers and peers still wait for.
+ */
 export class RequestTable {
     private readonly active = new Map<string, RequestRecord>();
     private readonly ended = new Map<string, EndedRecord>();
     private readonly explanations = new Map<string, RequestExplanation>();
+    private openResponses = 0;
 
     private constructor(private readonly clock: Clock) {}
 
@@ -72,6 +76,20 @@
         return this.active.size;
     }
 
+    /** Counts a response as open; returns the function that ends this once the response has been sent or is no longer wanted. */
+    addOpenResponse(): () => void {
+        let isOpen = true;
+        this.openResponses += 1;
+        return () => {
+            this.openResponses -= isOpen ? 1 : 0;
+            isOpen = false;
+        };
+    }
+
+    countOpenResponses(): number {
+        return this.openResponses;
+    }
+
     private removeExpired(): void {
         const now = this.clock.getMonotonicTime();
         for (const [id, entry] of this.ended) {
--- a/src/testing/failures/daemonShutdown.test.ts
+++ b/src/testing/failures/daemonShutdown.test.ts
@@ -98,6 +98,29 @@
     }
 });
 
+// Guards against a stop that cuts off running calls, with neither an answer nor a refusal, as soon as no generation runs.
+test("SIGTERM: calls that run on after the readiness grace are answered", async () => {
+    const deployment = await Deployment.create({ nodesPerDomain: 0, enginesPerDomain: 0, plainPerDomain: 1 });
+    const daemon = await startDaemon("daemon-3", deployment.platform.getUrl("daemon-3"), [
+        "[timing]",
+        "readiness-grace-milliseconds = 100",
+        "drain-limit-milliseconds = 15000",
+        "host-list-interval-milliseconds = 200",
+    ]);
+    try {
+        deployment.plainServices.forEach(service => (service.workTimeMilliseconds = callMilliseconds));
+        const calls = ["records", "voucher"].map(service => sendCall(daemon.callerUrl, service, "hull", `key-${service}`, {}));
+        await waitUntil(() => deployment.plainServices.reduce((sum, service) => sum + service.countReceived(), 0) === calls.length);
+        daemon.process.kill("SIGTERM");
+        (await Promise.all(calls)).forEach(answer => assert.equal(answer.status, 200, answer.body.slice(-300)));
+        assert.equal(await daemon.exited, 0);
+    }
+    finally {
+        daemon.process.kill("SIGKILL");
+        await deployment.stop();
+    }
+});
+
 test("a daemon that is stopped by SIGSTOP and goes on keeps its streams and its configuration", async () => {
     const deployment = await Deployment.create({ nodesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 0, engine: { stepTime: 10 } });
     const daemon = await startDaemon("daemon-2", deployment.platform.getUrl("daemon-2"), [
