Count failures of concurrent attempts at an endpoint once

Callers of the product's own interface whose endpoints accepted no connection for a moment waited for many seconds after it, or were refused.

Cause: an endpoint is avoided for 500 ms after a failure and for twice as long after each further one. Attempts that ran at the same moment and failed for the same cause counted as consecutive failures, so five of them kept a sound endpoint without work for 8 s.

Change: a failure of an endpoint that is avoided already, of an attempt that began before, no longer counts. What fails after the wait counts as before.

--- a/src/requests/endpointRegistry.ts
+++ b/src/requests/endpointRegistry.ts
@@ -233,9 +233,13 @@
 
     /** Records that an endpoint was unreachable or lost a connection, and makes it suspect for a time. */
     recordFailure(entry: EndpointEntry, evidence: EndpointEvidence): void {
+        const now = this.clock.getMonotonicTime();
+        if (entry.state === EndpointState.Suspect && now < entry.suspectUntil) {
+            // The attempt began before the endpoint became suspect, so its failure may have the same cause.
+            return;
+        }
         entry.failures += 1;
-        const wait = Math.min(maximumSuspectMilliseconds, initialSuspectMilliseconds * 2 ** (entry.failures - 1));
-        entry.suspectUntil = this.clock.getMonotonicTime() + wait;
+        entry.suspectUntil = now + Math.min(maximumSuspectMilliseconds, initialSuspectMilliseconds * 2 ** (entry.failures - 1));
         if (entry.state === EndpointState.Live) {
             this.setState(entry, EndpointState.Suspect, evidence);
         }
