Take no retry from the budget for a connection that was never established

Callers of plain services got 503 while their endpoints were sound but accepted no connection for longer than the connect time-out.

Cause: a call took a retry from the budget after each connection that was not established in time. The budget bounds the load that retries put on endpoints; such a call has put none on any, and generations take no retry for it either.

Change: a call goes on without a retry from the budget after a failure to connect.

--- a/src/requests/commands/plainCallRunner.ts
+++ b/src/requests/commands/plainCallRunner.ts
@@ -222,7 +222,10 @@
         return Err(Failure.create(history.verdict, Diagnostics.Retry_budget_is_spent));
     }
 
-    /** Returns whether another attempt is allowed, and takes the retry from the budget. An endpoint that is leaving costs no retry. */
+    /**
+     * Returns whether another attempt is allowed, and takes the retry from the budget. An endpoint that is leaving costs no retry, nor
+     * does a connection that was never established, which puts no load on an endpoint.
+     */
     private canRetry(service: ServiceDeclaration, attempt: CallAttempt, signal: AbortSignal): boolean {
         if (signal.aborted) {
             return false;
@@ -235,7 +238,7 @@
             return false;
         }
         const isLeaving = failure.message.code === Diagnostics.Endpoint_is_leaving.code;
-        return isLeaving || this.dependencies.budget.takeRetry();
+        return isLeaving || isConnectFailure(failure) || this.dependencies.budget.takeRetry();
     }
 
     private async acquireSlot(
--- a/src/testing/failures/connectStalls.test.ts
+++ b/src/testing/failures/connectStalls.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
-import { sendCompletion } from "../callers.js";
+import { sendCall, sendCompletion } from "../callers.js";
 import { Deployment } from "../deployment.js";
 
 const domain = "xela";
@@ -35,3 +35,14 @@
     assert.deepEqual(new Set(statuses), new Set([200]));
     assert.ok(took < stallMilliseconds + serveMilliseconds, `${took} ms`);
 });
+
+// Guards against refused calls to sound endpoints because connections that were never established have spent the retry budget.
+test("calls are served soon after all endpoints have accepted no connection for a moment", async () => {
+    for (const service of ["records", "voucher"]) {
+        const { statuses, took } = await sendDuringStall(index =>
+            sendCall(deployment.getCallerUrl(), service, "x", `${service}-${index}`, {})
+        );
+        assert.deepEqual(new Set(statuses), new Set([200]), service);
+        assert.ok(took < stallMilliseconds + serveMilliseconds, `${took} ms`);
+    }
+});
