Run another attempt beside an idempotent call that is silent

Callers of plain services whose call was sent on a connection that went silent for good got 504 or 502 at their deadline, though new connections to the same endpoint, and other endpoints, worked all the while.

Cause: the bound on silence applied to generations only. A call had none but its deadline.

The first response counts and ends the other attempt at once. A silent connection cannot be told from a slow or standing endpoint, so no attempt is given up for one that may find no place. A call that may run once is never sent again.

--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -15,8 +15,10 @@
     readonly body: Buffer | string | undefined;
     readonly agent: Agent;
     readonly connectTimeout: number;
-    /** Longest time without socket activity; the request fails with a SilenceError when it is exceeded. */
+    /** Longest time without socket activity; unless a handler is given, the request fails with a SilenceError when it is exceeded. */
     readonly silenceLimit: number;
+    /** Called each time the silence limit has passed without socket activity; the request goes on. */
+    readonly handleSilence?: () => void;
     readonly signal: AbortSignal;
 }
 
@@ -56,7 +58,7 @@
         this.connection.observeRequest(this.request);
         this.request.once("socket", socket => this.observeSocket(socket));
         observeInterimResponses(this.request, cause => this.request.destroy(new Error(cause)));
-        this.request.on("timeout", () => this.request.destroy(SilenceError.create(options.silenceLimit)));
+        this.request.on("timeout", () => this.handleTimeout());
     }
 
     static create(options: EndpointRequestOptions): EndpointRequest {
@@ -128,6 +130,16 @@
         }
     }
 
+    private handleTimeout(): void {
+        const { handleSilence, silenceLimit } = this.options;
+        if (handleSilence === undefined) {
+            this.request.destroy(SilenceError.create(silenceLimit));
+            return;
+        }
+        handleSilence();
+        this.request.setTimeout(silenceLimit);
+    }
+
     private observeSocket(socket: Socket): void {
         if (!socket.connecting) {
             return;
--- a/src/endpoints/plainEndpoint.ts
+++ b/src/endpoints/plainEndpoint.ts
@@ -13,8 +13,13 @@
 
 /** Client interface to plain services. */
 export interface PlainEndpointClient {
-    /** Sends one call and reads the whole response. A failure carries a verdict. */
-    sendCall(address: NetworkAddress, call: PlainCall, signal: AbortSignal): Promise<Result<PlainResponse, Failure>>;
+    /** Sends one call and reads the whole response; `handleSilence` is called while it is silent. A failure carries a verdict. */
+    sendCall(
+        address: NetworkAddress,
+        call: PlainCall,
+        signal: AbortSignal,
+        handleSilence?: () => void,
+    ): Promise<Result<PlainResponse, Failure>>;
 }
 
 const idleSocketMilliseconds = 3_000;
@@ -37,7 +42,12 @@
         return new HttpPlainEndpointClient(pooledAgent, new Agent({ keepAlive: false }), probe);
     }
 
-    async sendCall(address: NetworkAddress, call: PlainCall, signal: AbortSignal): Promise<Result<PlainResponse, Failure>> {
+    async sendCall(
+        address: NetworkAddress,
+        call: PlainCall,
+        signal: AbortSignal,
+        handleSilence = () => {},
+    ): Promise<Result<PlainResponse, Failure>> {
         const request = EndpointRequest.create({
             address,
             method: call.method,
@@ -46,10 +56,10 @@
             body: call.body.length > 0 ? call.body : undefined,
             agent: call.mayReuseConnection ? this.pooledAgent : this.singleUseAgent,
             connectTimeout: call.connectTimeout,
-            silenceLimit: call.timeLimit,
+            silenceLimit: call.silenceLimit,
+            handleSilence,
             signal,
         });
-        // The time limit applies to the whole call; the request's silence limit alone would not bound a slow response.
         const timer = setTimeout(() => request.close(), call.timeLimit);
         try {
             const response = await request.send();
--- a/src/endpoints/types.ts
+++ b/src/endpoints/types.ts
@@ -94,10 +94,12 @@
     readonly idempotencyKey: string | undefined;
     readonly body: Buffer;
     readonly timeLimit: number;
+    /** Time without a byte after which the call is reported as silent; it goes on until its time limit. */
+    readonly silenceLimit: number;
     readonly connectTimeout: number;
     /** Largest response body that is accepted, in bytes. */
     readonly answerBytes: number;
-    /** Whether a pooled connection may be used; calls that must not be retried use a new connection. */
+    /** Whether a pooled connection may be used; calls that must not be retried, and repeats of silent ones, use a new connection. */
     readonly mayReuseConnection: boolean;
     readonly traceHeaders: { readonly traceparent?: string; readonly tracestate?: string; };
 }
--- a/src/requests/commands/plainCallRunner.test.ts
+++ b/src/requests/commands/plainCallRunner.test.ts
@@ -6,10 +6,10 @@
 import { Err, Ok } from "../../common/results.js";
 import { Verdict } from "../../common/verdict.js";
 import { ServiceDeclaration } from "../../config/types.js";
-import { EndpointState } from "../../endpoints/types.js";
+import { EndpointState, PlainCall } from "../../endpoints/types.js";
 import { VirtualClock } from "../../testing/virtualClock.js";
 import { RequestHistory } from "../requestRecord.js";
-import { PlainRequest } from "../types.js";
+import { AttemptOutcome, PlainRequest } from "../types.js";
 import { ClaimOutcome } from "./claimStore.js";
 import { PlainCallRunner, PlainCallRunnerDependencies } from "./plainCallRunner.js";
 
@@ -96,3 +96,73 @@
         }
     }
 });
+
+/** A call whose first attempt is silent and then answers, and what the runner does about it. */
+async function runSilentCall(isIdempotent: boolean, hasRetry: boolean) {
+    const steps: string[] = [];
+    const clock = VirtualClock.create();
+    const entries = ["first", "second"].map(name => ({ name, state: EndpointState.Live, description: { address: name } }));
+    let finishFirst = () => {};
+    const dependencies = {
+        clock,
+        metrics: Metrics.create(),
+        tracing: { startChildSpan: () => span, createHeaders: () => ({}), recordFailure: () => {} },
+        configuration: { findTeam: () => undefined },
+        registry: { getLoadShare: () => 0, recordSuccess: () => {}, listGroup: () => entries },
+        admission: {
+            acquireSlot: async () => Ok(entries.shift()),
+            releaseSlot: (entry: { name: string; }) => steps.push(`release ${entry.name}`),
+        },
+        client: {
+            sendCall: async (address: string, call: PlainCall, signal: AbortSignal, handleSilence: () => void) => {
+                steps.push(`${address}${call.mayReuseConnection ? "" : " on a new connection"}`);
+                if (address === "second") {
+                    return Ok({ ...answer, body: Buffer.from(address) });
+                }
+                handleSilence();
+                handleSilence();
+                return new Promise(resolve => {
+                    finishFirst = () => resolve(Ok({ ...answer, body: Buffer.from(address) }));
+                    signal.addEventListener(
+                        "abort",
+                        () =>
+                            resolve(
+                                Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Connection_was_lost_after_the_request_was_sent_0, "")),
+                            ),
+                    );
+                });
+            },
+        },
+        probe: { checkEndpoint: () => steps.push("probe") },
+        ledger: { isQuarantined: () => false },
+        budget: { recordRequest: () => {}, takeRetry: () => hasRetry, releaseRetry: () => {} },
+        claims: { claimKey: async () => ({ outcome: ClaimOutcome.Claimed, claim: {} }), storeResponse: async () => {} },
+        versions: { selectVersion: () => "v1" },
+        observer: { recordObservation: () => {} },
+    } as unknown as PlainCallRunnerDependencies;
+    const request = { id: "call-1", idempotencyKey: "key-1", path: "x", deadline: clock.getWallTime() + 60_000 } as unknown as PlainRequest;
+    const service = { idempotent: isIdempotent, versions: [], queueTimeLimit: 1_000 } as unknown as ServiceDeclaration;
+    const history = RequestHistory.create();
+    const running = PlainCallRunner.create(dependencies).runCall(request, service, history, span as never, new AbortController().signal);
+    setImmediate(() => finishFirst());
+    const result = await running;
+    await new Promise(resolve => setImmediate(resolve));
+    return { steps, text: result.ok && result.val.answer.body.toString(), outcomes: history.attempts.map(attempt => attempt.outcome) };
+}
+
+test("an idempotent call that is silent is sent once more, on a new connection, and ended when the other attempt answers", async () => {
+    const { steps, text, outcomes } = await runSilentCall(true, true);
+    assert.equal(text, "second");
+    assert.deepEqual(steps, ["first", "second on a new connection", "release second", "release first"]);
+    assert.deepEqual(outcomes, [AttemptOutcome.Cancelled, AttemptOutcome.Finished]);
+});
+
+// Guards against calls to sound endpoints that are given up for a retry that finds no place.
+test("a call that is silent goes on where the retry budget is spent or it may run only once", async () => {
+    for (const [isIdempotent, hasRetry] of [[true, false], [false, true]] as const) {
+        const { steps, text, outcomes } = await runSilentCall(isIdempotent, hasRetry);
+        assert.equal(text, "first");
+        assert.deepEqual(steps, [isIdempotent ? "first" : "first on a new connection", "release first"]);
+        assert.deepEqual(outcomes, [AttemptOutcome.Finished]);
+    }
+});
--- a/src/requests/commands/plainCallRunner.ts
+++ b/src/requests/commands/plainCallRunner.ts
@@ -19,6 +19,7 @@
 import { AttemptOutcome, PlainRequest, VersionObserver, VersionPolicy } from "../types.js";
 import { AdmissionQueue } from "./admissionQueue.js";
 import { ClaimOutcome, ClaimStore, OwnedClaim } from "./claimStore.js";
+import { CompetingAttempts } from "./competingAttempts.js";
 import { EndpointProbe } from "./endpointProbe.js";
 
 /** Maximum number of attempts of one call. */
@@ -63,6 +64,17 @@
     readonly answerBytes: number;
 }
 
+/** What all attempts of a call have in common. */
+interface CallContext {
+    readonly request: PlainRequest;
+    readonly service: ServiceDeclaration;
+    readonly version: string;
+    readonly history: RequestHistory;
+    readonly span: Span;
+    /** Names of the endpoints that have been tried. */
+    readonly excluded: Set<string>;
+}
+
 /** Result of one attempt: a response of any status, or the failure. */
 interface CallAttempt {
     readonly response?: PlainResponse;
@@ -193,16 +205,16 @@
         signal: AbortSignal,
         isForwarded: boolean,
     ): Promise<Result<PlainCallResult, Failure>> {
-        const excluded = new Set<string>();
-        let connectFailures = 0;
         const version = this.dependencies.versions.selectVersion(service, request.id);
-        for (let count = 0; count < attemptLimit; count += 1) {
-            const slot = await this.acquireSlot(request, service, version, excluded, count > 0, signal);
+        const context = { request, service, version, history, span, excluded: new Set<string>() };
+        let connectFailures = 0;
+        while (history.attempts.length < attemptLimit) {
+            const slot = await this.acquireSlot(context, service.queueTimeLimit, signal);
             if (slot.err) {
                 return Err(slot.val.setVerdict(raiseVerdict(history.verdict, slot.val.verdict)));
             }
-            const attempt = await this.runAttempt(request, service, slot.val, version, history, span, signal);
-            const isLast = count === attemptLimit - 1 || !this.canRetry(service, attempt, signal);
+            const attempt = await this.runCompetingAttempts(context, slot.val, signal);
+            const isLast = history.attempts.length >= attemptLimit || !this.canRetry(service, attempt, signal);
             if (attempt.response !== undefined && (isLast || !retriableStatuses.has(attempt.response.status))) {
                 return Ok({ answer: attempt.response, isReplayed: false });
             }
@@ -217,11 +229,60 @@
                 const failure = attempt.failure as Failure;
                 return Err(failure.setVerdict(raiseVerdict(history.verdict, failure.verdict)));
             }
-            excluded.add(slot.val.name);
         }
         return Err(Failure.create(history.verdict, Diagnostics.Retry_budget_is_spent));
     }
 
+    /**
+     * Runs an attempt. While an idempotent call is silent, another attempt runs beside it if a place is free and the retry budget allows
+     * it: a connection that is silent for good cannot be told from an endpoint that stands still for a moment. The first response counts.
+     */
+    private runCompetingAttempts(context: CallContext, first: EndpointEntry, signal: AbortSignal): Promise<CallAttempt> {
+        const competition = CompetingAttempts.create<CallAttempt>(isFinal, signal);
+        const startAttempt = (entry: EndpointEntry, isBackup: boolean) => {
+            context.excluded.add(entry.name);
+            let mayHaveBackup = context.service.idempotent;
+            const startBackup = async () => {
+                if (!mayHaveBackup) {
+                    return;
+                }
+                mayHaveBackup = false;
+                const backup = await this.acquireBackup(context, competition, signal);
+                mayHaveBackup = backup === undefined;
+                if (backup !== undefined) {
+                    startAttempt(backup, true);
+                }
+            };
+            competition.startAttempt(attemptSignal => this.runAttempt(context, entry, isBackup, attemptSignal, () => void startBackup()));
+        };
+        startAttempt(first, false);
+        return competition.getResult();
+    }
+
+    /** Returns an endpoint for an attempt beside a silent one, or undefined if no place is free or no retry is left. */
+    private async acquireBackup(
+        context: CallContext,
+        competition: CompetingAttempts<CallAttempt>,
+        signal: AbortSignal,
+    ): Promise<EndpointEntry | undefined> {
+        const { admission, budget, metrics } = this.dependencies;
+        if (context.history.attempts.length >= attemptLimit || !budget.takeRetry()) {
+            return undefined;
+        }
+        const slot = await this.acquireSlot(context, 0, signal);
+        if (slot.err) {
+            budget.releaseRetry();
+            return undefined;
+        }
+        if (competition.isFinished()) {
+            budget.releaseRetry();
+            admission.releaseSlot(slot.val);
+            return undefined;
+        }
+        metrics.silentConnections.inc({ hop: "endpoint" });
+        return slot.val;
+    }
+
     /**
      * Returns whether another attempt is allowed, and takes the retry from the budget. An endpoint that is leaving costs no retry, nor
      * does a connection that was never established, which puts no load on an endpoint.
@@ -241,14 +302,9 @@
         return isLeaving || isConnectFailure(failure) || this.dependencies.budget.takeRetry();
     }
 
-    private async acquireSlot(
-        request: PlainRequest,
-        service: ServiceDeclaration,
-        version: string,
-        excluded: Set<string>,
-        isContinuation: boolean,
-        signal: AbortSignal,
-    ): Promise<Result<EndpointEntry, Failure>> {
+    /** Waits for a place at an endpoint, at most for the queue time in milliseconds. */
+    private async acquireSlot(context: CallContext, queueTime: number, signal: AbortSignal): Promise<Result<EndpointEntry, Failure>> {
+        const { request, service, version, history, excluded } = context;
         const { dependencies } = this;
         const remaining = request.deadline - dependencies.clock.getWallTime();
         const query = {
@@ -270,23 +326,22 @@
             team: request.team,
             teamShare: dependencies.configuration.findTeam(request.team)?.share ?? 1,
             query,
-            queueDeadline: dependencies.clock.getMonotonicTime() + Math.min(service.queueTimeLimit, remaining),
+            queueDeadline: dependencies.clock.getMonotonicTime() + Math.min(queueTime, remaining),
             queueLimit: service.queueLimit,
-            isContinuation,
+            isContinuation: history.attempts.length > 0,
             expectedWork: 1,
             signal,
         });
     }
 
     private async runAttempt(
-        request: PlainRequest,
-        service: ServiceDeclaration,
+        context: CallContext,
         entry: EndpointEntry,
-        version: string,
-        history: RequestHistory,
-        span: Span,
+        isBackup: boolean,
         signal: AbortSignal,
+        handleSilence: () => void,
     ): Promise<CallAttempt> {
+        const { request, service, version, history, span } = context;
         const { dependencies } = this;
         const startedAt = dependencies.clock.getMonotonicTime();
         const load = dependencies.registry.getLoadShare(entry);
@@ -297,23 +352,30 @@
         const remaining = request.deadline - dependencies.clock.getWallTime();
         const result = remaining <= 0
             ? Err(Failure.create(Verdict.NotRun, Diagnostics.Deadline_passed))
-            : await dependencies.client.sendCall(entry.description.address, {
-                requestId: request.id,
-                attemptId: record.attemptId,
-                version,
-                method: request.method,
-                path: request.path,
-                contentType: request.contentType,
-                idempotencyKey: request.idempotencyKey,
-                body: request.body,
-                timeLimit: remaining,
-                connectTimeout: dependencies.connectTimeout,
-                answerBytes: dependencies.answerBytes,
-                mayReuseConnection: service.idempotent,
-                traceHeaders: dependencies.tracing.createHeaders(endpointSpan),
-            }, signal);
+            : await dependencies.client.sendCall(
+                entry.description.address,
+                {
+                    requestId: request.id,
+                    attemptId: record.attemptId,
+                    version,
+                    method: request.method,
+                    path: request.path,
+                    contentType: request.contentType,
+                    idempotencyKey: request.idempotencyKey,
+                    body: request.body,
+                    timeLimit: remaining,
+                    silenceLimit: service.silenceLimit,
+                    connectTimeout: dependencies.connectTimeout,
+                    answerBytes: dependencies.answerBytes,
+                    mayReuseConnection: service.idempotent && !isBackup,
+                    traceHeaders: dependencies.tracing.createHeaders(endpointSpan),
+                },
+                signal,
+                handleSilence,
+            );
         const verdict = result.ok ? Verdict.Ran : result.val.verdict;
-        const outcome = result.ok ? AttemptOutcome.Finished : AttemptOutcome.Failed;
+        const failedOutcome = signal.aborted ? AttemptOutcome.Cancelled : AttemptOutcome.Failed;
+        const outcome = result.ok ? AttemptOutcome.Finished : failedOutcome;
         history.finishAttempt(record, outcome, verdict, result.ok ? "" : result.val.text, dependencies.clock.getWallTime());
         dependencies.metrics.attempts.inc({ service: service.name, outcome });
         if (result.err) {
@@ -364,6 +426,11 @@
     }
 }
 
+/** Returns whether an attempt decides its call: it has a response after which the call is not retried. */
+function isFinal(attempt: CallAttempt): boolean {
+    return attempt.response !== undefined && !retriableStatuses.has(attempt.response.status);
+}
+
 /** Returns whether no connection to the endpoint was established. */
 function isConnectFailure(failure: Failure): boolean {
     return failure.message.code === Diagnostics.Endpoint_refused_the_connection_0.code;
--- a/src/requests/retryBudget.ts
+++ b/src/requests/retryBudget.ts
@@ -28,4 +28,9 @@
         this.availableRetries -= 1;
         return true;
     }
+
+    /** Returns a retry that was taken and not used. */
+    releaseRetry(): void {
+        this.availableRetries += 1;
+    }
 }
--- a/src/testing/attemptSenders.ts
+++ b/src/testing/attemptSenders.ts
@@ -26,6 +26,7 @@
         idempotencyKey: undefined,
         body: Buffer.alloc(0),
         timeLimit: 2_000,
+        silenceLimit: 2_000,
         connectTimeout: 300,
         answerBytes: 1_000,
         mayReuseConnection: false,
--- a/src/testing/networkCuts.ts
+++ b/src/testing/networkCuts.ts
@@ -186,7 +186,12 @@
         return new CuttablePlainClient(inner, domain, cuts);
     }
 
-    sendCall(address: NetworkAddress, call: PlainCall, signal: AbortSignal): Promise<Result<PlainResponse, Failure>> {
-        return this.cuts.runCall(this.domain, address, Verdict.NotRun, () => this.inner.sendCall(address, call, signal));
+    sendCall(
+        address: NetworkAddress,
+        call: PlainCall,
+        signal: AbortSignal,
+        handleSilence?: () => void,
+    ): Promise<Result<PlainResponse, Failure>> {
+        return this.cuts.runCall(this.domain, address, Verdict.NotRun, () => this.inner.sendCall(address, call, signal, handleSilence));
     }
 }
