Take no retry for a call whose deadline has passed, and say so

An idempotent call to a plain service that got no response until its deadline took up to five retries from the budget for attempts that were then not sent. Other calls that failed at that time were refused for lack of a retry, and callers whose call had spent the last one were told 502, "The connection was lost", instead of the deadline.

Cause: whether the deadline had passed was checked only after the retry had been taken.

Evidence: the new test failed before: five retries taken instead of none.

Change: a failure at the deadline is reported as such, with its verdict, and takes no retry.

Result: the tests of the file and those of claims and stalls of connections pass.

--- a/src/requests/commands/plainCallRunner.test.ts
+++ b/src/requests/commands/plainCallRunner.test.ts
@@ -166,3 +166,46 @@
         assert.deepEqual(outcomes, [AttemptOutcome.Finished]);
     }
 });
+
+// Guards against spending the retry budget, which other calls need, on attempts that are never sent because the deadline has passed.
+test("a call that fails at its deadline takes no retry and is answered with its deadline", async () => {
+    const clock = VirtualClock.create();
+    const timeLimit = 1_000;
+    let retries = 0;
+    const entry = { name: "only", state: EndpointState.Live, description: { address: "only" } };
+    const dependencies = {
+        clock,
+        metrics: Metrics.create(),
+        tracing: { startChildSpan: () => span, createHeaders: () => ({}), recordFailure: () => {} },
+        configuration: { findTeam: () => undefined },
+        registry: { getLoadShare: () => 0, listGroup: () => [entry] },
+        admission: { acquireSlot: async () => Ok(entry), releaseSlot: () => {} },
+        client: {
+            sendCall: async () => {
+                await clock.sleep(timeLimit);
+                return Err(Failure.create(Verdict.MayHaveRun, Diagnostics.Connection_was_lost_after_the_request_was_sent_0, "closed"));
+            },
+        },
+        probe: { checkEndpoint: async () => {} },
+        ledger: { isQuarantined: () => false },
+        budget: { recordRequest: () => {}, takeRetry: () => (retries += 1) > 0 },
+        versions: { selectVersion: () => "v1" },
+    } as unknown as PlainCallRunnerDependencies;
+    const request = { id: "call-1", deadline: clock.getWallTime() + timeLimit } as unknown as PlainRequest;
+    const service = { idempotent: true, versions: [], queueTimeLimit: timeLimit } as unknown as ServiceDeclaration;
+    const history = RequestHistory.create();
+    const running = PlainCallRunner.create(dependencies).runCall(
+        request,
+        service,
+        history,
+        span as never,
+        new AbortController().signal,
+        true,
+    );
+    await clock.runUntil(2 * timeLimit);
+    const result = await running;
+    assert.equal(result.err && result.val.message.code, Diagnostics.Deadline_passed.code);
+    assert.equal(result.err && result.val.verdict, Verdict.MayHaveRun);
+    assert.equal(retries, 0);
+    assert.equal(history.attempts.length, 1);
+});
--- a/src/requests/commands/plainCallRunner.ts
+++ b/src/requests/commands/plainCallRunner.ts
@@ -26,6 +26,8 @@
 const attemptLimit = 6;
 /** Number of endpoints to which a call cannot connect, after which a peer is asked: the node's own network paths may be lost. */
 const connectFailuresUntilPeer = 2;
+/** Time by which a timer may fire before the deadline on the wall clock. */
+const deadlineSlackMilliseconds = 2;
 /** HTTP statuses after which an idempotent call is retried at another endpoint. */
 const retriableStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
 
@@ -295,7 +297,8 @@
             return service.idempotent && retriableStatuses.has(attempt.response.status) && this.dependencies.budget.takeRetry();
         }
         const failure = attempt.failure as Failure;
-        if (failure.verdict !== Verdict.NotRun && !service.idempotent) {
+        const isPastDeadline = failure.message.code === Diagnostics.Deadline_passed.code;
+        if (isPastDeadline || (failure.verdict !== Verdict.NotRun && !service.idempotent)) {
             return false;
         }
         const isLeaving = failure.message.code === Diagnostics.Endpoint_is_leaving.code;
@@ -385,7 +388,8 @@
         dependencies.admission.releaseSlot(entry);
         if (result.err) {
             await this.handleFailure(entry, result.val, signal);
-            return { failure: result.val };
+            const isPastDeadline = request.deadline - dependencies.clock.getWallTime() <= deadlineSlackMilliseconds;
+            return { failure: isPastDeadline ? Failure.create(verdict, Diagnostics.Deadline_passed) : result.val };
         }
         dependencies.registry.recordSuccess(entry);
         dependencies.observer.recordObservation({
