Silence a test's stream only when it has begun

The test "a stream goes on when its connection to the endpoint goes silent for good" failed once under load: "the second attempt goes on where the first one stopped" was false, its start offset was 0.

Cause: the test silenced the connections 400 ms after it had sent the request, whether or not a token had arrived. On a machine that takes longer than that for the first token there is nothing to go on from, and the second attempt rightly begins at the start. The product is not at fault.

Change: the test waits until five tokens have arrived before it silences the connections. What it asks of the stream is unchanged.

--- a/src/testing/failures/silence.test.ts
+++ b/src/testing/failures/silence.test.ts
@@ -22,12 +22,13 @@
 
 test("a stream goes on when its connection to the endpoint goes silent for good", async () => {
     const running = sendCompletion([deployment.getCallerUrl()], "lookup", "¿Lote silencioso?", 100);
-    await new Promise(resolve => setTimeout(resolve, 400));
+    const table = deployment.nodes[0]?.container.get(Keys.Table);
+    await waitUntil(() => (table?.listActive()[0]?.countTokens() ?? 0) >= 5);
     deployment.engines.forEach(engine => engine.silenceConnections());
     const silencedAt = performance.now();
     const answer = await running;
     const took = performance.now() - silencedAt;
-    const explanation = deployment.nodes[0]?.container.get(Keys.Table).findExplanation(answer.requestId);
+    const explanation = table?.findExplanation(answer.requestId);
     assert.equal(answer.text, generateAnswer("¿Lote silencioso?", 100));
     assert.equal(explanation?.attempts.length, 2);
     assert.ok((explanation?.attempts[1]?.startOffset ?? 0) > 0, "the second attempt goes on where the first one stopped");
