Start the tests' daemons on ports that no outgoing connection takes

Tests that start a daemon failed beside other tests: "the daemon did not become ready: listen EADDRINUSE", 20 s into the test, in two runs of daemonShutdown.test.ts one after the other (a different test each time). In one of them the deployment that the failed test had started kept the process from ending, and the run hung until it was killed after ten minutes.

Cause: a port was picked from those that the system also gives to outgoing connections, and one of these took it before the daemon listened there.

Change: a daemon's ports are picked below that range, as those of processes that are restarted are.

--- a/src/testing/daemons.ts
+++ b/src/testing/daemons.ts
@@ -54,7 +54,7 @@
 /** Starts a daemon whose settings end with the lines given, and waits until it is ready. */
 export async function startDaemon(name: string, platformUrl: string, lines: readonly string[]): Promise<DaemonProcess> {
     const directory = mkdtempSync(join(tmpdir(), "corianderward-"));
-    const [callers, peers, operators] = [await pickFreePort(), await pickFreePort(), await pickFreePort()];
+    const [callers, peers, operators] = [await pickLastingPort(), await pickLastingPort(), await pickLastingPort()];
     const settings = [
         "[node]",
         `name = ${name}`,
