Answer the requests that still run at a node's drain limit

When a node was told to stop and no peer took its requests over, callers whose request was still running, or still waiting in the node's queue, at the drain limit saw their connections closed with neither an answer nor a refusal.

Cause: the node closed all connections at the drain limit and only then cancelled the requests, as a caller's disconnect does, which sends nothing.

Change: half a second before the drain limit the node ends what still runs with a failure: 502, may have run, or an error event in a begun stream; what was not sent is refused with 503 as not run, and its idempotency key is free again. Stored generations count as handed over: their callers are told to attach again, and another node adopts them as before.

--- a/src/node/corianderNode.ts
+++ b/src/node/corianderNode.ts
@@ -8,7 +8,7 @@
 const drainPollMilliseconds = 25;
 /** Part of the drain limit that is reserved for handing the remaining requests over to peers. */
 const handoverReserveMilliseconds = 3_000;
-/** Time for callers to receive the final events of their streams after a handover. */
+/** Time for callers to receive the final events of their streams, or the failures of their requests, before the node ends. */
 const finalEventsMilliseconds = 500;
 
 /** Bound listener addresses of a node. */
@@ -78,6 +78,9 @@
             await container.get(Keys.RequestHandover).drainRequests();
             await clock.sleep(finalEventsMilliseconds);
         }
+        await this.waitForRequests(startedAt + settings.timing.drainLimit - finalEventsMilliseconds);
+        container.get(Keys.Service).endRequests();
+        container.get(Keys.PlainCalls).endCalls();
         await this.waitForRequests(startedAt + settings.timing.drainLimit);
         await this.kill();
         container.get(Keys.Logger).info("node stopped");
--- a/src/requests/commands/plainCallRunner.ts
+++ b/src/requests/commands/plainCallRunner.ts
@@ -21,6 +21,7 @@
 import { ClaimOutcome, ClaimStore, OwnedClaim } from "./claimStore.js";
 import { CompetingAttempts } from "./competingAttempts.js";
 import { EndpointProbe } from "./endpointProbe.js";
+import { createStopFailure } from "./stopFailure.js";
 
 /** Maximum number of attempts of one call. */
 const attemptLimit = 6;
@@ -85,6 +86,8 @@
 
 /** Runs calls to plain services. A call that is not idempotent is claimed first and then dispatched at most once. */
 export class PlainCallRunner {
+    private readonly controllers = new Set<AbortController>();
+
     private constructor(private readonly dependencies: PlainCallRunnerDependencies) {}
 
     static create(dependencies: PlainCallRunnerDependencies): PlainCallRunner {
@@ -99,6 +102,36 @@
         span: Span,
         signal: AbortSignal,
         isForwarded = false,
+    ): Promise<Result<PlainCallResult, Failure>> {
+        const controller = new AbortController();
+        const abort = () => controller.abort();
+        if (signal.aborted) {
+            abort();
+        }
+        this.controllers.add(controller);
+        signal.addEventListener("abort", abort);
+        try {
+            const result = await this.runAcceptedCall(request, service, history, span, controller.signal, isForwarded);
+            return result.err && controller.signal.aborted && !signal.aborted ? Err(createStopFailure(result.val.verdict)) : result;
+        }
+        finally {
+            this.controllers.delete(controller);
+            signal.removeEventListener("abort", abort);
+        }
+    }
+
+    /** Ends the running calls with a failure because the node stops. */
+    endCalls(): void {
+        this.controllers.forEach(controller => controller.abort());
+    }
+
+    private async runAcceptedCall(
+        request: PlainRequest,
+        service: ServiceDeclaration,
+        history: RequestHistory,
+        span: Span,
+        signal: AbortSignal,
+        isForwarded: boolean,
     ): Promise<Result<PlainCallResult, Failure>> {
         if (this.dependencies.ledger.isQuarantined(request.fingerprint)) {
             const crashCount = this.dependencies.ledger.countCrashes(request.fingerprint);
--- a/src/requests/commands/requestRun.ts
+++ b/src/requests/commands/requestRun.ts
@@ -13,6 +13,7 @@
 import { AttemptRun } from "./attemptRun.js";
 import { ProbeResult } from "./endpointProbe.js";
 import { charactersPerToken, exportTimeLimitMilliseconds, ModelRequestRunnerDependencies } from "./modelRequestDependencies.js";
+import { createStopFailure } from "./stopFailure.js";
 
 /** Maximum number of attempts of one request, including those that cost no retry. */
 const attemptLimit = 12;
@@ -120,7 +121,7 @@
         return this.record.cancellation.signal.aborted || this.record.getEnd() !== undefined;
     }
 
-    /** Ends the request after its deadline, a handover, a cancellation or a failure, in this order of precedence. */
+    /** Ends the request after its deadline, a handover, the stop of the node, a cancellation or a failure, in this order of precedence. */
     private finishWithoutGeneration(failure: Failure | undefined): void {
         if (this.isPastDeadline) {
             this.record.finishWithFailure(Failure.create(Verdict.NotRun, Diagnostics.Deadline_passed));
@@ -130,6 +131,10 @@
             this.record.finishWithoutResponse(RequestOutcome.HandedOver);
             return;
         }
+        if (this.record.isEndedByStop) {
+            this.record.finishWithFailure(createStopFailure(this.record.history.verdict));
+            return;
+        }
         if (this.record.cancellation.signal.aborted) {
             this.record.finishWithoutResponse(RequestOutcome.Cancelled);
             return;
--- a/src/requests/requestRecord.ts
+++ b/src/requests/requestRecord.ts
@@ -64,6 +64,8 @@
     readonly cancellation = new AbortController();
     /** Whether a peer has adopted the request. */
     isHandedOver = false;
+    /** Whether the request is ended because the node stops and no peer has adopted it. */
+    isEndedByStop = false;
     readerCount = 0;
     firstTokenAt: number | undefined;
     /** Number of tokens of a response that was stored as one text; undefined for a record with a token per element. */
--- a/src/requests/requestService.ts
+++ b/src/requests/requestService.ts
@@ -112,6 +112,15 @@
         return this.ownedDraftIds.size > 0;
     }
 
+    /** Ends the running generations with a failure because the node stops. Another node adopts those that are stored. */
+    endRequests(): void {
+        for (const record of this.dependencies.table.listActive()) {
+            record.isHandedOver ||= record.request.isAsync;
+            record.isEndedByStop = true;
+            record.cancellation.abort();
+        }
+    }
+
     stop(): void {
         this.stopping.abort();
     }
--- a/src/testing/failures/daemonShutdown.test.ts
+++ b/src/testing/failures/daemonShutdown.test.ts
@@ -3,7 +3,7 @@
 import { test } from "node:test";
 import { formatAddress } from "../../config/sectionReader.js";
 import { generateAnswer } from "../../standins/generation.js";
-import { sendCall, sendCompletion } from "../callers.js";
+import { createCallerHeaders, sendCall, sendCompletion } from "../callers.js";
 import { startDaemon } from "../daemons.js";
 import { Deployment } from "../deployment.js";
 import { waitUntil } from "../routedGateway.js";
@@ -121,6 +121,50 @@
     }
 });
 
+// Guards against a stop that closes the connections of requests still running at the drain limit without an answer or a refusal.
+test("SIGTERM: requests that run on at the drain limit are told so, and those not sent yet are refused as not run", async () => {
+    const deployment = await Deployment.create({
+        nodesPerDomain: 0,
+        enginesPerDomain: 1,
+        plainPerDomain: 1,
+        engine: { stepTime: 100, capacity: 2 },
+    });
+    const daemon = await startDaemon("daemon-4", deployment.platform.getUrl("daemon-4"), [
+        "[timing]",
+        "readiness-grace-milliseconds = 100",
+        "drain-limit-milliseconds = 1500",
+        "host-list-interval-milliseconds = 200",
+        "load-interval-milliseconds = 200",
+    ]);
+    const sendPrompt = async (prompt: string, stream = false) => {
+        const body = JSON.stringify({ model: "lookup", prompt, max_tokens: 200, stream });
+        const response = await fetch(`${daemon.callerUrl}/v1/completions`, { method: "POST", headers: createCallerHeaders(), body });
+        const text = await response.text();
+        return [response.status, stream ? /^event: (.*)$/m.exec(text)?.[1] : response.headers.get("x-request-verdict")];
+    };
+    try {
+        deployment.plainServices.forEach(service => (service.workTimeMilliseconds = 4 * callMilliseconds));
+        await waitForMetric(daemon.operatorUrl, /^corianderward_endpoint_state\{/, 2);
+        // Until the first report of its load, an engine is taken to run more than one.
+        await new Promise(resolve => setTimeout(resolve, 500));
+        const running = [sendPrompt("running"), sendPrompt("streamed", true)];
+        await waitUntil(() => deployment.engines[0]?.getRunningCount() === running.length);
+        const queued = sendPrompt("queued");
+        const calls = ["records", "voucher"].map(service => sendCall(daemon.callerUrl, service, "hull", `key-${service}`, {}));
+        await waitUntil(() => deployment.plainServices.reduce((sum, service) => sum + service.countReceived(), 0) === calls.length);
+        await waitForMetric(daemon.operatorUrl, /^corianderward_queued_requests\{/, 1);
+        daemon.process.kill("SIGTERM");
+        assert.deepEqual(await Promise.all(running), [[502, "MayHaveRun"], [200, "error"]]);
+        assert.deepEqual(await queued, [503, "NotRun"]);
+        (await Promise.all(calls)).forEach(answer => assert.deepEqual([answer.status, answer.verdict], [502, "MayHaveRun"]));
+        assert.equal(await daemon.exited, 0);
+    }
+    finally {
+        daemon.process.kill("SIGKILL");
+        await deployment.stop();
+    }
+});
+
 test("a daemon that is stopped by SIGSTOP and goes on keeps its streams and its configuration", async () => {
     const deployment = await Deployment.create({ nodesPerDomain: 1, enginesPerDomain: 1, plainPerDomain: 0, engine: { stepTime: 10 } });
     const daemon = await startDaemon("daemon-2", deployment.platform.getUrl("daemon-2"), [
