--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -16,12 +16,14 @@
     readonly body: Buffer | string | undefined;
     readonly agent: Agent;
     readonly connectTimeout: number;
-    /** Longest time without socket activity; the request fails with a SilenceError when it is exceeded. */
+    /** Longest time without socket activity; unless a handler is given, the request fails with a SilenceError when it is exceeded. */
     readonly silenceLimit: number;
+    /** Called each time the silence limit has passed without socket activity; the request goes on. */
+    readonly handleSilence?: () => void;
     /** Time without data on its connection after which it is likely silent for good, in milliseconds. */
     readonly suspiciousSilence: number;
     /** Called when that time has passed, once for each silence. */
-    readonly handleSilence: () => void;
+    readonly handleSuspiciousSilence: () => void;
     readonly signal: AbortSignal;
 }
 
@@ -67,7 +69,7 @@
         this.connection.observeRequest(this.request);
         this.request.once("socket", socket => this.observeSocket(socket));
         observeInterimResponses(this.request, cause => this.request.destroy(new Error(cause)));
-        this.request.on("timeout", () => this.request.destroy(SilenceError.create(options.silenceLimit)));
+        this.request.on("timeout", () => this.handleTimeout());
     }
 
     static create(options: EndpointRequestOptions): EndpointRequest {
@@ -146,6 +148,16 @@
         }
     }
 
+    private handleTimeout(): void {
+        const { handleSilence, silenceLimit } = this.options;
+        if (handleSilence === undefined) {
+            this.request.destroy(SilenceError.create(silenceLimit));
+            return;
+        }
+        handleSilence();
+        this.request.setTimeout(silenceLimit);
+    }
+
     /** Counts checks and not the time between them: while this process stands still, it receives nothing either. */
     private checkSilence(): void {
         const bytesRead = this.request.socket?.bytesRead ?? 0;
@@ -156,7 +168,7 @@
         }
         this.silentChecks += 1;
         if (this.silentChecks === silentCheckCount) {
-            this.options.handleSilence();
+            this.options.handleSuspiciousSilence();
         }
     }
 
--- a/src/endpoints/httpModelEndpoint.ts
+++ b/src/endpoints/httpModelEndpoint.ts
@@ -92,7 +92,7 @@
             connectTimeout: attempt.connectTimeout,
             silenceLimit: attempt.silenceLimit,
             suspiciousSilence: computeSuspiciousSilence(attempt.silenceLimit),
-            handleSilence: () => this.agent.closeSilent(address),
+            handleSuspiciousSilence: () => this.agent.closeSilent(address),
             signal,
         });
         try {
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -77,7 +77,7 @@
             connectTimeout: options.connectTimeout,
             silenceLimit: options.silenceLimit,
             suspiciousSilence: Math.max(minimumSilenceMilliseconds, options.expectedTime * silenceTimeRatio),
-            handleSilence: () => options.connections.closeSilent(endpoint),
+            handleSuspiciousSilence: () => options.connections.closeSilent(endpoint),
             signal: options.signal,
         });
     }
--- a/src/node/corianderNode.ts
+++ b/src/node/corianderNode.ts
@@ -9,7 +9,7 @@
 const drainPollMilliseconds = 25;
 /** Part of the drain limit that is reserved for handing the remaining requests over to peers. */
 const handoverReserveMilliseconds = 3_000;
-/** Time for callers to receive the final events of their streams after a handover. */
+/** Time for callers to receive the final events of their streams, or the failures of their requests, before the node ends. */
 const finalEventsMilliseconds = 500;
 
 /** Bound listener addresses of a node. */
@@ -65,7 +65,7 @@
         const { container, settings } = this;
         const clock = container.get(Keys.Clock);
         const startedAt = clock.getMonotonicTime();
-        container.get(Keys.Logger).info("node is shutting down", { active: container.get(Keys.Table).countActive() });
+        container.get(Keys.Logger).info("node is shutting down", { active: this.countActiveRequests() });
         container.get(Keys.Gate).endReadiness();
         container.get(Keys.Digests).markLeaving();
         void container.get(Keys.Exchange).sendUrgentDigest();
@@ -75,10 +75,13 @@
         void container.get(Keys.FleetLease).release();
         await container.get(Keys.CallerServer).stopAccepting();
         await this.waitForRequests(startedAt + settings.timing.drainLimit - handoverReserveMilliseconds);
-        if (this.countActiveRequests() > 0) {
+        if (container.get(Keys.Table).countActive() > 0) {
             await container.get(Keys.RequestHandover).drainRequests();
             await clock.sleep(finalEventsMilliseconds);
         }
+        await this.waitForRequests(startedAt + settings.timing.drainLimit - finalEventsMilliseconds);
+        container.get(Keys.Service).endRequests();
+        container.get(Keys.PlainCalls).endCalls();
         await this.waitForRequests(startedAt + settings.timing.drainLimit);
         await this.kill();
         container.get(Keys.Logger).info("node stopped");
@@ -140,8 +143,10 @@
         }
     }
 
+    /** Returns the number of running generations and of responses, to calls as well, that are not sent yet. */
     private countActiveRequests(): number {
-        return this.container.get(Keys.Table).countActive();
+        const table = this.container.get(Keys.Table);
+        return table.countActive() + table.countOpenResponses();
     }
 
     /** Waits for this node's own requests, and the calls that peers forwarded to it, until a monotonic time. */
