Answer requests that cannot be parsed on the product's own interface as on the gateway

What callers saw: a request behind one that says `connection: close` turned the running one's response into 400 ("NotRun" for a generation that runs); a malformed request behind a stream cut the stream off; a malformed request alone got a bare 400 without a problem document, log line or count.

Cause: the runtime's default for requests that cannot be parsed, which writes 400 into the connection unless the running response has sent its head, and destroys it in both cases. The same class of fault as on the gateway, found by looking for it there.

Change: the own interface uses the same tracker of connections. Requests on one connection are served in turn, and not behind a response that ends it. Late heads and bodies are looked for every second instead of every 30. Its stop uses stopListening, so that responses that are still being sent are not closed as idle.

--- a/src/callers/callerServer.ts
+++ b/src/callers/callerServer.ts
@@ -1,17 +1,19 @@
 import express, { NextFunction, Request, Response } from "express";
-import { createServer, Server } from "node:http";
+import { createServer, IncomingMessage, Server, ServerResponse } from "node:http";
 import { Socket } from "node:net";
+import { CallerConnections } from "../common/callerConnections.js";
 import { Diagnostics } from "../common/diagnostics.js";
 import { Failure } from "../common/failure.js";
 import { createIdentifier } from "../common/identifiers.js";
-import { startListening } from "../common/listening.js";
+import { startListening, stopListening } from "../common/listening.js";
 import { Verdict } from "../common/verdict.js";
 import { NetworkAddress } from "../config/types.js";
+import { RequestOutcome } from "../requests/types.js";
 import { serveCall } from "./commands/serveCall.js";
 import { CompletionInterface, serveCompletion } from "./commands/serveCompletion.js";
 import { parseChatBody, parseCompletionBody } from "./completionBody.js";
 import { createChatFormat, createCompletionFormat } from "./eventStream.js";
-import { sendProblem } from "./problem.js";
+import { createProblemBody, sendProblem } from "./problem.js";
 import { serveModels } from "./queries/serveModels.js";
 import { serveRequestById } from "./queries/serveRequestById.js";
 import { CallerDependencies } from "./types.js";
@@ -21,6 +23,8 @@
 const idleConnectionMilliseconds = 5_000;
 const headerTimeoutMilliseconds = 10_000;
 const bodyTimeoutMilliseconds = 30_000;
+/** Interval of the runtime's checks whether requests are complete in time. */
+const timeoutCheckMilliseconds = 1_000;
 
 const completionInterface: CompletionInterface = { isChat: false, parseBody: parseCompletionBody, createFormat: createCompletionFormat };
 const chatInterface: CompletionInterface = { isChat: true, parseBody: parseChatBody, createFormat: createChatFormat };
@@ -28,10 +32,16 @@
 /** HTTP server for callers. Serves the OpenAI-compatible interfaces, calls of plain services and lookups of requests by id. */
 export class CallerServer {
     private readonly server: Server;
+    private readonly connections: CallerConnections;
+    private readonly app: express.Express;
     private readonly sockets = new Set<Socket>();
 
-    private constructor(dependencies: CallerDependencies) {
-        this.server = createServer({ maxHeaderSize: dependencies.limits.headerBytes }, createCallerApp(dependencies));
+    private constructor(private readonly dependencies: CallerDependencies) {
+        this.app = createCallerApp(dependencies);
+        this.server = createServer({
+            maxHeaderSize: dependencies.limits.headerBytes,
+            connectionsCheckingInterval: timeoutCheckMilliseconds,
+        }, (request, response) => void this.serveRequest(request, response));
         this.server.keepAliveTimeout = idleConnectionMilliseconds;
         this.server.headersTimeout = headerTimeoutMilliseconds;
         this.server.requestTimeout = bodyTimeoutMilliseconds;
@@ -41,6 +51,10 @@
             this.sockets.add(socket);
             socket.on("close", () => this.sockets.delete(socket));
         });
+        this.connections = CallerConnections.create(this.server, {
+            createProblem: failure => JSON.stringify(createProblemBody(failure, createIdentifier(), 0)),
+            recordRejection: (failure, isAnswered, bytesRead) => this.recordUnread(failure, isAnswered, bytesRead),
+        });
     }
 
     static create(dependencies: CallerDependencies): CallerServer {
@@ -54,14 +68,27 @@
 
     /** Stops accepting connections and closes idle ones. Connections with open requests stay open. */
     async stopAccepting(): Promise<void> {
-        this.server.close();
-        this.server.closeIdleConnections();
+        stopListening(this.server);
+        this.connections.closeIdle();
     }
 
     /** Destroys every connection, including those with open requests. */
     closeConnections(): void {
         this.sockets.forEach(socket => socket.destroy());
     }
+
+    private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
+        if (await this.connections.addResponse(request.socket, response)) {
+            this.app(request, response);
+        }
+    }
+
+    /** Records a request that could not be parsed. */
+    private recordUnread(failure: Failure, isAnswered: boolean, bytesRead: number): void {
+        const { logger, metrics } = this.dependencies;
+        metrics.requests.inc({ service: "", team: "", outcome: RequestOutcome.Refused, verdict: failure.verdict });
+        logger.warn("request cannot be read", { status: failure.message.status, cause: failure.text, isAnswered, bytesRead });
+    }
 }
 
 function createCallerApp(dependencies: CallerDependencies): express.Express {
--- a/src/callers/types.ts
+++ b/src/callers/types.ts
@@ -1,4 +1,5 @@
 import { Clock } from "../common/clock.js";
+import { Logger } from "../common/logging.js";
 import { Metrics } from "../common/metrics.js";
 import { Tracing } from "../common/tracing.js";
 import { ConfigurationSet } from "../config/configurationSet.js";
@@ -24,6 +25,7 @@
 /** Dependencies of the caller server and its handlers. */
 export interface CallerDependencies {
     readonly clock: Clock;
+    readonly logger: Logger;
     readonly metrics: Metrics;
     readonly tracing: Tracing;
     readonly configuration: ConfigurationSet;
--- a/src/common/callerConnections.ts
+++ b/src/common/callerConnections.ts
@@ -88,19 +88,25 @@
         state.isClosing ||= !response.shouldKeepAlive;
         if (state.openResponses.size === 0) {
             state.bytesRead = socket.bytesRead;
-            this.closeIfIdle(socket, state);
+            if (this.isClosingIdle) {
+                this.closeIfIdle(socket, state);
+            }
         }
     }
 
     /** Closes the connections that carry no request, from now on also each one whose last response ends. */
-    closeIdle(): void {
+    startClosingIdle(): void {
         this.isClosingIdle = true;
+        this.closeIdle();
+    }
+
+    /** Closes the connections that carry no request. */
+    closeIdle(): void {
         this.states.forEach((state, socket) => this.closeIfIdle(socket, state));
     }
 
     private closeIfIdle(socket: Socket, state: ConnectionState): void {
-        const isIdle = state.openResponses.size === 0 && !state.isRejecting && socket.bytesRead === state.bytesRead;
-        if (this.isClosingIdle && isIdle) {
+        if (state.openResponses.size === 0 && !state.isRejecting && socket.bytesRead === state.bytesRead) {
             // Not ended in order: a request that is under way would still be read and could not be answered any more.
             socket.destroy();
         }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -99,7 +99,7 @@
     /** Stops listening and closes the connections that carry no request; the others are closed after their responses. */
     closeIdle(): void {
         stopListening(this.server);
-        this.connections.closeIdle();
+        this.connections.startClosingIdle();
     }
 
     /** Ends the open calls: a caller whose response has not started gets a failure, a response that has started is cut off. */
--- a/src/node/bindings/listenerBindings.ts
+++ b/src/node/bindings/listenerBindings.ts
@@ -32,6 +32,7 @@
     container.bind(Keys.CallerServer).toDynamicValue(context =>
         CallerServer.create({
             clock: context.get(Keys.Clock),
+            logger: context.get(Keys.Logger),
             metrics: context.get(Keys.Metrics),
             tracing: context.get(Keys.Tracing),
             configuration: context.get(Keys.Configuration),
