Tell callers a shorter idle time than the one after which their connections are closed

What callers saw: a caller that uses its connection for as long as the Keep-Alive header says may send a request that crosses the close.

Cause: the runtime's own header names the time after which it closes the connection (62 s, idle limit and margin together), so the margin was given away.

Change: the gateway states the idle limit itself.

Evidence: the new test of gateway/callerConnections.test.ts failed before (told and kept: 62 s). No request was seen lost by this; callers that reuse connections for four fifths of the limit at most were never near it.

--- a/src/gateway/callerConnections.test.ts
+++ b/src/gateway/callerConnections.test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
+import { Agent } from "node:http";
 import { after, before, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { HeaderNames } from "../../platform/wire.js";
 import { EventLog, LogFields } from "../common/eventLog.js";
 import { LogEventKind, LogEvents } from "../common/logEvents.js";
+import { millisecondsPerSecond } from "../common/units.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { routedNames, RoutedPlatform } from "../standins/routed/routedPlatform.js";
 import { WorkerFault } from "../standins/routed/routedWorker.js";
@@ -211,3 +213,16 @@
         [idle, head, body, stream].forEach(connection => connection?.close());
     }
 });
+
+// Guards against a caller that uses its connection as long as it was told to, and meets its end.
+test("callers are told a shorter idle time than the node keeps their connections open", async () => {
+    const told = async () => {
+        const agent = new Agent({ keepAlive: true });
+        const { headers } = await gateway.sendCall("/lookup/1", { agent });
+        agent.destroy();
+        return Number(/timeout=(\d+)/.exec(String(headers["keep-alive"]))?.[1]) * millisecondsPerSecond;
+    };
+    const kept = gateway.node.container.get(Keys.Server).getIdleLimit();
+    assert.equal(await told() >= limits["idle-timeout-ms"], true);
+    assert.equal(await told() <= kept - millisecondsPerSecond, true, `kept for ${kept} ms`);
+});
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -1,6 +1,7 @@
 import { ServerResponse } from "node:http";
 import { sendResponse } from "../common/callerConnections.js";
 import { Failure } from "../common/failure.js";
+import { millisecondsPerSecond } from "../common/units.js";
 
 const problemContentType = "application/problem+json";
 
@@ -41,7 +42,11 @@
     private endsWithConnection = false;
     private isCallForwarded = false;
 
-    private constructor(private readonly response: ServerResponse, private readonly endsConnection: () => boolean) {
+    private constructor(
+        private readonly response: ServerResponse,
+        private readonly endsConnection: () => boolean,
+        private readonly idleLimit: number,
+    ) {
         response.once("close", () => {
             if (!response.writableFinished) {
                 this.disconnectController.abort();
@@ -51,9 +56,12 @@
         response.req.once("error", () => this.disconnectController.abort());
     }
 
-    /** `endsConnection` returns whether a head that is sent now announces the end of the connection. */
-    static create(response: ServerResponse, endsConnection: () => boolean): HttpCallerResponse {
-        return new HttpCallerResponse(response, endsConnection);
+    /**
+     * `endsConnection` returns whether a head that is sent now announces the end of the connection. `idleLimit` is the time for which
+     * the caller may leave its connection idle, in milliseconds.
+     */
+    static create(response: ServerResponse, endsConnection: () => boolean, idleLimit: number): HttpCallerResponse {
+        return new HttpCallerResponse(response, endsConnection, idleLimit);
     }
 
     getDisconnectSignal(): AbortSignal {
@@ -69,7 +77,7 @@
     }
 
     startResponse(status: number, headers: string[]): void {
-        this.addCloseHeader(headers);
+        this.addConnectionHeader(headers);
         this.response.writeHead(status, headers as unknown as never);
         this.endsWithConnection = !this.response.chunkedEncoding && !headers.includes("content-length");
     }
@@ -156,14 +164,21 @@
         if (retryAfter !== undefined) {
             headers.push(retryAfterHeader, retryAfter.toFixed(2));
         }
-        this.addCloseHeader(headers);
+        this.addConnectionHeader(headers);
         sendResponse(this.response, failure.message.status, headers, body);
     }
 
-    private addCloseHeader(headers: string[]): void {
+    /** Adds what the caller is told about the end of its connection. */
+    private addConnectionHeader(headers: string[]): void {
+        const { response } = this;
         if (this.endsConnection()) {
             headers.push("connection", "close");
-            this.response.shouldKeepAlive = false;
+            response.shouldKeepAlive = false;
+            return;
+        }
+        if (response.shouldKeepAlive && (response.useChunkedEncodingByDefault || headers.includes("content-length"))) {
+            // The runtime's own header names the time after which it closes the connection, which leaves none for a request on its way.
+            headers.push("keep-alive", `timeout=${Math.floor(this.idleLimit / millisecondsPerSecond)}`);
         }
     }
 }
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -87,6 +87,11 @@
         return this.openResponses.size;
     }
 
+    /** Returns for how long an idle connection is kept open, in milliseconds. */
+    getIdleLimit(): number {
+        return this.server.keepAliveTimeout;
+    }
+
     /**
      * Adds `connection: close` to all further responses and refuses calls that may not end before `closesAt`, in monotonic
      * milliseconds. New connections are still accepted.
@@ -125,7 +130,8 @@
     /** Serves one request; its caller gets a response even after an unexpected error. */
     private async serveRequest(request: IncomingMessage, response: ServerResponse): Promise<void> {
         const { socket } = request;
-        const caller = HttpCallerResponse.create(response, () => this.isStopping && !this.connections.hasLaterRequest(socket, response));
+        const endsConnection = () => this.isStopping && !this.connections.hasLaterRequest(socket, response);
+        const caller = HttpCallerResponse.create(response, endsConnection, this.limits.idleTimeout);
         this.openResponses.add(caller);
         response.once("close", () => {
             this.openResponses.delete(caller);
