Keep a request that arrives late but whole from being refused while it runs

A request on the product's own interface whose body takes longer than its time limit waits for an earlier response on its connection; if the rest arrives meanwhile, it is served, and must not be answered 408 (not run) as well. The text of the 408 now covers heads and bodies.

--- a/src/common/callerConnections.ts
+++ b/src/common/callerConnections.ts
@@ -40,7 +40,7 @@
     private readonly states = new Map<Socket, ConnectionState>();
     private isClosingIdle = false;
 
-    private constructor(private readonly server: Server, private readonly handler: RejectionHandler) {
+    private constructor(server: Server, private readonly handler: RejectionHandler) {
         server.on("connection", (socket: Socket) => {
             this.states.set(socket, { openResponses: new Set(), requestCount: 0, bytesRead: 0, isClosing: false, isRejecting: false });
             socket.once("close", () => this.removeConnection(socket));
@@ -114,7 +114,7 @@
 
     private handleParserError(error: Error, socket: Socket): void {
         const state = this.states.get(socket);
-        const failure = createParserFailure(error, this.server);
+        const failure = createParserFailure(error);
         if (state === undefined || failure === undefined || socket.bytesRead === 0) {
             socket.destroy();
             return;
@@ -133,8 +133,8 @@
         const unread = open.find(response => !response.req.complete);
         state.isRejecting = true;
         await waitUntilClosed(open.filter(response => response !== unread || response.headersSent));
-        if (state.requestCount > requestCount) {
-            // The rest of a late head arrived while an earlier request was being served.
+        if (state.requestCount > requestCount || unread?.req.complete === true) {
+            // The rest of a late request arrived while an earlier one was being served.
             state.isRejecting = false;
             return;
         }
@@ -187,11 +187,11 @@
 }
 
 /** Returns the failure of a request that the runtime's parser gave up; undefined if the connection was lost. */
-function createParserFailure(error: Error, server: Server): Failure | undefined {
+function createParserFailure(error: Error): Failure | undefined {
     const code = readErrorCode(error);
     switch (code) {
         case "ERR_HTTP_REQUEST_TIMEOUT":
-            return Failure.create(Verdict.NotRun, Diagnostics.Request_head_was_not_complete_after_0_milliseconds, server.headersTimeout);
+            return Failure.create(Verdict.NotRun, Diagnostics.Request_was_not_complete_in_time);
         case "HPE_HEADER_OVERFLOW":
             return Failure.create(Verdict.NotRun, Diagnostics.Headers_are_too_large);
         case "HPE_INVALID_EOF_STATE":
--- a/src/common/diagnostics.ts
+++ b/src/common/diagnostics.ts
@@ -87,11 +87,7 @@
     Body_is_not_valid_UTF_8: createError(2015, "The body is not valid UTF-8.", 400),
     Request_head_is_malformed_0: createError(2018, "The head of the request is malformed: {0}.", 400),
     Request_cannot_be_parsed_0: createError(2019, "The request cannot be parsed: {0}.", 400),
-    Request_head_was_not_complete_after_0_milliseconds: createError(
-        2020,
-        "The head of the request was not complete after {0} milliseconds.",
-        408,
-    ),
+    Request_was_not_complete_in_time: createError(2020, "The request was not complete in time.", 408),
     Headers_are_too_large: createError(2021, "The headers are larger than this node reads.", 431),
     Method_0_is_not_allowed: createError(2016, "Method '{0}' is not allowed here.", 405),
     Service_0_does_not_accept_asynchronous_requests: createError(2017, "Service '{0}' does not accept asynchronous requests.", 400),
