Let repeatable calls and followed streams leave a silent session to a peer within two seconds

A peer that is silent altogether, and does not answer on a newer session either, kept calls that may be repeated, and the streams that the product's own interface follows over it, for 3.75 s since the sessions outlive a short silence; the stated bound for lookups is 2 s.

Cause: such calls left a silent session only once the peer answered on a newer one, or when it was given up.

Now they leave it after 1.75 s in any case; calls that may run once still wait 3.75 s.

--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -92,9 +92,9 @@
         if (handed.err) {
             return this.createResult(handed.val, 0);
         }
-        const { events, replacedSignal } = handed.val;
-        const leaveSession = () => this.handleSessionReplaced();
-        replacedSignal.addEventListener("abort", leaveSession);
+        const { events, silenceSignal } = handed.val;
+        const leaveSession = () => this.handleSessionSilence();
+        silenceSignal.addEventListener("abort", leaveSession);
         try {
             return await this.relayEvents(events);
         }
@@ -102,11 +102,11 @@
             return this.createLostResult(error);
         }
         finally {
-            replacedSignal.removeEventListener("abort", leaveSession);
+            silenceSignal.removeEventListener("abort", leaveSession);
         }
     }
 
-    private handleSessionReplaced(): void {
+    private handleSessionSilence(): void {
         if (this.options.mayRetry) {
             this.abortController.abort();
         }
--- a/src/gateway/peerCallClient.ts
+++ b/src/gateway/peerCallClient.ts
@@ -15,8 +15,8 @@
 export interface PeerCall {
     /** The peer's events. Reading rejects when the peer is lost. */
     readonly events: AsyncIterable<ForwardCallEvent>;
-    /** Aborts when the call's session is silent while the peer answers on a newer one; the call goes on, but little speaks for an answer. */
-    readonly replacedSignal: AbortSignal;
+    /** Aborts when the call's session is silent; the call goes on, but one that may be repeated is better sent again. */
+    readonly silenceSignal: AbortSignal;
 }
 
 /** Client for the calls that a node hands to its peers. */
@@ -38,7 +38,7 @@
     async forwardCall(address: NetworkAddress, call: ForwardCallRequestInit, signal: AbortSignal): Promise<Result<PeerCall, Failure>> {
         try {
             const session = await this.sessions.openSession(address, signal);
-            return Ok({ events: session.client.forwardCall(call, { signal }), replacedSignal: session.getReplacedSignal() });
+            return Ok({ events: session.client.forwardCall(call, { signal }), silenceSignal: session.getSilenceSignal() });
         }
         catch (error) {
             const message = Diagnostics.Node_at_0_did_not_answer_1;
--- a/src/peers/connectPeerLink.ts
+++ b/src/peers/connectPeerLink.ts
@@ -80,8 +80,8 @@
         offset: number,
         signal: AbortSignal,
     ): AsyncIterable<FollowRequestEvent> {
-        const client = await this.sessions.openClient(address, signal);
-        yield* client.followRequest({ requestId, offset }, { signal });
+        const session = await this.sessions.openSession(address, signal);
+        yield* session.client.followRequest({ requestId, offset }, { signal: AbortSignal.any([signal, session.getSilenceSignal()]) });
     }
 
     async forwardCall(address: NetworkAddress, call: ForwardCallInit, timeLimit: number): Promise<PeerResult<ForwardCallResponse>> {
--- a/src/peers/peerSession.ts
+++ b/src/peers/peerSession.ts
@@ -9,6 +9,8 @@
 const pingIntervalMilliseconds = 250;
 /** Number of intervals without an answer to a ping after which a session counts as silent. */
 const intervalsUntilSilent = 2;
+/** Number of intervals without an answer to a ping after which calls that may be repeated leave the session in any case. */
+const intervalsUntilLeft = 6;
 /** Number of intervals without an answer to a ping after which the session's calls fail; a node that was paused goes on sooner. */
 const intervalsUntilLost = 14;
 /** Time for which an answer to a ping shows that the session works, in milliseconds. */
@@ -44,7 +46,7 @@
  * calls go on: a peer that was paused, or a link that was interrupted, may go on too.
  */
 export class PeerSession<S extends DescService> {
-    private readonly replacedController = new AbortController();
+    private readonly silenceController = new AbortController();
     private connection: ClientHttp2Session | undefined;
     private timer: NodeJS.Timeout | undefined;
     private pendingPing: Promise<boolean> | undefined;
@@ -59,7 +61,7 @@
         private readonly manager: Http2SessionManager,
         private readonly handler: PeerSessionHandler,
     ) {
-        setMaxListeners(0, this.replacedController.signal);
+        setMaxListeners(0, this.silenceController.signal);
     }
 
     /** `manager` must not send pings of its own. */
@@ -100,9 +102,9 @@
         return this.hasAnsweredPing;
     }
 
-    /** Returns a signal that aborts when the session is silent while the peer answers on a newer one. */
-    getReplacedSignal(): AbortSignal {
-        return this.replacedController.signal;
+    /** Returns a signal that aborts when the session is silent while the peer answers on a newer one, or is silent for long. */
+    getSilenceSignal(): AbortSignal {
+        return this.silenceController.signal;
     }
 
     /** Gets the session no further calls; it is closed when its open calls have ended. */
@@ -196,11 +198,15 @@
             const silence = intervalsUntilLost * pingIntervalMilliseconds;
             this.abort(new ConnectError(`the peer answered no ping for ${silence} ms`, Code.Unavailable));
         }
-        else if (this.unansweredIntervals > intervalsUntilSilent && this.handler.isPeerAnswering()) {
-            this.replacedController.abort();
+        else if (this.unansweredIntervals >= intervalsUntilLeft || this.isReplaced()) {
+            this.silenceController.abort();
         }
     }
 
+    private isReplaced(): boolean {
+        return this.unansweredIntervals > intervalsUntilSilent && this.handler.isPeerAnswering();
+    }
+
     private closeIfUnused(): void {
         this.idleIntervals += 1;
         if (this.isClosing && this.idleIntervals >= idleIntervalsUntilClosed) {
--- a/src/peers/peerSilence.test.ts
+++ b/src/peers/peerSilence.test.ts
@@ -5,12 +5,16 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { Metrics } from "../common/metrics.js";
+import { formatAddress } from "../config/sectionReader.js";
+import { FaultProxy, LinkMood } from "../testing/soak/faultProxy.js";
 import { ConnectPeerLink } from "./connectPeerLink.js";
 import { PeerServer } from "./peerServer.js";
 import { PeerHandler } from "./types.js";
 
 /** Required bound for connections without a lookup's stream: an unresponsive connection is detected within 5 s. */
 const detectionLimitMilliseconds = 5_000;
+/** Required bound for connections with a lookup's stream. */
+const lookupDetectionLimitMilliseconds = 2_000;
 
 // Guards against calls being broken off because another call to the same peer reached its time limit.
 test("a call to a peer goes on after the time limit of another one", async () => {
@@ -27,6 +31,28 @@
     assert.deepEqual([late.ok, timely.ok], [false, true]);
 });
 
+// Guards against streams over a peer that wait for seconds on a connection that has gone silent for good.
+test("a stream from a peer whose connection goes silent for good ends within the bound for lookups", async () => {
+    const followRequest = async function*(_id: string, _offset: number, signal: AbortSignal) {
+        yield { event: { case: "token" as const, value: { index: 0, text: "a" } } };
+        await new Promise(resolve => signal.addEventListener("abort", resolve));
+    };
+    const server = PeerServer.create({ followRequest } as unknown as PeerHandler, undefined);
+    const proxy = await FaultProxy.start(formatAddress(await server.start({ host: "127.0.0.1", port: 0 })));
+    const link = ConnectPeerLink.create(undefined, Metrics.create());
+    const address = { host: "127.0.0.1", port: proxy.getPort() };
+    const events = link.followRequest(address, "x", 0, new AbortController().signal)[Symbol.asyncIterator]();
+    await events.next();
+    proxy.setMood(LinkMood.Held);
+    const startedAt = performance.now();
+    await assert.rejects(events.next());
+    const elapsed = performance.now() - startedAt;
+    link.stop();
+    await proxy.stop();
+    await server.stop();
+    assert.equal(elapsed < lookupDetectionLimitMilliseconds, true, `${elapsed} ms`);
+});
+
 test("a connection to a peer that stops delivering without being closed is detected in time, and the next call opens a new one", async () => {
     const handler = { describeRequest: () => "{}" } as unknown as PeerHandler;
     const server = PeerServer.create(handler, undefined);
