Test changes of the configuration in series beside endpoints that leave or fall silent

Two gateways as processes; a configuration every 200 ms (routes split, moved, added, their time limits, attempts and resumability changed, unused services removed, teams, caps and limits changed), an endpoint replaced every 400 ms, which announces its end or not and stops listening before it ends, endpoints silent for a second, callers on connections that stay open with idle pauses up to four fifths of the idle limit.

--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -139,6 +139,11 @@
         setTimeout(() => this.restart(), this.restartMilliseconds);
     }
 
+    /** Accepts no further connections and closes idle ones; requests that run go on. */
+    stopListening(): void {
+        this.server.close();
+    }
+
     /** Stops the process for a while; the system still accepts connections, and everything goes on afterwards. */
     silenceFor(milliseconds: number): void {
         this.frozenUntil = performance.now() + milliseconds;
