--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -5,7 +5,7 @@
 import { formatAddress } from "../config/sectionReader.js";
 import { readFraming, ResponseFraming } from "../endpoints/responseEnd.js";
 import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
-import { EndpointExchange, EndpointNotice, silenceCheckMilliseconds } from "./endpointExchange.js";
+import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
 import { BufferingResponseRelay, isEventStream, RelayOutcome } from "./responseRelay.js";
 import { AttemptOptions, AttemptResult, AttemptSilence, CallAttemptDependencies, IncomingCall } from "./types.js";
 
@@ -13,6 +13,8 @@
 const statusGatewayTimeout = 504;
 /** Time for which a stream runs on after its first event before it counts as harmless, in milliseconds; a poison request crashes its endpoint soon. */
 const harmlessRunMilliseconds = 1_000;
+/** Interval at which an attempt checks the silence of its endpoint and its connection, in milliseconds. */
+const silenceCheckMilliseconds = 250;
 /** Silence of an endpoint after which the network path to it is checked, in milliseconds. */
 const pathCheckMilliseconds = 500;
 /** Silence limit of an endpoint that accepts no connections, in milliseconds; one that does may go on. */
@@ -351,7 +353,7 @@
      */
     private checkSilence(): void {
         const { endpoint: endpointSilence } = this.getSilence();
-        const connectionSilence = this.exchange?.checkSilence() ?? 0;
+        const connectionSilence = this.exchange?.getSilence() ?? 0;
         if (endpointSilence > pathCheckMilliseconds && !this.hasCheckedPath) {
             this.hasCheckedPath = true;
             void this.checkPath();
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -98,6 +98,8 @@
 class ForwardedCall {
     private readonly tried = new Set<FleetEndpoint>();
     private readonly triedPeers = new Set<string>();
+    /** The tried peers, but for those whose session was lost. */
+    private readonly failedPeers = new Set<string>();
     private readonly isIdempotent: boolean;
     private readonly deadline: number;
     private readonly stream: EventStreamRelay;
@@ -213,12 +215,13 @@
         return this.connectFailures >= connectFailuresUntilPeer && this.dependencies.paths.isUnreachable(this.call.service);
     }
 
-    /** Picks a peer for the call. A call that came from a peer stays here, so that no two nodes pass it to and fro. */
+    /** Picks a peer for the call, one that was not tried if there is any. A call that came from a peer stays here, so that no two nodes pass it to and fro. */
     private pickPeer(): GatewayPeer | undefined {
         if (this.origin !== undefined || this.triedPeers.size >= peerLimit) {
             return undefined;
         }
-        return this.dependencies.peers.pickPeer(this.call.service, this.triedPeers);
+        const { peers } = this.dependencies;
+        return peers.pickPeer(this.call.service, this.triedPeers) ?? peers.pickPeer(this.call.service, this.failedPeers);
     }
 
     private createPeerAttempt(peer: GatewayPeer): RunnableAttempt<CallReport> {
@@ -232,6 +235,7 @@
             configurationVersion: dependencies.configuration.getVersion(),
             timeLeft: this.deadline - dependencies.clock.getMonotonicTime(),
             runs: this.runs + this.attempts.count(),
+            mayRetry: this.isIdempotent && this.runs + 1 < call.route.attempts,
             handleResponse: () => this.attempts.abortOthers(runnable),
         });
         const runnable: RunnableAttempt<CallReport> = {
@@ -250,6 +254,9 @@
         if (failure === undefined) {
             return this.createReport(CallOutcome.Completed, undefined);
         }
+        if (!result.isSessionLost) {
+            this.failedPeers.add(peer.name);
+        }
         this.verdict = raiseVerdict(this.verdict, failure.verdict);
         this.sends += failure.verdict === Verdict.NotRun ? 0 : 1;
         if (failure.message === Diagnostics.Node_at_0_did_not_answer_1 && failure.verdict === Verdict.NotRun && !result.isPastDeadline) {
--- a/src/gateway/endpointConnectionPool.ts
+++ b/src/gateway/endpointConnectionPool.ts
@@ -1,5 +1,6 @@
 import { Agent, IncomingHttpHeaders } from "node:http";
 import { Socket } from "node:net";
+import { Clock } from "../common/clock.js";
 import { EventLog } from "../common/eventLog.js";
 import { closeIdleConnections } from "../common/idleConnections.js";
 import { LogEvents } from "../common/logEvents.js";
@@ -13,8 +14,16 @@
 const defaultIdleMilliseconds = 300;
 /** Fraction of the endpoint's idle timeout that is used, since the endpoint may close the connection while the next request is in transit. */
 const usedShareOfIdleTimeout = 0.6;
-/** Time after its last data for which an idle connection is still trusted once another one has gone silent, in milliseconds. */
-const trustedSilenceMilliseconds = 250;
+/** Time within which the silence of two parties is taken for one event that may have silenced any connection, in milliseconds. */
+const jointSilenceMilliseconds = 2_000;
+/** Shortest time between two closings of the idle connections to all endpoints, in milliseconds: endpoints that are only slow cause them too. */
+const jointClosingPauseMilliseconds = 5_000;
+
+/** A party that has gone silent, and when, in monotonic milliseconds. */
+interface Silence {
+    readonly party: string;
+    readonly at: number;
+}
 
 /** Pools the connections to one endpoint. */
 class EndpointAgent extends GuardedAgent {
@@ -45,10 +54,17 @@
 export class EndpointConnectionPool {
     private readonly agents = new Map<FleetEndpoint, EndpointAgent>();
 
-    private constructor(private readonly connector: EndpointConnector, private readonly log: EventLog) {}
+    private lastSilence: Silence = { party: "", at: -Infinity };
+    private allClosedAt = -Infinity;
+
+    private constructor(
+        private readonly connector: EndpointConnector,
+        private readonly clock: Clock,
+        private readonly log: EventLog,
+    ) {}
 
-    static create(connector: EndpointConnector, log: EventLog): EndpointConnectionPool {
-        return new EndpointConnectionPool(connector, log);
+    static create(connector: EndpointConnector, clock: Clock, log: EventLog): EndpointConnectionPool {
+        return new EndpointConnectionPool(connector, clock, log);
     }
 
     /** Returns the agent that pools the connections of an endpoint. */
@@ -75,7 +91,7 @@
      * data. Those that received data lately stay, so that a sound endpoint which is silent for a moment loses its connections once.
      */
     closeSilent(endpoint: FleetEndpoint): void {
-        const closed = this.agents.get(endpoint)?.closeUnheard(trustedSilenceMilliseconds) ?? 0;
+        const closed = this.agents.get(endpoint)?.closeSilent() ?? 0;
         if (closed > 0) {
             this.log.log(LogEvents.IdleConnectionsClosed, {
                 endpoint: endpoint.entry.id,
@@ -83,6 +99,30 @@
                 evidence: "a call got no data",
             });
         }
+        this.recordSilence(endpoint.entry.id);
+    }
+
+    /**
+     * Records that a party has gone silent that sent data before. When another one did so shortly before, whatever silenced both may
+     * have silenced any connection: the idle ones to all endpoints are closed then, but for those that received data lately.
+     */
+    recordSilence(party: string): void {
+        const now = this.clock.getMonotonicTime();
+        const previous = this.lastSilence;
+        this.lastSilence = { party, at: now };
+        const isJoint = previous.party !== party && now - previous.at <= jointSilenceMilliseconds;
+        if (!isJoint || now - this.allClosedAt < jointClosingPauseMilliseconds) {
+            return;
+        }
+        this.allClosedAt = now;
+        const closed = [...this.agents.values()].map(agent => agent.closeSilent()).filter(count => count > 0);
+        if (closed.length > 0) {
+            this.log.log(LogEvents.IdleConnectionsClosed, {
+                endpoints: closed.length,
+                connections: closed.reduce((sum, count) => sum + count),
+                evidence: `${previous.party} and ${party} went silent`,
+            });
+        }
     }
 
     /** Closes the idle connections of an endpoint that left the fleet and removes its pool. */
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -37,8 +37,6 @@
 /** Number of probes by which an endpoint is found to be there still after a response that ended with its connection. */
 const maximumProbesAtEnd = 2;
 
-/** Interval at which an attempt checks whether its connection has received data, in milliseconds. */
-export const silenceCheckMilliseconds = 250;
 /** Time without data after which other connections of the endpoint are in doubt, in milliseconds, as are those of a quick call. */
 const minimumSilenceMilliseconds = 500;
 /** The same as a multiple of the expected time: slow calls are no evidence. */
@@ -62,9 +60,6 @@
 export class EndpointExchange {
     private readonly request: EndpointRequest;
     private notice: EndpointNotice | undefined;
-    private receivedBytes = 0;
-    /** Number of checks in a row that found no new data. */
-    private silentChecks = 0;
 
     private constructor(
         private readonly options: ExchangeOptions,
@@ -81,6 +76,8 @@
             agent: options.connections.getAgent(endpoint),
             connectTimeout: options.connectTimeout,
             silenceLimit: options.silenceLimit,
+            suspiciousSilence: Math.max(minimumSilenceMilliseconds, options.expectedTime * silenceTimeRatio),
+            handleSuspiciousSilence: () => options.connections.closeSilent(endpoint),
             signal: options.signal,
         });
     }
@@ -124,25 +121,9 @@
         return this.request.isConnectionReused();
     }
 
-    /**
-     * Checks, at the interval above, for how long the connection has received nothing, and returns that time in milliseconds. Closes
-     * the endpoint's idle connections that may have gone silent as well, once it is too long.
-     */
-    checkSilence(): number {
-        const received = this.request.countReceivedBytes();
-        if (received !== this.receivedBytes || !this.request.isWaitingForData()) {
-            this.receivedBytes = received;
-            this.silentChecks = 0;
-            return 0;
-        }
-        // Checks are counted, and not the time between them: while this process does not run, it receives nothing either.
-        this.silentChecks += 1;
-        const { connections, endpoint, expectedTime } = this.options;
-        const limit = Math.max(minimumSilenceMilliseconds, expectedTime * silenceTimeRatio);
-        if (this.silentChecks === Math.ceil(limit / silenceCheckMilliseconds)) {
-            connections.closeSilent(endpoint);
-        }
-        return this.silentChecks * silenceCheckMilliseconds;
+    /** Returns for how many milliseconds its connection has received nothing while the endpoint was to send data. */
+    getSilence(): number {
+        return this.request.getSilence();
     }
 
     /** Ends the exchange; closes the connection if the response is still incomplete. */
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -7,7 +7,7 @@
 import { GatewayPeer } from "../gossip/types.js";
 import { CallerResponse } from "./callerResponse.js";
 import { PeerForwarder } from "./peerForwarder.js";
-import { EventStreamRelay, isEventStream } from "./responseRelay.js";
+import { bufferedResponseBytes, EventStreamRelay, isEventStream } from "./responseRelay.js";
 import { IncomingCall } from "./types.js";
 
 /** A call that is handed to a peer. Times are monotonic milliseconds. */
@@ -20,8 +20,10 @@
     readonly timeLeft: number;
     /** Number of endpoints that may have run the call before. */
     readonly runs: number;
+    /** Whether the call may run again if this attempt fails after it may have run. */
+    readonly mayRetry: boolean;
     /** Called before the response of the peer, or a further part of it, is relayed. */
-    handleResponse(): void;
+    readonly handleResponse: () => void;
 }
 
 /** Result of a call that was handed to a peer; without a failure, the complete response was written to the caller. */
@@ -31,12 +33,22 @@
     readonly runs: number;
     readonly endpoint: string | undefined;
     readonly isPastDeadline: boolean;
+    /** Whether the session was lost after the call was handed over; the peer itself may work. */
+    readonly isSessionLost: boolean;
 }
 
-/** Hands a call to a peer and relays the peer's response. */
+/**
+ * Hands a call to a peer and relays the peer's response. A response that is useful only when complete is buffered until it is, unless
+ * it is large, so that the call can be retried, or answered as failed, when the peer is lost meanwhile.
+ */
 export class PeerCallAttempt {
     private readonly abortController = new AbortController();
     private isPastDeadline = false;
+    private isSessionLost = false;
+    private isSuperseded = false;
+    private head: ResponseHead | undefined;
+    private buffered: Buffer[] = [];
+    private bufferedSize = 0;
 
     private constructor(private readonly peers: PeerForwarder, private readonly options: PeerAttemptOptions) {}
 
@@ -55,7 +67,8 @@
             abort();
         }, Math.max(1, timeLeft));
         try {
-            return await this.forwardCall();
+            const result = await this.forwardCall();
+            return this.isSuperseded && result.failure !== undefined ? this.createSupersededResult(result.failure) : result;
         }
         finally {
             clearTimeout(timer);
@@ -66,13 +79,20 @@
 
     /** Aborts the attempt, since another one serves the call. */
     abort(): void {
+        this.isSuperseded = true;
         this.abortController.abort();
     }
 
+    private createSupersededResult({ verdict }: Failure): PeerAttemptResult {
+        this.isSessionLost = false;
+        const failure = Failure.create(verdict, Diagnostics.Another_attempt_serves_the_request);
+        return this.createResult(failure, verdict === Verdict.NotRun ? 0 : 1);
+    }
+
     private async forwardCall(): Promise<PeerAttemptResult> {
         const { call, peer, stream, configurationVersion, timeLeft, runs } = this.options;
         const address = parseAddress(peer.address) as NetworkAddress;
-        const events = await this.peers.client.forwardCall(address, {
+        const handed = await this.peers.client.forwardCall(address, {
             node: this.peers.getNodeName(),
             method: call.method,
             target: call.target,
@@ -85,15 +105,27 @@
             lastEventId: stream?.getLastEventId() ?? call.lastEventId ?? "",
             runs,
         }, this.abortController.signal);
-        if (events.err) {
-            return this.createResult(events.val, 0);
+        if (handed.err) {
+            return this.createResult(handed.val, 0);
         }
+        const { events, replacedSignal } = handed.val;
+        const leaveSession = () => this.handleSessionReplaced();
+        replacedSignal.addEventListener("abort", leaveSession);
         try {
-            return await this.relayEvents(events.val);
+            return await this.relayEvents(events);
         }
         catch (error) {
             return this.createLostResult(error);
         }
+        finally {
+            replacedSignal.removeEventListener("abort", leaveSession);
+        }
+    }
+
+    private handleSessionReplaced(): void {
+        if (this.options.mayRetry) {
+            this.abortController.abort();
+        }
     }
 
     private async relayEvents(events: AsyncIterable<ForwardCallEvent>): Promise<PeerAttemptResult> {
@@ -103,16 +135,13 @@
             if (this.abortController.signal.aborted) {
                 break;
             }
-            if (event.case === "head" || event.case === "body") {
-                this.options.handleResponse();
-            }
             if (event.case === "head") {
                 stream = this.findStream(event.value);
                 if (caller.hasStarted() && stream === undefined) {
                     const { status } = event.value;
                     return this.createResult(Failure.create(Verdict.Ran, Diagnostics.Endpoint_failed_with_status_0, status), 1);
                 }
-                this.startResponse(event.value);
+                this.head = event.value;
             }
             else if (event.case === "body") {
                 await this.writeBytes(Buffer.from(event.value), stream);
@@ -130,20 +159,30 @@
         if (!isEventStream(head.status, index < 0 ? undefined : head.headers[index + 1])) {
             return undefined;
         }
+        this.options.handleResponse();
         this.options.stream?.removeIncompleteEvent();
         return this.options.stream;
     }
 
-    private startResponse(head: ResponseHead): void {
-        const { caller } = this.options;
-        if (!caller.hasStarted()) {
-            caller.startResponse(head.status, head.headers);
+    private startResponse(): void {
+        const { caller, handleResponse } = this.options;
+        handleResponse();
+        if (this.head !== undefined && !caller.hasStarted()) {
+            caller.startResponse(this.head.status, this.head.headers);
         }
     }
 
     private async writeBytes(bytes: Buffer, stream: EventStreamRelay | undefined): Promise<void> {
         const { caller } = this.options;
-        const isFlushed = stream === undefined ? caller.writeBytes(bytes) : stream.writeEvents(bytes);
+        this.bufferedSize += bytes.length;
+        if (stream === undefined && !caller.hasStarted() && this.bufferedSize <= bufferedResponseBytes) {
+            this.buffered.push(bytes);
+            return;
+        }
+        this.startResponse();
+        const isFlushed = stream === undefined
+            ? caller.writeBytes(Buffer.concat([...this.buffered.splice(0), bytes]))
+            : stream.writeEvents(bytes);
         if (!isFlushed) {
             await caller.waitForDrain();
         }
@@ -151,7 +190,8 @@
 
     private finishResponse(end: ForwardCallEnd): PeerAttemptResult {
         if (end.failureCode === 0) {
-            this.options.caller.finishResponse();
+            this.startResponse();
+            this.options.caller.finishResponse(Buffer.concat(this.buffered));
             return this.createResult(undefined, end.runs, end.endpoint);
         }
         const verdict = Object.values(Verdict).find(known => known === end.verdict) ?? Verdict.MayHaveRun;
@@ -164,11 +204,13 @@
     private createLostResult(error: unknown): PeerAttemptResult {
         const isNotRun = error instanceof Error && isConnectFailure(error.cause);
         const verdict = isNotRun ? Verdict.NotRun : Verdict.MayHaveRun;
+        this.isSessionLost = !isNotRun && !this.isPastDeadline;
         const failure = Failure.create(verdict, Diagnostics.Node_at_0_did_not_answer_1, this.options.peer.address, describeError(error));
         return this.createResult(failure, isNotRun ? 0 : 1);
     }
 
     private createResult(failure: Failure | undefined, runs: number, endpoint = ""): PeerAttemptResult {
-        return { failure, runs, endpoint: endpoint === "" ? undefined : endpoint, isPastDeadline: this.isPastDeadline };
+        const { isPastDeadline, isSessionLost } = this;
+        return { failure, runs, endpoint: endpoint === "" ? undefined : endpoint, isPastDeadline, isSessionLost };
     }
 }
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -84,7 +84,10 @@
         }
         const watches = container.get(Keys.Watches);
         const gossip = container.get(Keys.Gossip);
-        gossip.setSilenceHandler(() => container.get(Keys.Store).renewConnections());
+        gossip.setSilenceHandler(() => {
+            container.get(Keys.Store).renewConnections();
+            container.get(Keys.Connections).recordSilence("a peer");
+        });
         watches.configuration.setRelistHandler(() => void gossip.publishNow());
         watches.endpoints.setRelistHandler(() => void gossip.publishNow());
         void watches.configuration.run();
@@ -129,8 +132,7 @@
         void container.get(Keys.Lease).release().then(() => container.get(Keys.Gossip).publishNow());
         await clock.sleep(timing.listenerGrace);
         server.closeIdle();
-        const peerCalls = container.get(Keys.PeerCallServer);
-        const countOpenCalls = () => server.countOpenCalls() + peerCalls.countOpenCalls();
+        const countOpenCalls = () => server.countOpenCalls() + this.peerServer.countOpenCalls(GatewayPeerService.method.forwardCall);
         while (countOpenCalls() > 0 && clock.getMonotonicTime() < forcedCloseAt) {
             await clock.sleep(drainPollMilliseconds);
         }
