Let a call at a peer whose session is silent go on until another attempt has a response

The attempt now reports the silence like one at an endpoint, and asks for a backup attempt until one has a response.

--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -235,7 +235,7 @@
             configurationVersion: dependencies.configuration.getVersion(),
             timeLeft: this.deadline - dependencies.clock.getMonotonicTime(),
             runs: this.runs + this.attempts.count(),
-            mayRetry: this.isIdempotent && this.runs + 1 < call.route.attempts,
+            handleSilence: () => this.startBackupAttempt(),
             handleResponse: () => this.attempts.abortOthers(runnable),
         });
         const runnable: RunnableAttempt<CallReport> = {
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -10,6 +10,9 @@
 import { bufferedResponseBytes, EventStreamRelay, isEventStream } from "./responseRelay.js";
 import { IncomingCall } from "./types.js";
 
+/** Interval at which an attempt reports that the session to its peer is silent, in milliseconds. */
+const silenceReportMilliseconds = 250;
+
 /** A call that is handed to a peer. Times are monotonic milliseconds. */
 export interface PeerAttemptOptions {
     readonly call: IncomingCall;
@@ -20,8 +23,8 @@
     readonly timeLeft: number;
     /** Number of endpoints that may have run the call before. */
     readonly runs: number;
-    /** Whether the call may run again if this attempt fails after it may have run. */
-    readonly mayRetry: boolean;
+    /** Called, again and again, while the session to the peer is silent. */
+    handleSilence(): void;
     /** Called before the response of the peer, or a further part of it, is relayed. */
     readonly handleResponse: () => void;
 }
@@ -45,6 +48,7 @@
     private readonly abortController = new AbortController();
     private isPastDeadline = false;
     private isSessionLost = false;
+    private silenceTimer: NodeJS.Timeout | undefined;
     private isSuperseded = false;
     private head: ResponseHead | undefined;
     private buffered: Buffer[] = [];
@@ -119,13 +123,14 @@
         }
         finally {
             silenceSignal.removeEventListener("abort", leaveSession);
+            clearInterval(this.silenceTimer);
         }
     }
 
+    /** Reports the silence again and again: there may be nothing yet that takes the call. */
     private handleSessionSilence(): void {
-        if (this.options.mayRetry) {
-            this.abortController.abort();
-        }
+        this.options.handleSilence();
+        this.silenceTimer = setInterval(() => this.options.handleSilence(), silenceReportMilliseconds);
     }
 
     private async relayEvents(events: AsyncIterable<ForwardCallEvent>): Promise<PeerAttemptResult> {
