Start each test of forwarding with endpoints whose slowness is forgotten

Cause, by a trial: the setup recorded one success for each endpoint, which leaves seven eighths of the ratio by which its last responses were slow. What the tests ask is unchanged.

--- a/src/gateway/forwarding.test.ts
+++ b/src/gateway/forwarding.test.ts
@@ -32,14 +32,18 @@
         worker.eventCount = 5;
         worker.eventMilliseconds = 5;
     }
-    // An endpoint whose connection was lost is not chosen for a while; each test starts with all endpoints available.
+    // One whose connection was lost, or whose last responses were slow, is not chosen for a while; each test starts with all endpoints equal.
     for (const endpoint of gateway.node.container.get(directoryKey).listAll()) {
-        endpoint.recordSuccess(1);
+        for (let success = 0; success < forgottenResults; success += 1) {
+            endpoint.recordSuccess(1);
+        }
         await waitUntil(() => !endpoint.isFull(performance.now()));
     }
 });
 
 const directoryKey = Keys.Directory;
+/** Successes after which the moving averages of an endpoint hold nothing of earlier results. */
+const forgottenResults = 100;
 
 function setFault(workers: readonly RoutedWorker[], fault: WorkerFault): void {
     workers.forEach(worker => worker.faults.push(fault));
