--- a/src/common/callerConnections.ts
+++ b/src/common/callerConnections.ts
@@ -62,7 +62,8 @@
         if (state === undefined) {
             return false;
         }
-        const earlier = [...state.openResponses];
+        // The last one is sent after all others; waiting for each would take a listener for every pair of requests.
+        const earlier = [...state.openResponses].slice(-1);
         state.requestCount += 1;
         state.openResponses.add(response);
         response.once("close", () => this.removeResponse(socket, state, response));
