End a backup attempt when the first attempt ends without further data

Found by the review: a stream that fell silent after its last event and then ended without data left its backup attempt running until the deadline. The call was recorded as broken off, and where the backup ran at a peer the caller's stream was cut although it had every event.

Cause: the other attempts were aborted only when data arrived, and the last report replaced that of the served call.

Evidence: the new test in backupAttempts.test.ts fails on (the call is open and the second run goes on after the first has ended).

Change: a call that is served aborts its other attempts; a response is not completed by an attempt that was aborted during the last check of its end; a writer does not wait for a caller whose response has closed; errors of aborted attempts are logged and do not end the call.

--- a/src/gateway/backupAttempts.test.ts
+++ b/src/gateway/backupAttempts.test.ts
@@ -3,7 +3,7 @@
 import { HeaderNames } from "../../platform/wire.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
-import { RoutedWorker } from "../standins/routed/routedWorker.js";
+import { RoutedWorker, WorkerFault } from "../standins/routed/routedWorker.js";
 import { CuttableConnector, PathCut } from "../testing/cuttableConnector.js";
 import { CallerView, RoutedGateway, waitUntil } from "../testing/routedGateway.js";
 
@@ -89,3 +89,24 @@
     checkWholeStream(await stream);
     assert.equal(platform.engines.reduce((sum, engine) => sum + engine.runs.length, 0), 1);
 });
+
+// Guards against a backup attempt that goes on, and cuts the call, after the first attempt has ended without further data.
+test("a stream that ends after a silence ends its backup attempt, and is not cut by it", async () => {
+    platform.engines.forEach(engine => {
+        engine.eventMilliseconds = 5;
+        engine.faults.push(WorkerFault.LateEnd);
+    });
+    const stream = sendSlowStream();
+    await waitUntil(() => platform.engines.some(engine => engine.runs.length > 0));
+    // The backup attempt gets no response.
+    platform.engines.forEach(engine => (engine.workMilliseconds = 10_000));
+    checkWholeStream(await stream);
+    await new Promise(resolve => setTimeout(resolve, 250));
+    platform.engines.forEach(engine => {
+        engine.workMilliseconds = 0;
+        engine.faults.length = 0;
+    });
+    assert.equal(platform.engines.every(engine => engine.runs.length === 1), true, "no backup attempt was made");
+    assert.equal(gateway.node.container.get(Keys.Server).countOpenCalls(), 0);
+    assert.deepEqual(platform.engines.map(engine => engine.runs[0]?.isCancelled).sort(), [false, true]);
+});
--- a/src/gateway/callForwarder.ts
+++ b/src/gateway/callForwarder.ts
@@ -1,6 +1,6 @@
 import { DiagnosticMessage, Diagnostics } from "../common/diagnostics.js";
 import { EventLog } from "../common/eventLog.js";
-import { Failure } from "../common/failure.js";
+import { describeError, Failure } from "../common/failure.js";
 import { LogEvents } from "../common/logEvents.js";
 import { Result } from "../common/results.js";
 import { raiseVerdict, Verdict } from "../common/verdict.js";
@@ -110,7 +110,7 @@
     private runs: number;
     private connectFailures = 0;
     private firstByteAt: number | undefined;
-    private readonly attempts = OverlappingAttempts.create<CallReport>();
+    private readonly attempts: OverlappingAttempts<CallReport>;
     /** The attempt whose response is relayed; undefined before the first response. */
     private servingAttempt: CallAttempt | undefined;
     private lastEndpoint: string | undefined;
@@ -127,6 +127,9 @@
         this.runs = origin?.runs ?? 0;
         this.isIdempotent = route.kind === RouteKind.Safe || (route.kind === RouteKind.Stream && route.isResumable);
         this.deadline = call.deadline - responseMarginMilliseconds;
+        this.attempts = OverlappingAttempts.create(error => {
+            dependencies.log.log(LogEvents.TaskFailed, { task: "end an aborted attempt", request: call.id, cause: describeError(error) });
+        });
         this.stream = EventStreamRelay.create(caller, call.lastEventId, () => this.handleFirstEvent());
     }
 
@@ -199,6 +202,13 @@
         }
     }
 
+    /** A response may end without any data that would have shown that its endpoint is no longer silent. */
+    private abortOthersIfServed(attempt: RunnableAttempt<CallReport>, failure: Failure | undefined): void {
+        if (failure === undefined) {
+            this.attempts.abortOthers(attempt);
+        }
+    }
+
     private createAttempt(target: Placement | GatewayPeer): RunnableAttempt<CallReport> {
         return "endpoint" in target ? this.createEndpointAttempt(target) : this.createPeerAttempt(target);
     }
@@ -239,7 +249,11 @@
             handleResponse: () => this.attempts.abortOthers(runnable),
         });
         const runnable: RunnableAttempt<CallReport> = {
-            run: async () => this.finishPeerAttempt(peer, await attempt.run()),
+            run: async () => {
+                const result = await attempt.run();
+                this.abortOthersIfServed(runnable, result.failure);
+                return this.finishPeerAttempt(peer, result);
+            },
             abort: () => attempt.abort(),
         };
         return runnable;
@@ -324,7 +338,11 @@
             },
         });
         const runnable: RunnableAttempt<CallReport> = {
-            run: async () => this.finishAttempt(placement, await attempt.run()),
+            run: async () => {
+                const result = await attempt.run();
+                this.abortOthersIfServed(runnable, result.failure);
+                return this.finishAttempt(placement, result);
+            },
             abort: () => attempt.abort(),
         };
         return runnable;
--- a/src/gateway/callerResponse.ts
+++ b/src/gateway/callerResponse.ts
@@ -87,6 +87,9 @@
     }
 
     waitForDrain(): Promise<void> {
+        if (this.response.closed) {
+            return Promise.resolve();
+        }
         return new Promise(resolve => {
             const finish = () => {
                 this.response.off("drain", finish);
--- a/src/gateway/endpointExchange.ts
+++ b/src/gateway/endpointExchange.ts
@@ -121,6 +121,16 @@
         return this.request.isConnectionReused();
     }
 
+    /** Returns whether the exchange was aborted, so that its response is not relayed any further. */
+    isAborted(): boolean {
+        return this.options.signal.aborted;
+    }
+
+    /** Returns whether the endpoint is to send data: it has the request, and what it sends is read. */
+    isWaitingForData(): boolean {
+        return this.request.isWaitingForData();
+    }
+
     /** Returns for how many milliseconds its connection has received nothing while the endpoint was to send data. */
     getSilence(): number {
         return this.request.getSilence();
--- a/src/gateway/overlappingAttempts.ts
+++ b/src/gateway/overlappingAttempts.ts
@@ -17,10 +17,11 @@
     private handleEnd: () => void = () => {};
     private handleError: (error: unknown) => void = () => {};
 
-    private constructor() {}
+    private constructor(private readonly handleAbortedError: (error: unknown) => void) {}
 
-    static create<Report>(): OverlappingAttempts<Report> {
-        return new OverlappingAttempts();
+    /** `handleAbortedError` gets the errors of attempts that were aborted, which do not concern the call any more. */
+    static create<Report>(handleAbortedError: (error: unknown) => void): OverlappingAttempts<Report> {
+        return new OverlappingAttempts(handleAbortedError);
     }
 
     /** Returns the number of attempts that run. */
@@ -67,6 +68,11 @@
     }
 
     private failAttempt(attempt: RunnableAttempt<Report>, error: unknown): void {
+        if (this.aborted.has(attempt)) {
+            this.handleAbortedError(error);
+            this.endAttempt(attempt, undefined);
+            return;
+        }
         this.abortOthers(attempt);
         this.running.delete(attempt);
         this.handleError(error);
--- a/src/gateway/peerCallerResponse.ts
+++ b/src/gateway/peerCallerResponse.ts
@@ -48,6 +48,9 @@
     }
 
     waitForDrain(): Promise<void> {
+        if (this.events.closed) {
+            return Promise.resolve();
+        }
         return new Promise(resolve => {
             const finish = () => {
                 this.events.off("drain", finish);
--- a/src/gateway/responseRelay.ts
+++ b/src/gateway/responseRelay.ts
@@ -63,7 +63,7 @@
         if (caller.isCallerDisconnected()) {
             return RelayOutcome.CallerDisconnected;
         }
-        if (!await exchange.isComplete()) {
+        if (!await exchange.isComplete() || exchange.isAborted()) {
             return RelayOutcome.Truncated;
         }
         if (caller.hasStarted()) {
@@ -130,7 +130,7 @@
             return RelayOutcome.CallerDisconnected;
         }
         // A connection that is closed in order proves nothing by itself: a process that crashes may close its connections so.
-        if (!hasEnded || splitter.hasIncompleteEvent() || !await exchange.isComplete()) {
+        if (!hasEnded || splitter.hasIncompleteEvent() || !await exchange.isComplete() || exchange.isAborted()) {
             return RelayOutcome.Truncated;
         }
         this.startResponse(response);
--- a/src/standins/routed/routedWorker.ts
+++ b/src/standins/routed/routedWorker.ts
@@ -9,6 +9,8 @@
 /** Requests that a worker runs at once; a brittle one lets none wait. */
 const slotCount = 6;
 const rejectionWindowMilliseconds = 1_000;
+/** Time from the last event of a stream to its late end. */
+const lateEndMilliseconds = 2_200;
 
 /** What goes wrong with the next request of a worker. */
 export enum WorkerFault {
@@ -43,6 +45,8 @@
     FailResumed = "fail-resumed",
     /** The same, but the request to resume one is answered 400. */
     RejectResumed = "reject-resumed",
+    /** A stream ends a while after its last event. */
+    LateEnd = "late-end",
     /** A stream without a length or chunks is complete and ends with its connection. */
     UnframedStream = "unframed-stream",
     /** A stream without a length or chunks is closed in order in the middle of an event. */
@@ -321,6 +325,9 @@
                 return;
             }
         }
+        if (fault === WorkerFault.LateEnd) {
+            await sleep(lateEndMilliseconds);
+        }
         response.end();
     }
 
