Count the checks of a silence, and leave out callers that do not read

Cause: the silence of an endpoint was a time, which also passes while this process stands still or the response is paused.

Change: the checks without data are counted, and only while the endpoint is to send some. A request counts as overtaken when two requests have been answered that were sent much later and were neither more urgent nor smaller.

An endpoint that answers two comparable later requests first still has its slow request tried elsewhere; it goes on until the other one responds.

--- a/src/endpoints/endpointRequest.ts
+++ b/src/endpoints/endpointRequest.ts
@@ -98,6 +98,12 @@
         return this.request.reusedSocket;
     }
 
+    /** Returns whether the endpoint is to send data: it has the request on its connection, and this side reads what it sends. */
+    isWaitingForData(): boolean {
+        const isReading = this.response === undefined || (!this.response.complete && !this.response.isPaused());
+        return this.connection.getVerdict() !== Verdict.NotRun && isReading;
+    }
+
     /** Returns for how many milliseconds, to half of the suspicious silence, the connection has received nothing while data was due. */
     getSilence(): number {
         return this.silentChecks * this.options.suspiciousSilence / silentCheckCount;
@@ -172,12 +178,6 @@
         }
     }
 
-    /** Returns whether the endpoint is to send data: it has the request on its connection, and this side reads what it sends. */
-    private isWaitingForData(): boolean {
-        const isReading = this.response === undefined || (!this.response.complete && !this.response.isPaused());
-        return this.connection.getVerdict() !== Verdict.NotRun && isReading;
-    }
-
     private observeSocket(socket: Socket): void {
         this.bytesRead = socket.bytesRead;
         if (!socket.connecting) {
--- a/src/fleet/fleetEndpoint.ts
+++ b/src/fleet/fleetEndpoint.ts
@@ -14,6 +14,19 @@
 /** Time for which an endpoint counts as full after a refusal, in milliseconds: a queue of short calls empties in about that time. */
 const fullMilliseconds = 150;
 
+/** Number of the latest answered requests that are kept for each endpoint. */
+const keptAnswers = 32;
+
+/** A request that an endpoint has begun to answer. */
+export interface AnsweredRequest {
+    /** When it was sent, in monotonic milliseconds. */
+    readonly sentAt: number;
+    /** Its priority; 0 is the most urgent. */
+    readonly rank: number;
+    /** Tokens of its prompt that had to be read; 0 for plain calls. */
+    readonly tokens: number;
+}
+
 /** Load of all other nodes' requests at an endpoint, from their last reports. */
 export interface PeerLoad {
     readonly running: number;
@@ -32,13 +45,12 @@
     reportedAt = -Infinity;
     /** Time of the last data received from it; -Infinity before the first. */
     lastReceivedAt = -Infinity;
-    /** Time at which the latest of the requests was sent that it has begun to answer; -Infinity before the first. */
-    answeredSentAt = -Infinity;
     /** Whether the endpoint was removed, or another endpoint responded at its address. Only a new entry makes it usable again. */
     isRemoved = false;
     /** Whether it said in a response that it is leaving. Holds for the rest of its incarnation, whatever its entry says. */
     isLeaving = false;
     readonly cache: PromptCache;
+    private readonly answeredRequests: AnsweredRequest[] = [];
     private failureShare = 0;
     private failuresInRow = 0;
     private excludedUntil = -Infinity;
@@ -105,6 +117,20 @@
         this.reportedAt = now;
     }
 
+    /** Records a request that it has begun to answer. */
+    recordAnswer(request: AnsweredRequest): void {
+        this.answeredRequests.push(request);
+        if (this.answeredRequests.length > keptAnswers) {
+            this.answeredRequests.shift();
+        }
+    }
+
+    /** Returns how many of the latest answered requests were sent after a time, and were neither more urgent nor smaller than another one. */
+    countAnswersAhead({ sentAt, rank, tokens }: AnsweredRequest): number {
+        return this.answeredRequests.filter(answered => answered.sentAt >= sentAt && answered.rank >= rank && answered.tokens >= tokens)
+            .length;
+    }
+
     /** Records a successful response with the ratio of its measured to its expected latency. */
     recordSuccess(latencyRatio: number): void {
         this.failureShare *= 1 - resultWeight;
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -4,7 +4,7 @@
 import { Verdict } from "../common/verdict.js";
 import { formatAddress } from "../config/sectionReader.js";
 import { readFraming, ResponseFraming } from "../endpoints/responseEnd.js";
-import { FleetEndpoint } from "../fleet/fleetEndpoint.js";
+import { AnsweredRequest, FleetEndpoint } from "../fleet/fleetEndpoint.js";
 import { EndpointExchange, EndpointNotice } from "./endpointExchange.js";
 import { BufferingResponseRelay, isEventStream, RelayOutcome } from "./responseRelay.js";
 import { AttemptOptions, AttemptResult, AttemptSilence, CallAttemptDependencies, IncomingCall } from "./types.js";
@@ -21,7 +21,9 @@
 const lostPathSilenceMilliseconds = 900;
 /** Time by which an answered request must have been sent later than one that waits, to raise doubt about the connection of the latter, in milliseconds. */
 const minimumOvertakingMilliseconds = 500;
-/** The same as a multiple of the expected time: endpoints answer requests of different sizes and ranks in another order. */
+/** Number of such requests, neither more urgent nor smaller: endpoints serve urgent and small ones first. */
+const overtakingRequests = 2;
+/** The time as a multiple of the expected time: engines do not answer in the order of arrival. */
 const overtakingTimeRatio = 2;
 /** Lower bound of the expected time that a response time is compared with; shorter times are mostly network latency. */
 const minimumExpectedMilliseconds = 30;
@@ -43,6 +45,8 @@
     /** Whether nothing has been received for longer than the silence limit. */
     private isSilent = false;
     private isSuperseded = false;
+    private receivedAtCheck = -Infinity;
+    private quietChecks = 0;
     private hasCheckedPath = false;
     private isPathLost = false;
     private isPastDeadline = false;
@@ -183,10 +187,12 @@
             return this.discardFailure(response, exchange);
         }
         options.handleResponse();
-        response.on("data", () => {
-            this.recordActivity();
-            options.handleResponse();
-        });
+        for (const event of ["data", "end"]) {
+            response.on(event, () => {
+                this.recordActivity();
+                options.handleResponse();
+            });
+        }
         const outcome = await (relay ?? BufferingResponseRelay.create(options.caller)).forwardResponse(response, exchange);
         if (outcome !== RelayOutcome.Complete) {
             return this.handleTruncatedResponse(exchange);
@@ -219,7 +225,7 @@
     /** Records the first event of a stream, or a complete response, as a success of the endpoint and its version. */
     private recordServed(servedAt: number): void {
         const timeRatio = this.computeTimeRatio(servedAt);
-        this.endpoint.answeredSentAt = Math.max(this.endpoint.answeredSentAt, this.sentAt);
+        this.endpoint.recordAnswer(this.describeRequest(this.sentAt));
         this.endpoint.recordSuccess(timeRatio);
         this.recordVersionAttempt(true, timeRatio);
     }
@@ -352,29 +358,45 @@
      * a lost one.
      */
     private checkSilence(): void {
-        const { endpoint: endpointSilence } = this.getSilence();
-        const connectionSilence = this.exchange?.getSilence() ?? 0;
+        const endpointSilence = this.countEndpointSilence();
         if (endpointSilence > pathCheckMilliseconds && !this.hasCheckedPath) {
             this.hasCheckedPath = true;
             void this.checkPath();
         }
         const limit = this.isPathLost ? lostPathSilenceMilliseconds : this.dependencies.timing.endpointSilence;
         this.isSilent = endpointSilence > limit;
-        if (this.isSilent || this.isConnectionSilent(connectionSilence)) {
+        if (this.isSilent || this.isConnectionSilent(this.exchange?.getSilence() ?? 0)) {
             this.options.handleSilence();
         }
     }
 
+    /**
+     * Counts the checks, as milliseconds, since anything was received from the endpoint. The time itself would count a standstill of this
+     * process too, and that of a caller who does not read.
+     */
+    private countEndpointSilence(): number {
+        const receivedAt = Math.max(this.lastReceivedAt, this.endpoint.lastReceivedAt);
+        const isQuiet = receivedAt === this.receivedAtCheck && this.exchange?.isWaitingForData() === true;
+        this.receivedAtCheck = receivedAt;
+        this.quietChecks = isQuiet ? this.quietChecks + 1 : 0;
+        return this.quietChecks * silenceCheckMilliseconds;
+    }
+
     /**
      * Returns whether the attempt's connection may carry nothing any more while others to the endpoint do: the events of its stream
-     * have stopped, or the endpoint has answered requests that were sent much later. `silence` is in milliseconds.
+     * have stopped, or the endpoint has answered several comparable requests that were sent much later. `silence` is in milliseconds.
      */
     private isConnectionSilent(silence: number): boolean {
         if (this.framing !== undefined) {
             return silence > this.dependencies.timing.endpointSilence;
         }
         const limit = Math.max(minimumOvertakingMilliseconds, this.options.placement.expectedTime * overtakingTimeRatio);
-        return silence >= limit && this.endpoint.answeredSentAt - this.sentAt >= limit;
+        return silence >= limit && this.endpoint.countAnswersAhead(this.describeRequest(this.sentAt + limit)) >= overtakingRequests;
+    }
+
+    private describeRequest(sentAt: number): AnsweredRequest {
+        const { call, placement } = this.options;
+        return { sentAt, rank: call.rank, tokens: placement.tokensToRead };
     }
 
     private async checkPath(): Promise<void> {
