--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -45,7 +45,8 @@
     /** Whether nothing has been received for longer than the silence limit. */
     private isSilent = false;
     private isSuperseded = false;
-    private receivedAtCheck = -Infinity;
+    /** Time of the last data at the check before. */
+    private receivedAtCheck: number;
     private quietChecks = 0;
     private hasCheckedPath = false;
     private isPathLost = false;
@@ -59,6 +60,7 @@
         this.unprocessedPromptTokens = options.placement.tokensToRead;
         this.sentAt = dependencies.clock.getMonotonicTime();
         this.lastReceivedAt = this.sentAt;
+        this.receivedAtCheck = this.sentAt;
     }
 
     static create(dependencies: CallAttemptDependencies, options: AttemptOptions): CallAttempt {
