--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -30,7 +30,7 @@
 /** Timeouts and intervals of a gateway, in milliseconds. */
 export interface GatewayTiming {
     readonly connectTimeout: number;
-    /** Time without data from an endpoint that can be reached after which a repeatable request is retried at another endpoint. */
+    /** Time without data from an endpoint that can be reached after which a backup attempt starts for a repeatable request. */
     readonly endpointSilence: number;
     readonly storeTimeout: number;
     readonly cloudTimeout: number;
--- a/src/gateway/callAttempt.ts
+++ b/src/gateway/callAttempt.ts
@@ -21,10 +21,10 @@
 const lostPathSilenceMilliseconds = 900;
 /** Time by which an answered request must have been sent later than one that waits, to raise doubt about the connection of the latter, in milliseconds. */
 const minimumOvertakingMilliseconds = 500;
-/** Number of such requests, neither more urgent nor smaller: endpoints serve urgent and small ones first. */
-const overtakingRequests = 2;
-/** The time as a multiple of the expected time: engines do not answer in the order of arrival. */
+/** The same as a multiple of the expected time: engines do not answer in the order of arrival. */
 const overtakingTimeRatio = 2;
+/** Number of such requests that raise the doubt; urgent and small ones do not count, since endpoints serve them first. */
+const overtakingRequests = 2;
 /** Lower bound of the expected time that a response time is compared with; shorter times are mostly network latency. */
 const minimumExpectedMilliseconds = 30;
 
@@ -42,8 +42,9 @@
     private lastReceivedAt: number;
     /** Whether the request has got past the point at which a poison request crashes its endpoint. */
     private isHarmless = false;
-    /** Whether nothing has been received for longer than the silence limit. */
+    /** Whether nothing has been received from the endpoint, on any connection, for longer than the silence limit. */
     private isSilent = false;
+    /** Whether it was aborted because another attempt serves the call. */
     private isSuperseded = false;
     /** Time of the last data at the check before. */
     private receivedAtCheck: number;
--- a/src/gateway/peerCallAttempt.ts
+++ b/src/gateway/peerCallAttempt.ts
@@ -49,6 +49,7 @@
     private isPastDeadline = false;
     private isSessionLost = false;
     private silenceTimer: NodeJS.Timeout | undefined;
+    /** Whether it was aborted because another attempt serves the call. */
     private isSuperseded = false;
     private head: ResponseHead | undefined;
     private buffered: Buffer[] = [];
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -67,7 +67,7 @@
 export interface AttemptTiming {
     /** Longest time to establish a connection. */
     readonly connectTimeout: number;
-    /** Time without data from an endpoint that accepts connections, on all of them, after which retryable calls move to another endpoint. */
+    /** Time without data from an endpoint that accepts connections after which a backup attempt starts for a retryable call. */
     readonly endpointSilence: number;
 }
 
@@ -101,7 +101,7 @@
     readonly stream: EventStreamRelay | undefined;
     /** Returns whether the call may be served by another attempt if this one fails after it may have run. */
     mayRetry(): boolean;
-    /** Called, again and again, while the endpoint is silent for longer than the limit. */
+    /** Called, again and again, while the endpoint, or the connection to it, is silent for longer than the limit. */
     handleSilence(): void;
     /** Called before the response, or a further part of it, is relayed. */
     handleResponse(): void;
