--- a/review/lib-2/gateways.mjs
+++ b/review/lib-2/gateways.mjs
@@ -25,12 +25,29 @@
     "drain-ms": 2000,
 };
 
+const pickedPorts = new Set();
+
+/** Picks a free port below those that the system gives to outgoing connections: one of these may be taken before the gateway listens. */
 async function pickPort() {
+    for (;;) {
+        const port = 11_000 + Math.floor(Math.random() * 20_000);
+        if (!pickedPorts.has(port) && await isFree(port)) {
+            pickedPorts.add(port);
+            return port;
+        }
+    }
+}
+
+async function isFree(port) {
     const server = createServer();
-    await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
-    const { port } = server.address();
-    await new Promise(resolve => server.close(resolve));
-    return port;
+    const isListening = await new Promise(resolve => {
+        server.once("error", () => resolve(false));
+        server.listen(port, "127.0.0.1", () => resolve(true));
+    });
+    if (isListening) {
+        await new Promise(resolve => server.close(resolve));
+    }
+    return isListening;
 }
 
 /** Renders a template by DEPLOY.md, as far as the deploy file's template uses it. */
@@ -149,7 +166,8 @@
         const endsAt = Date.now() + 20_000;
         while (!this.gateways.every(({ isReady }) => isReady)) {
             if (Date.now() > endsAt) {
-                throw new Error("the gateways did not get ready");
+                const late = this.gateways.filter(({ isReady }) => !isReady).map(({ name, exit }) => `${name} ${JSON.stringify(exit ?? "runs")}`);
+                throw new Error(`the gateways did not get ready: ${late.join(", ")}`);
             }
             await sleep(100);
         }
--- a/review/lib-2/workers.mjs
+++ b/review/lib-2/workers.mjs
@@ -17,6 +17,8 @@
     running = 0;
     /** Retry-After that the worker sends with each request that it turns away, in seconds; undefined while it turns away none. */
     refusalPause = undefined;
+    /** Returns the number of events of the answer to a request. */
+    countEvents = () => this.eventCount;
     /** Returns the time from the first event of a request to the crash that it causes, in milliseconds; undefined for harmless requests. */
     findCrashTime = () => undefined;
     /** Called when the process has crashed. */
@@ -119,11 +121,12 @@
             return response.end(text);
         }
         response.writeHead(200, { ...common, "content-type": "text/event-stream", "server-seal": `seal-${id}`, "weight-versions": "1" });
+        const eventCount = this.countEvents(arrival);
         const crashTime = this.findCrashTime(arrival);
         if (crashTime !== undefined) {
             setTimeout(() => this.crash(), crashTime);
         }
-        for (let event = Number(headers["last-event-id"] ?? 0) + 1; event <= this.eventCount && !response.destroyed; event += 1) {
+        for (let event = Number(headers["last-event-id"] ?? 0) + 1; event <= eventCount && !response.destroyed; event += 1) {
             response.write(`id: ${event}\ndata: piece ${event}\n\n`);
             await sleep(this.eventPause);
         }
