--- a/review/lib-2/workers.mjs
+++ b/review/lib-2/workers.mjs
@@ -17,6 +17,8 @@
     running = 0;
     /** Retry-After that the worker sends with each request that it turns away, in seconds; undefined while it turns away none. */
     refusalPause = undefined;
+    /** Whether the answers of an engine have neither a length nor chunks and end with their channels. */
+    isUnframed = false;
     /** Returns the number of events of the answer to a request. */
     countEvents = () => this.eventCount;
     /** Returns the time from the first event of a request to the crash that it causes, in milliseconds; undefined for harmless requests. */
@@ -57,8 +59,21 @@
         this.handleCrash();
     }
 
-    stop() {
+    /** Ends the process after its planned drain: the system closes its connections in order. */
+    exit() {
+        this.hasCrashed = true;
+        this.stopBeats();
+        this.server.close();
+        this.sockets.forEach(socket => socket.end());
+        this.store.remove("servers", this.id);
+    }
+
+    stopBeats() {
         clearInterval(this.beat);
+    }
+
+    stop() {
+        this.stopBeats();
         this.server.closeAllConnections();
         this.server.close();
     }
@@ -120,7 +135,14 @@
             response.writeHead(200, { ...common, "server-seal": `seal-${id}`, "content-length": text.length });
             return response.end(text);
         }
-        response.writeHead(200, { ...common, "content-type": "text/event-stream", "server-seal": `seal-${id}`, "weight-versions": "1" });
+        const isLeaving = this.state === "draining" ? { "server-leaving": "1" } : {};
+        const head = { ...common, ...isLeaving, "content-type": "text/event-stream", "server-seal": `seal-${id}`, "weight-versions": "1" };
+        if (this.isUnframed) {
+            // Without chunks the runtime announces the end of the channel.
+            response.useChunkedEncodingByDefault = false;
+            response.shouldKeepAlive = false;
+        }
+        response.writeHead(200, head);
         const eventCount = this.countEvents(arrival);
         const crashTime = this.findCrashTime(arrival);
         if (crashTime !== undefined) {
