--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -21,7 +21,7 @@
     { path: "/pufi791/", perSecond: 23.9, tokens: [1_800, 24], eventCount: 4, deadline: 3_000, isIdempotent: true },
 ];
 /** Time to the first event and between events, in milliseconds, of each version. */
-const speeds = { v1: { workTime: 70, eventPause: 6 }, v2: { workTime: 350, eventPause: 30 } };
+const speeds = { v1: { workTime: 70, eventPause: 60 }, v2: { workTime: 350, eventPause: 300 } };
 const calmTime = 12_000;
 /** Time that the operator gives the roll-out, and time until its workers serve, in milliseconds. */
 const rolloutTime = 12_000;
@@ -83,7 +83,7 @@
     await sleep(orderedAt + rolloutTime + laterTime - Date.now());
     stops.forEach(stop => stop());
     clearInterval(follower);
-    await sleep(3_500);
+    await sleep(16_000);
     clients.forEach(client => client.close());
     return judge();
 }
@@ -105,7 +105,7 @@
         return;
     }
     followRollout.state = state;
-    note(`state of the roll-out: ${state}`);
+    note(`state of the roll-out: ${state} (${store.get("rollouts", "redactor")?.status?.reason ?? ""})`);
     if (state === "done") {
         workers.filter(({ version }) => version === "v1").forEach(worker => {
             worker.stop();
@@ -165,12 +165,17 @@
     const bad = arrivals.filter(({ version }) => version === "v2");
     const fiftieth = (bad[badAnswersAllowed - 1]?.at ?? Infinity) + speeds.v2.workTime;
     const late = bad.filter(({ id, at }) => isInTouch(at) && sentAt.get(id) > fiftieth + rollbackTime);
+    const describeServed = (path, from) => {
+        const sent = records.filter(record => record.path.startsWith(path) && record.sentAt >= from && record.sentAt < from + laterTime / 2);
+        return `${sent.filter(({ status, isWhole }) => status === 200 && isWhole).length} of ${sent.length}`;
+    };
     const isBroken = exposed.length > allowed || late.length > 0;
     writeFileSync(join(here, "record.txt"), [
         `trouble: ${hasTrouble}`,
         ...notes,
         `between the order and its deadline ${during.length} requests reached the service, ${exposed.length} of them the bad version; allowed: ${allowed}`,
         `bad answers: ${bad.length}; requests sent later than ${rollbackTime} ms after the 50th that reached the bad version: ${late.length}; allowed: 0`,
+        ...kinds.map(({ path }) => `${path}: answered whole of the requests sent before the order ${describeServed(path, orderedAt - laterTime / 2)}, after its deadline ${describeServed(path, orderedAt + rolloutTime + 500)}`),
         isBroken ? "EXPOSURE is broken" : "EXPOSURE holds",
         "",
         "sent: time, id, node, status, whole, time of the end",
