--- a/review/lib-2/gateways.mjs
+++ b/review/lib-2/gateways.mjs
@@ -121,12 +121,12 @@
     /** Sends a signal to the process that this object started. */
     signal(name) {
         if (this.exit === undefined) {
-            this.child.kill(name);
+            this.child?.kill(name);
         }
     }
 
     async waitForExit() {
-        while (this.exit === undefined) {
+        while (this.child !== undefined && this.exit === undefined) {
             await sleep(20);
         }
         return this.exit;
