Log what tells late news from a late event loop, and how old counts of usage are

The timeline of the incident could not tell whether a node was late with news because its relay is short of processor time or because the news waited on the way, nor how old the counts are by which usage caps decide.

"configuration applied" tells the age of the node's knowledge and the delay of its event loop, as "endpoint changed" does; "exchange slow" names an exchange with a peer that took over 500 ms, with the delays of both event loops; "process started" tells the processor time that the host gives; "usage cap reached" tells the mean age of the counts, which peers now state. The ages and delays travel in new fields of the digests; nothing decides by them yet.

--- a/src/common/logEvents.ts
+++ b/src/common/logEvents.ts
@@ -36,7 +36,11 @@
         stateChangeLinesPerSecond,
         "The program was loaded; whether its compiled code was accepted, or rejected or missing, which makes the start slower.",
     ),
-    ProcessStarted: createInfo("process started", stateChangeLinesPerSecond, "The process listens: its addresses and incarnation."),
+    ProcessStarted: createInfo(
+        "process started",
+        stateChangeLinesPerSecond,
+        "The process listens: its addresses, its incarnation and what its host gives it.",
+    ),
     ProcessStopping: createInfo("process stopping", stateChangeLinesPerSecond, "A signal was received; open requests are finished."),
     ProcessStopped: createInfo("process stopped", stateChangeLinesPerSecond, "Everything is closed; how many requests were cut off."),
     ProcessFailed: createWarning(
@@ -52,6 +56,11 @@
     ),
     RequestServed: createInfo("request served", servedLinesPerSecond, "A request was answered by an endpoint."),
     RequestRefused: createWarning("request refused", failureLinesPerSecond, "A request was refused without having run, and why."),
+    UsageCapReached: createInfo(
+        "usage cap reached",
+        servedLinesPerSecond,
+        "A call was refused by its team's usage cap; what all nodes let pass, and the mean age of the counts of the others in milliseconds.",
+    ),
     RequestFailed: createWarning("request failed", failureLinesPerSecond, "A request failed and may have run, and why."),
     CallerConnectionsClosed: createWarning(
         "caller connections closed",
@@ -77,7 +86,7 @@
     ConfigurationApplied: createInfo(
         "configuration applied",
         stateChangeLinesPerSecond,
-        "A newer configuration is in force; who brought it.",
+        "A newer configuration is in force; who brought it, how old the node's knowledge was, how late its event loop is.",
     ),
     ConfigurationFaulty: createWarning(
         "configuration faulty",
@@ -125,6 +134,11 @@
         "An entry of the store names no endpoint to use.",
     ),
     PeerChanged: createInfo("peer changed", stateChangeLinesPerSecond, "A peer was found, heard again, lost or leaves."),
+    ExchangeSlow: createInfo(
+        "exchange slow",
+        stateChangeLinesPerSecond,
+        "An exchange with a peer took longer than the time between two; by how much the event loops of both nodes are late.",
+    ),
     DependencyLost: createWarning("dependency lost", stateChangeLinesPerSecond, "The store, the cloud API or a watch does not answer."),
     PlatformCallLost: createWarning(
         "platform call lost",
--- a/src/config/gatewaySettings.ts
+++ b/src/config/gatewaySettings.ts
@@ -100,8 +100,11 @@
         /** Worth of the demand that an endpoint serves, by which the fleet is planned; undefined if it is planned by fixed shares. */
         readonly demandWorth: DemandWorth | undefined;
     };
-    /** Memory that the bodies of open requests may hold, in bytes, and the number of connections of callers that are kept open. */
-    readonly limits: { readonly bodyMemory: number; readonly callerConnections: number; };
+    /**
+     * Memory that the bodies of open requests may hold, in bytes, the number of connections of callers that are kept open, and the
+     * processor time that the host gives the process, in cores.
+     */
+    readonly limits: { readonly bodyMemory: number; readonly callerConnections: number; readonly processor: number; };
     /** Units by which all nodes together may exceed the usage cap of a team, and the window over which this is checked. */
     readonly caps: { readonly slack: number; readonly window: number; readonly overage: number; readonly isDivided: boolean; };
     /** Length of a usage window, and the time after its end within which its report is due. */
@@ -281,6 +284,8 @@
     return {
         bodyMemory: computeBodyCapacity(memoryBytes),
         callerConnections: computeConnectionLimit(descriptors ?? readDescriptorLimit()),
+        processor: reader.readOptionalNumber("processor-share", 0.001, 1_000, 1)
+            * reader.readOptionalNumber("processor-speed", 0.001, 1_000, 1),
     };
 }
 
--- a/src/gateway/gatewayServer.ts
+++ b/src/gateway/gatewayServer.ts
@@ -245,7 +245,14 @@
             return undefined;
         }
         const message = Diagnostics.Team_0_is_over_its_usage_cap_1_units_asked_2_of_3_passed;
-        const { passed, allowed, wait } = refusal;
+        const { passed, allowed, wait, countAge } = refusal;
+        this.dependencies.log.log(LogEvents.UsageCapReached, {
+            team: team.name,
+            units,
+            passed: Math.round(passed),
+            allowed: Math.round(allowed),
+            countAge: Math.round(countAge),
+        });
         return Failure.create(Verdict.NotRun, message, team.name, units, Math.round(passed), Math.round(allowed)).setRetryAfter(wait);
     }
 
--- a/src/gossip/fleetSummaryAggregator.ts
+++ b/src/gossip/fleetSummaryAggregator.ts
@@ -156,8 +156,8 @@
 
     private recordSourceSums(source: string, sums: Pick<GatewayDigest, "loads" | "demands" | "works">, nodes: number): void {
         const { caps, work, loads } = this.dependencies;
-        for (const { team, demand, passed, recent, leaving, ...counted } of sums.demands) {
-            const figures = { demand, passed, recent, leaving, nodes: counted.nodes === 0 ? nodes : counted.nodes };
+        for (const { team, demand, passed, recent, leaving, ageMilliseconds: age, ...counted } of sums.demands) {
+            const figures = { demand, passed, recent, leaving, age, nodes: counted.nodes === 0 ? nodes : counted.nodes };
             caps.recordPeerDemand({ name: team, ...figures }, source);
         }
         sums.works.forEach(({ service, work: amount }) => work.recordPeerWork(service, source, amount));
@@ -186,8 +186,8 @@
 }
 
 /** Encodes the demand for a limit for a digest or a summary. */
-export function encodeRateDemand({ name, ...figures }: RateDemand) {
-    return { team: name, ...figures, recent: [...figures.recent] };
+export function encodeRateDemand({ name, age, ...figures }: RateDemand) {
+    return { team: name, ...figures, recent: [...figures.recent], ageMilliseconds: Math.round(age) };
 }
 
 /** Returns the number of nodes whose figures a summary adds up, the sender included. */
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -3,6 +3,7 @@
 import { EventLog } from "../common/eventLog.js";
 import { listIssues, parseJson } from "../common/json.js";
 import { LogEvents } from "../common/logEvents.js";
+import { LoopDelay } from "../common/loopDelay.js";
 import { createEmptyCounts } from "../control/moves/moveEvidence.js";
 import { DutyLease } from "../duties/dutyLease.js";
 import { EndpointDirectory, RevisedEntry } from "../fleet/endpointDirectory.js";
@@ -81,6 +82,7 @@
     readonly storeFollower: StoreFollower;
     readonly loads: PeerLoadTracker;
     readonly sums: FleetSummaryAggregator;
+    readonly loopDelay: Pick<LoopDelay, "getDelay">;
     readonly getIsLeaving: () => boolean;
 }
 
@@ -103,6 +105,7 @@
             isStoreReachable: this.isStoreCurrent(),
             isFollowing: dependencies.storeFollower.isFollowing(),
             storeAgeMilliseconds: this.computeStoreAge(),
+            loopDelayMilliseconds: Math.round(this.getLoopDelay()),
             configurationVersion: BigInt(dependencies.configuration.getVersion()),
             directoryRevision: BigInt(dependencies.endpointFollower.getRevision()),
             // In a fleet with relays, the summary lists the members.
@@ -162,6 +165,10 @@
         this.dependencies.storeFollower.recordConfirmation({ confirmedAt: sentAt - age, revisions });
     }
 
+    getLoopDelay(): number {
+        return this.dependencies.loopDelay.getDelay();
+    }
+
     getLeaseHolder(): string {
         return this.dependencies.lease.getHolder();
     }
--- a/src/gossip/gossipExchange.test.ts
+++ b/src/gossip/gossipExchange.test.ts
@@ -55,6 +55,7 @@
         createStateFor: () => undefined,
         applyState: () => {},
         recordConfirmation: () => {},
+        getLoopDelay: () => 0,
         getLeaseHolder: () => "",
     };
     const log = SilentEventLog.create();
--- a/src/gossip/gossipExchange.ts
+++ b/src/gossip/gossipExchange.ts
@@ -10,6 +10,8 @@
 
 /** Maximum delay between two attempts to reach a peer that does not respond, in milliseconds. */
 const maximumRetryDelayMilliseconds = 4_000;
+/** Time from which an exchange that succeeded is logged as slow, in milliseconds: the usual time between two of them. */
+const slowExchangeMilliseconds = 500;
 /** Time after which a failed exchange counts as one without an answer, in milliseconds; a connection that is reset fails earlier. */
 const leastSilenceMilliseconds = 0.9 * exchangeTimeoutMilliseconds;
 
@@ -25,6 +27,8 @@
     applyState(state: SharedState, source: string): void;
     /** Takes over how recent the sender's knowledge of the store was at `sentAt`, in monotonic milliseconds, if this node has applied the same. */
     recordConfirmation(digest: GatewayDigest, sentAt: number): void;
+    /** Returns by how much the event loop of this node is late, in milliseconds; 0 if that is negligible. */
+    getLoopDelay(): number;
     /** Returns the name of the last known holder of the duty lease; empty if none is known. */
     getLeaseHolder(): string;
 }
@@ -154,9 +158,21 @@
             }
             return;
         }
+        this.logSlowExchange(peer, exchanged.val.digest, this.clock.getMonotonicTime() - startedAt);
         await this.finishExchange(address, startedAt, exchanged.val.digest, exchanged.val.state);
     }
 
+    private logSlowExchange(peer: GatewayPeer, digest: GatewayDigest, milliseconds: number): void {
+        if (milliseconds >= slowExchangeMilliseconds) {
+            this.log.log(LogEvents.ExchangeSlow, {
+                peer: peer.name,
+                milliseconds: Math.round(milliseconds),
+                loopDelay: Math.round(this.digestHandler.getLoopDelay()),
+                peerLoopDelay: digest.loopDelayMilliseconds,
+            });
+        }
+    }
+
     /** Returns whether the exchange that began at `startedAt` and has failed timed out with a peer that answered the one before. */
     private isSilence(peer: GatewayPeer, startedAt: number): boolean {
         return peer.lastSeenAt > -Infinity && peer.failuresInRow === 1
--- a/src/node/bindings/gatewayPeerBindings.ts
+++ b/src/node/bindings/gatewayPeerBindings.ts
@@ -69,6 +69,7 @@
             storeFollower: context.get(Keys.StoreFollower),
             loads: context.get(Keys.SharedLoads),
             sums: context.get(Keys.FleetSums),
+            loopDelay: context.get(Keys.LoopDelay),
             getIsLeaving: () => shutdownState.isLeaving,
         });
         return GossipExchange.create(
--- a/src/node/gatewayNode.ts
+++ b/src/node/gatewayNode.ts
@@ -119,6 +119,7 @@
             peers: formatAddress(peers),
             incarnation: container.get(Keys.Peers).identity.incarnation,
             processId: process.pid,
+            processor: this.settings.limits.processor,
         });
         return { callers, readiness, peers };
     }
@@ -202,6 +203,7 @@
             }
         });
         container.get(Keys.Configuration).addListener(table => metrics.configurationVersion.set(table.configuration.version));
+        container.get(Keys.ConfigurationFollower).setKnowledgeSource(() => this.describeKnowledge());
         container.get(Keys.Directory).addListener(change => {
             const { entry } = change.endpoint;
             if (change.kind === DirectoryChangeKind.Restarted || change.kind === DirectoryChangeKind.Removed) {
--- a/src/quotas/peerUsage.ts
+++ b/src/quotas/peerUsage.ts
@@ -13,6 +13,8 @@
     readonly recent: readonly number[];
     /** Admitted units that leave the window in the next second; given with `recent`. */
     readonly leaving: number;
+    /** Time since the admitted units were counted, in milliseconds; in a sum, the mean by units. */
+    readonly age: number;
 }
 
 /** State of a limit at this node at the time of an estimate. Times are monotonic milliseconds. */
@@ -95,6 +97,7 @@
     /** Adds up the demand of the sources that the predicate accepts and the units that they may have admitted in the window. */
     computeSum(local: LocalUsage, isCounted: (source: string) => boolean): Omit<RateDemand, "name"> {
         const sum = { demand: 0, passed: 0, nodes: 0, recent: [] as number[], leaving: 0 };
+        let unitAge = 0;
         for (const [source, report] of this.reports) {
             if (local.now - report.at > reportAgeLimitMilliseconds) {
                 this.reports.delete(source);
@@ -105,12 +108,13 @@
                 const passed = this.estimatePassed(report, local);
                 const isCurrent = report.recent.length > 0 && local.now - report.at <= freshCountAgeLimitMilliseconds;
                 sum.passed += passed;
+                unitAge += passed * this.computeCountAge(report, local);
                 sum.leaving += isCurrent ? report.leaving : passed * millisecondsPerSecond / this.window;
                 sum.nodes += report.nodes;
                 addRecentUnits(sum.recent, report.recent);
             }
         }
-        return sum;
+        return { ...sum, age: sum.passed > 0 ? unitAge / sum.passed : 0 };
     }
 
     /** Returns whether no source has fallen silent and the reports cover a number of nodes. */
@@ -120,6 +124,12 @@
             && reports.reduce((sum, report) => sum + report.nodes, 0) >= nodes;
     }
 
+    /** Returns the age of the count that `estimatePassed` uses as it is; 0 for a source that has fallen silent, whose units are estimated as of now. */
+    private computeCountAge(report: PeerReport, local: LocalUsage): number {
+        const sinceArrival = local.now - report.at;
+        return sinceArrival <= freshCountAgeLimitMilliseconds ? sinceArrival + report.age : 0;
+    }
+
     private estimatePassed(report: PeerReport, local: LocalUsage): number {
         const age = local.now - report.at;
         const counted = computeCountedShare(report.allowed, local.allowed);
--- a/src/quotas/sharedRateLimiter.ts
+++ b/src/quotas/sharedRateLimiter.ts
@@ -69,6 +69,8 @@
     readonly passed: number;
     /** Units that the limit allows all nodes together in the window. */
     readonly allowed: number;
+    /** Mean age of the counts of other nodes, in milliseconds. */
+    readonly countAge: number;
 }
 
 /** What decides who passes while a limit is divided: the rank of a call, and a hash that is the same on all nodes. */
@@ -188,7 +190,8 @@
         const isFarBelowLimit = passed + units <= bucket.allowed * unconditionalShareOfLimit;
         const isWithinShare = bucket.available >= units && passed + units <= Math.max(units, bucket.allowed);
         if (!isFarBelowLimit && !isWithinShare) {
-            return { wait: Math.max(minimumRetryAfterSeconds, (units - bucket.available) / rate), passed, allowed: bucket.allowed };
+            const wait = Math.max(minimumRetryAfterSeconds, (units - bucket.available) / rate);
+            return { wait, passed, allowed: bucket.allowed, countAge: this.getCountAge(bucket, now) };
         }
         return undefined;
     }
@@ -222,7 +225,12 @@
             return undefined;
         }
         const wait = this.options.window / millisecondsPerSecond * Math.max(0, 1 - share / Math.max(place, share, Number.EPSILON));
-        return { wait: Math.max(minimumRetryAfterSeconds, wait), passed, allowed: bucket.allowed };
+        return {
+            wait: Math.max(minimumRetryAfterSeconds, wait),
+            passed,
+            allowed: bucket.allowed,
+            countAge: this.getCountAge(bucket, now),
+        };
     }
 
     /** Returns a call's place, which comes up evenly within a window from the caller's first attempt on: whoever waits as told passes. */
@@ -290,6 +298,10 @@
         return isFirstUse ? 0 : Math.max(0, this.nodeCount - 1 - listed);
     }
 
+    private getCountAge(bucket: RateBucket, now: number): number {
+        return bucket.peers.computeSum(this.getLocalUsage(bucket, now), () => true).age;
+    }
+
     private getLocalUsage(bucket: RateBucket, now: number): LocalUsage {
         return { now, allowed: bucket.allowed, passed: this.countLocalAdmitted(bucket, now), demand: computeDemand(bucket, now) };
     }
@@ -349,6 +361,7 @@
                 nodes: own.nodes + sum.nodes,
                 recent,
                 leaving: own.leaving + sum.leaving,
+                age: own.passed + sum.passed > 0 ? sum.age * sum.passed / (own.passed + sum.passed) : 0,
             };
         });
     }
@@ -372,6 +385,7 @@
             nodes: 1,
             recent: isExchanged ? recent : [],
             leaving: isExchanged ? this.countLocalLeaving(bucket, now) : 0,
+            age: 0,
         };
     }
 
--- a/src/requests/commands/teamLimiter.ts
+++ b/src/requests/commands/teamLimiter.ts
@@ -37,7 +37,7 @@
 
     /** Records the demand for a team that another node reported, in requests per second. */
     recordPeerDemand(team: string, node: string, demand: number): void {
-        this.limiter.recordPeerDemand({ name: team, demand, passed: 0, nodes: 1, recent: [], leaving: 0 }, node);
+        this.limiter.recordPeerDemand({ name: team, demand, passed: 0, nodes: 1, recent: [], leaving: 0, age: 0 }, node);
     }
 
     /** Returns the demand that this node measured for each team, in requests per second. */
--- a/src/routes/configurationFollower.ts
+++ b/src/routes/configurationFollower.ts
@@ -1,4 +1,4 @@
-import { EventLog } from "../common/eventLog.js";
+import { EventLog, LogFields } from "../common/eventLog.js";
 import { LogEvents } from "../common/logEvents.js";
 import { Result } from "../common/results.js";
 import { ObjectChangeHandler } from "../provider/objectWatcher.js";
@@ -16,6 +16,8 @@
 
 /** Applies the configuration that the operator writes to the store. */
 export class ConfigurationFollower implements ObjectChangeHandler {
+    private describeKnowledge: () => LogFields = () => ({});
+
     private constructor(
         private readonly holder: ConfigurationHolder,
         private readonly decoder: ConfigurationDecoder,
@@ -26,6 +28,11 @@
         return new ConfigurationFollower(holder, decoder, log);
     }
 
+    /** Sets the function that returns how old the node's knowledge is, for the log. */
+    setKnowledgeSource(describeKnowledge: () => LogFields): void {
+        this.describeKnowledge = describeKnowledge;
+    }
+
     handleListing(list: ObjectList): void {
         list.objects.forEach(object => this.handleChange(object));
     }
@@ -58,6 +65,7 @@
             routes: configuration.routes.length,
             services: configuration.services.length,
             teams: configuration.teams.length,
+            ...this.describeKnowledge(),
         });
     }
 }
--- a/src/standins/routed/platformBounds.ts
+++ b/src/standins/routed/platformBounds.ts
@@ -1,5 +1,7 @@
 /** The platform's bounds as its settings give them, for the fields that the template uses. */
 export const usualBounds = {
+    "limits.cpu-share": "0.675",
+    "limits.cores": "1",
     "limits.memory-mb": "350",
     "limits.max-fds": "4100",
     "bounds.retry-ratio": "0.2",
