Confirm old knowledge of the store at once instead of waiting for a change

Cause: a renewal ends the running watch and starts another one, and a suspended watch starts again as it was. A watch without a change is answered when its wait ends, 20 s later on a node that is no reader, so neither proves anything until something changes.

Why this works: the first request of a renewed or resumed watch has the shortest wait, so the store answers it at once with what the node lacks or with nothing, and a silent connection shows within a second instead of 21.

--- a/src/gateway/staleDirectory.test.ts
+++ b/src/gateway/staleDirectory.test.ts
@@ -15,6 +15,7 @@
 /** Time after a read that did not come in time until requests wait again: half of the limit. */
 const leastPauseMilliseconds = applyLimitMilliseconds / 2;
 const callCount = 12;
+const pauseMilliseconds = 50;
 
 const platform = RoutedPlatform.create();
 let gateway: RoutedGateway;
@@ -90,3 +91,22 @@
     assert.equal(waits.length <= 1 + elapsed / leastPauseMilliseconds, true, `${waits.length} waits in ${elapsed} ms`);
     platform.store.mood = StoreMood.Well;
 });
+
+// Guards against requests that wait for a renewal which no change of the store ends, on a node that reads the store seldom.
+test("requests by old knowledge wait no longer than a read takes, though nothing has changed in the store", async context => {
+    const { container } = gateway.node;
+    const plan = container.get(Keys.RelayPlan);
+    context.mock.method(plan, "hasRelays", () => true);
+    context.mock.method(plan, "listReaders", () => ["another node"]);
+    await sleep(settledMilliseconds);
+    (container.get(Keys.Store) as PlatformStore).renewConnections();
+    const logged = context.mock.method(container.get(Keys.Log), "log").mock;
+    const startedAt = performance.now();
+    while (performance.now() - startedAt < 5 * applyLimitMilliseconds) {
+        assert.equal((await gateway.sendCall("/lookup/1")).status, 200);
+        await sleep(pauseMilliseconds);
+    }
+    const renewals = logged.calls.filter(({ arguments: [kind] }) => kind === LogEvents.DirectoryRenewed).map(call => call.arguments[1]);
+    assert.equal(renewals.length > 0, true);
+    assert.deepEqual(renewals.filter(fields => fields["isRenewed"] !== true), []);
+});
--- a/src/provider/objectStore.ts
+++ b/src/provider/objectStore.ts
@@ -1,7 +1,7 @@
 import { Failure } from "../common/failure.js";
 import { Result } from "../common/results.js";
 import { Revision } from "./revision.js";
-import { ObjectList, StoredObject, WatchEvent, WriteFailure } from "./types.js";
+import { ObjectList, StoredObject, WatchEvent, WatchOptions, WriteFailure } from "./types.js";
 
 /** The platform's store of named objects. Its revision increases with every write to any object; conditional writes compare revisions. */
 export interface ObjectStore {
@@ -16,7 +16,7 @@
     /** Removes an object; fails with a conflict when its revision is not the expected one. */
     removeObject(name: string, expectedRevision: Revision): Promise<Result<void, WriteFailure>>;
     /** Yields the changes under a prefix that follow a revision, until the signal aborts or the connection ends. */
-    watchObjects(prefix: string, afterRevision: Revision, signal: AbortSignal): AsyncIterable<WatchEvent>;
+    watchObjects(prefix: string, afterRevision: Revision, signal: AbortSignal, options?: WatchOptions): AsyncIterable<WatchEvent>;
     /** Returns whether the last call was answered by the store, without a server error. */
     isReachable(): boolean;
     /**
--- a/src/provider/objectWatcher.ts
+++ b/src/provider/objectWatcher.ts
@@ -36,6 +36,8 @@
     private outageStartedAt: number | undefined;
     private outageEndedAt = -Infinity;
     private confirmedAt = -Infinity;
+    /** Whether the next watch first confirms what is known: nothing was heard of the store for a time, or its watch may have gone silent. */
+    private isConfirmationDue = false;
     private handleRelist: () => void = () => {};
     private getBatchPause: () => number = () => batchPauseMilliseconds;
     private isSuspended: () => boolean = () => false;
@@ -71,6 +73,7 @@
     async run(): Promise<void> {
         while (!this.stopController.signal.aborted) {
             if (this.revision !== undefined && this.isSuspended()) {
+                this.isConfirmationDue = true;
                 await this.clock.sleep(suspensionPollMilliseconds, this.stopController.signal);
                 continue;
             }
@@ -92,8 +95,9 @@
         }
     }
 
-    /** Ends the running watch or the pause after it, so that another watch starts at once. What has been read stays. */
+    /** Ends the running watch or the pause after it, so that another one confirms at once what is known. What has been read stays. */
     renewWatch(): void {
+        this.isConfirmationDue = true;
         this.watchController.abort();
     }
 
@@ -152,7 +156,9 @@
         let hasReceivedEvent = false;
         let hasChange = false;
         const signal = AbortSignal.any([this.stopController.signal, this.watchController.signal]);
-        for await (const event of this.store.watchObjects(this.prefix, afterRevision, signal)) {
+        const options = { isConfirmedAtOnce: this.isConfirmationDue };
+        this.isConfirmationDue = false;
+        for await (const event of this.store.watchObjects(this.prefix, afterRevision, signal, options)) {
             hasReceivedEvent = true;
             this.recordSuccess();
             if (event.kind === WatchEventKind.Expired) {
--- a/src/provider/types.ts
+++ b/src/provider/types.ts
@@ -51,6 +51,12 @@
     readonly object?: StoredObject;
 }
 
+/** How a watch begins. */
+export interface WatchOptions {
+    /** Whether its first response comes at once, also without a change: it proves that the caller knows the latest state. */
+    readonly isConfirmedAtOnce: boolean;
+}
+
 /** Purpose of a host: to run a gateway node (entry) or an endpoint. */
 export enum HostRole {
     Entry = "entry",
