End the watches of a node in time while no peer tells it of changes

What callers saw: keys and routes of an older configuration, or an endpoint that had left, on a node of a large fleet whose relay was late (CONFIG, DRAIN).

Cause: a node that is no reader waits for changes up to 20 s, for it relies on its relay. When the relay is late, its own watches go on, but with the same wait: on a connection that has gone silent they hear nothing for 21 s, and their silence never makes the node's knowledge younger, so that it stays old by its own account.

Why this works: such a watch now ends after half of the time to apply, so a lost response shows in that time and a second, and a response without a change confirms what the node knows. A node that follows peers waits as before. The new test failed before (wait of 20,000 ms).

--- a/src/gossip/storeFollower.test.ts
+++ b/src/gossip/storeFollower.test.ts
@@ -38,7 +38,7 @@
             return;
         }
         if (now >= (this.turns.get(node) ?? 0)) {
-            const scheduler = WatchScheduler.create(node.table, node.plan, this.clock, applyLimitMilliseconds);
+            const scheduler = WatchScheduler.create(node.table, node.plan, node.follower, this.clock, applyLimitMilliseconds);
             this.turns.set(node, now + scheduler.computeWait(true));
             node.confirmedAt = isConnected ? now : node.confirmedAt;
         }
--- a/src/gossip/watchScheduler.test.ts
+++ b/src/gossip/watchScheduler.test.ts
@@ -15,8 +15,8 @@
     return table;
 }
 
-function createScheduler(table: PeerTable, clock: VirtualClock): WatchScheduler {
-    return WatchScheduler.create(table, RelaySelector.create(table), clock, 2_000);
+function createScheduler(table: PeerTable, clock: VirtualClock, isFollowing = true): WatchScheduler {
+    return WatchScheduler.create(table, RelaySelector.create(table), { isFollowing: () => isFollowing }, clock, 2_000);
 }
 
 test("some store watch ends within 1.3 seconds of any time, with 2, 9 and 74 nodes", async () => {
@@ -44,3 +44,13 @@
     const waits = names.map(name => createScheduler(createTable(name, names, clock), clock).computeWait(true));
     assert.equal(waits.filter(wait => wait < 20_000).length <= 2, true, waits.join(" "));
 });
+
+// Guards against a node whose relay is late and whose own watch, on a silent connection, waits for longer than a change may take.
+test("in a large fleet a node that no peer tells of changes in time waits for half of that time at most", () => {
+    const clock = VirtualClock.create();
+    const names = Array.from({ length: 74 }, (_unused, index) => `node-${String(index).padStart(3, "0")}`);
+    for (const name of names) {
+        const wait = createScheduler(createTable(name, names, clock), clock, false).computeWait(true);
+        assert.equal(wait <= 1_300, true, `${name}: ${wait}`);
+    }
+});
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -120,6 +120,7 @@
         WatchScheduler.create(
             context.get(Keys.Peers),
             context.get(Keys.RelayPlan),
+            context.get(Keys.StoreFollower),
             context.get(Keys.Clock),
             settings.timing.applyLimit,
         )
