Send a peer the change of an endpoint that it lacks although newer changes follow

What callers saw: requests on a node whose own watch of the endpoints has gone silent reached endpoints that had said that they leave (DRAIN), in small fleets too. An endpoint that exits once its time has passed loses such a request.

Cause: a node does not send a peer that watches the store itself what the peer is about to receive from its own watch.

Evidence: the new test fails before (an endpoint's entry is written every 100 ms; within 1.5 s, 15 exchanges, the peer is sent nothing).

Why this works: what counts is now the age of the change that the peer lacks, not that of the newest one.

--- a/src/fleet/endpointFollower.ts
+++ b/src/fleet/endpointFollower.ts
@@ -27,7 +27,10 @@
     private readonly pendingRemovalRevisions = new Map<string, number>();
     private getOutageEndedAt: () => number = () => -Infinity;
     private revision: Revision = 0;
-    private changedAt = -Infinity;
+    /** Highest revision whose change is old enough to have reached every node that watches the store. */
+    private propagatedRevision: Revision = 0;
+    /** Revisions of younger changes, in their order, with the times at which they were applied. */
+    private readonly youngRevisions: { readonly revision: Revision; readonly at: number; }[] = [];
 
     private constructor(
         private readonly directory: EndpointDirectory,
@@ -54,13 +57,15 @@
     recordRevision(revision: number): void {
         if (revision > this.revision) {
             this.revision = revision;
-            this.changedAt = this.clock.getMonotonicTime();
+            this.youngRevisions.push({ revision, at: this.clock.getMonotonicTime() });
+            this.removeOlderRevisions();
         }
     }
 
-    /** Returns whether the newest change is old enough to have reached every node that watches the store. */
-    isLatestChangePropagated(): boolean {
-        return this.clock.getMonotonicTime() - this.changedAt > watchPropagationMilliseconds;
+    /** Returns the highest revision whose change is old enough to have reached every node that watches the store. */
+    getPropagatedRevision(): Revision {
+        this.removeOlderRevisions();
+        return this.propagatedRevision;
     }
 
     handleListing(list: ObjectList): void {
@@ -68,7 +73,7 @@
         this.applyListing(list);
         if (this.revision > before) {
             // A change found by listing was written some time ago, so other watches should have delivered it.
-            this.changedAt = -Infinity;
+            this.propagatedRevision = this.revision;
         }
     }
 
@@ -116,6 +121,14 @@
         });
     }
 
+    private removeOlderRevisions(): void {
+        const oldest = this.clock.getMonotonicTime() - watchPropagationMilliseconds;
+        while (this.youngRevisions[0] !== undefined && this.youngRevisions[0].at < oldest) {
+            this.propagatedRevision = Math.max(this.propagatedRevision, this.youngRevisions[0].revision);
+            this.youngRevisions.shift();
+        }
+    }
+
     private removeEndpoint(name: string, revision: number): void {
         this.pendingRemovalRevisions.delete(name);
         this.recordRevision(revision);
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -179,10 +179,11 @@
         const hasOlderDirectory = Number(digest.directoryRevision) < dependencies.endpointFollower.getRevision();
         // A peer that watches the store itself is about to receive a very recent change from its own watch.
         const dependsOnPeers = digest.isFollowing || !digest.isStoreReachable;
+        const lacksPropagatedChange = Number(digest.directoryRevision) < dependencies.endpointFollower.getPropagatedRevision();
         const isNewerDirectory = Number(digest.directoryRevision) > dependencies.endpointFollower.getRevision();
         const mayHaveRemovedEndpoints = dependsOnPeers && !isNewerDirectory && dependencies.directory.hasRecentLateRemoval();
         const lacksEndpoints = mayHaveRemovedEndpoints
-            || (hasOlderDirectory && (dependsOnPeers || dependencies.endpointFollower.isLatestChangePropagated()));
+            || (hasOlderDirectory && (dependsOnPeers || lacksPropagatedChange));
         const moves = dependencies.versions.listObjects();
         const lacksMoves = Number(digest.versionMovesRevision) < moves.revision;
         const lacksEvacuations = Number(digest.evacuationsRevision) < dependencies.evacuations.getRevision();
--- a/src/gossip/gossip.test.ts
+++ b/src/gossip/gossip.test.ts
@@ -1,7 +1,7 @@
 import { create } from "@bufbuild/protobuf";
 import assert from "node:assert/strict";
 import { after, before, test } from "node:test";
-import { SharedStateSchema } from "../generated/corianderward/gateway/v1/gateway_pb.js";
+import { GatewayDigestSchema, SharedStateSchema } from "../generated/corianderward/gateway/v1/gateway_pb.js";
 import { GatewayKeys as Keys } from "../node/gatewayKeys.js";
 import { QuarantineLedger } from "../requests/quarantineLedger.js";
 import { RoutedPlatform } from "../standins/routed/routedPlatform.js";
@@ -92,6 +92,30 @@
     await waitUntil(() => configuration.getVersion() === version);
 });
 
+// Guards against a node whose own watch has gone silent and that peers never tell of a leaving endpoint, because endpoints change all the time.
+test("a peer that lacks an older change of the endpoints is sent it although newer changes follow one another", async () => {
+    const { container } = first.node;
+    const follower = container.get(Keys.EndpointFollower);
+    const [engine] = platform.engines as [RoutedWorker];
+    const known = follower.getRevision();
+    const digest = create(GatewayDigestSchema, {
+        member: { name: "silent-watch", failureDomain: "xela", address: "127.0.0.1:9", incarnation: 1n },
+        isStoreReachable: true,
+        configurationVersion: BigInt(container.get(Keys.Configuration).getVersion()),
+        directoryRevision: BigInt(known),
+    });
+    const startedAt = performance.now();
+    let hasEndpoints = false;
+    while (!hasEndpoints && performance.now() - startedAt < 1_500) {
+        platform.publishWorker(engine);
+        await new Promise(resolve => setTimeout(resolve, 100));
+        hasEndpoints = (container.get(Keys.Gossip).handleExchange(digest).state?.endpointsJson ?? "") !== "";
+    }
+    container.get(Keys.Peers).removePeer("silent-watch");
+    assert.equal(follower.getRevision() > known, true);
+    assert.equal(hasEndpoints, true);
+});
+
 test("a node lists its peer as reachable, and the peer records the lease holder without holding the lease itself", async () => {
     await waitUntil(() => first.node.container.get(Keys.Peers).listReachablePeers().length === 1);
     await waitUntil(() => storelessGateway.node.container.get(Keys.Lease).getHolder() === "first");
