Let the nodes on the largest hosts of a failure domain relay

What callers saw: on nodes of a large fleet a configuration was in force, and a leaving endpoint known, up to 2.1 s after the first node knew it, the latest on the nodes that follow certain relays, and on these relays themselves (CONFIG, DRAIN).

Cause: relays and readers were the first nodes by name, whatever their hosts give them. A relay exchanges digests with 16 nodes, adds their figures up and carries every change to them.

Why this works: nodes state what their host gives them, in the entry of the store and in digests, and all select the relays by it; names decide among equals, as before where hosts are equal or unknown. The new test failed with the order by name.

--- a/src/gossip/fleetSummaryAggregator.ts
+++ b/src/gossip/fleetSummaryAggregator.ts
@@ -141,6 +141,7 @@
                     failureDomain: node.failureDomain,
                     address: node.address,
                     incarnation: BigInt(node.incarnation),
+                    processor: node.processor,
                 },
                 ageMilliseconds: Math.max(0, Math.round(now - node.lastSeenAt)),
                 isLeaving: node.isLeaving,
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -297,6 +297,7 @@
             failureDomain: peer.failureDomain,
             address: peer.address,
             incarnation: BigInt(peer.incarnation),
+            processor: peer.processor,
         }));
     }
 
--- a/src/gossip/nodeRegistry.ts
+++ b/src/gossip/nodeRegistry.ts
@@ -23,6 +23,7 @@
     failureDomain: nameSchema,
     address: z.string().refine(text => (parseAddress(text)?.port ?? 0) > 0, "expected an IP number and a port"),
     incarnation: z.number().int().min(0),
+    processor: z.number().positive().optional(),
 });
 
 /** Registers this node in the store and discovers the other nodes from their entries there. */
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -2,12 +2,14 @@
 import { millisecondsPerMinute } from "../common/units.js";
 import { GatewayDigest, GatewayPeer, PeerState } from "./types.js";
 
-/** Name, location and incarnation of a node. */
+/** Name, location, incarnation and host of a node. */
 export interface PeerIdentity {
     readonly name: string;
     readonly failureDomain: string;
     readonly address: string;
     readonly incarnation: number;
+    /** Processor time that its host gives it, in cores; undefined or 0 if it does not say. */
+    readonly processor?: number | undefined;
 }
 
 /** Time without contact, or since discovery, after which a peer no longer counts as a serving node, in milliseconds. */
@@ -74,11 +76,14 @@
             known.incarnation = identity.incarnation;
             known.address = identity.address;
             known.failureDomain = identity.failureDomain;
+            known.processor = undefined;
             known.failuresInRow = 0;
             known.sentPlacementSequence = 0;
             known.hasAllQuarantines = false;
             known.sentNodesAt = -Infinity;
         }
+        // A node of an older build, which lists others, does not know their hosts.
+        known.processor ||= identity.processor;
     }
 
     removePeer(name: string): void {
--- a/src/gossip/relaySelector.ts
+++ b/src/gossip/relaySelector.ts
@@ -36,12 +36,14 @@
 interface RelayCandidate {
     readonly name: string;
     readonly failureDomain: string;
+    /** Processor time that its host gives it, in cores; undefined or 0 if it does not say. */
+    readonly processor?: number | undefined;
 }
 
 /**
  * Selects the peers with which a node exchanges digests. In a small fleet these are all peers. In a larger one, a few nodes of
- * each failure domain act as relays for the others. Each node computes the relays from the names in its peer table, so that no
- * agreement protocol is needed. While the tables differ, some updates arrive twice or slightly later.
+ * each failure domain act as relays for the others, those on the largest hosts: a relay's work grows with the number of nodes, and all that
+ * follow it wait for it. Each node computes the relays from the names and hosts in its peer table, so that no agreement protocol is needed. While the tables differ, some updates arrive twice or slightly later.
  */
 export class RelaySelector {
     private selection: RelaySelection | undefined;
@@ -104,7 +106,7 @@
         if (!this.hasRelays()) {
             return [identity.name, ...this.table.listReachablePeers().map(peer => peer.name)];
         }
-        const self = this.isRelaying() ? [{ name: identity.name, failureDomain: identity.failureDomain, isStoreReachable: true }] : [];
+        const self = this.isRelaying() ? [{ ...identity, isStoreReachable: true }] : [];
         const relays = [...self, ...this.listReachableRelays()];
         const connected = relays.filter(relay => relay.isStoreReachable);
         return selectReaders(connected.length > 0 ? connected : relays);
@@ -152,7 +154,7 @@
         return peers.filter(peer => peer !== undefined).filter(peer => this.table.isReachable(peer));
     }
 
-    /** Returns the names of a failure domain's relays: the first by name of its nodes that are reachable or recently discovered. */
+    /** Returns the names of a failure domain's relays: those on the largest hosts of its nodes that are reachable or recently discovered. */
     private listRelays(failureDomain: string): readonly string[] {
         return this.getSelection().relaysByDomain.get(failureDomain) ?? [];
     }
@@ -178,29 +180,30 @@
         const peers = this.table.listPeers().filter(peer =>
             !peer.isLeaving && (this.table.isReachable(peer) || this.table.isRecentlyDiscovered(peer))
         );
-        return [identity, ...peers].map(({ name, failureDomain }) => ({ name, failureDomain }));
+        return [identity, ...peers].map(({ name, failureDomain, processor }) => ({ name, failureDomain, processor }));
     }
 }
 
-/** Returns the names of the relays of each failure domain: the first of its nodes by name. */
+/** Returns the names of the relays of each failure domain: the first of its nodes by the size of the host. */
 function selectRelays(candidates: readonly RelayCandidate[]): Map<string, readonly string[]> {
-    const namesByDomain = new Map<string, string[]>();
-    for (const { name, failureDomain } of candidates) {
-        namesByDomain.set(failureDomain, [...namesByDomain.get(failureDomain) ?? [], name]);
+    const nodesByDomain = new Map<string, RelayCandidate[]>();
+    for (const candidate of candidates) {
+        const nodes = nodesByDomain.get(candidate.failureDomain) ?? [];
+        nodes.push(candidate);
+        nodesByDomain.set(candidate.failureDomain, nodes);
     }
     const relaysByDomain = new Map<string, readonly string[]>();
-    for (const [failureDomain, names] of namesByDomain) {
-        const count = Math.ceil(names.length / nodesPerRelay);
-        relaysByDomain.set(failureDomain, names.sort((left, right) => (left < right ? -1 : 1)).slice(0, count));
+    for (const [failureDomain, nodes] of nodesByDomain) {
+        const count = Math.ceil(nodes.length / nodesPerRelay);
+        relaysByDomain.set(failureDomain, nodes.sort(compareHosts).slice(0, count).map(node => node.name));
     }
     return relaysByDomain;
 }
 
-/** Returns the first relay by name of each of the first failure domains. */
+/** Returns the first relay by the size of the host of each of the first failure domains. */
 function selectReaders(relays: readonly RelayCandidate[]): string[] {
-    const sorted = [...relays].sort((left, right) => (left.name < right.name ? -1 : 1));
     const firstByDomain = new Map<string, string>();
-    for (const { name, failureDomain } of sorted) {
+    for (const { name, failureDomain } of [...relays].sort(compareHosts)) {
         if (!firstByDomain.has(failureDomain)) {
             firstByDomain.set(failureDomain, name);
         }
@@ -208,6 +211,11 @@
     return [...firstByDomain].sort(([left], [right]) => (left < right ? -1 : 1)).slice(0, readingDomains).map(([, name]) => name);
 }
 
+/** Compares nodes for sorting: those whose hosts give them more processor time come first, and equal ones in the order of their names. */
+function compareHosts(left: RelayCandidate, right: RelayCandidate): number {
+    return (right.processor ?? 0) - (left.processor ?? 0) || (left.name < right.name ? -1 : 1);
+}
+
 /** Compares numbers for sorting, including infinite ones, whose difference is not a number. */
 function compareNumbers(left: number, right: number): number {
     if (left === right) {
--- a/src/gossip/relays.test.ts
+++ b/src/gossip/relays.test.ts
@@ -87,13 +87,28 @@
     });
 }
 
-/** Creates the plan of a node that has exchanged digests with all others; `isConnected` tells which of them reach the store. */
-function createPlan(name: string, names: readonly string[], isConnected: (name: string) => boolean): RelaySelector {
+/**
+ * Creates the plan of a node that has exchanged digests with all others; `isConnected` tells which of them reach the store, and
+ * `getProcessor` what their hosts give them, in cores.
+ */
+function createPlan(
+    name: string,
+    names: readonly string[],
+    isConnected: (name: string) => boolean,
+    getProcessor: (name: string) => number = () => 0,
+): RelaySelector {
     const clock = VirtualClock.create();
     const getDomain = (node: string) => node.split("-")[0] ?? "";
-    const table = PeerTable.create({ name, failureDomain: getDomain(name), address: "x:1", incarnation: 1 }, clock, silenceMilliseconds);
+    const identity = { name, failureDomain: getDomain(name), address: "x:1", incarnation: 1, processor: getProcessor(name) };
+    const table = PeerTable.create(identity, clock, silenceMilliseconds);
     for (const peer of names.filter(candidate => candidate !== name)) {
-        const member = { name: peer, failureDomain: getDomain(peer), address: `${peer}:1`, incarnation: 1n };
+        const member = {
+            name: peer,
+            failureDomain: getDomain(peer),
+            address: `${peer}:1`,
+            incarnation: 1n,
+            processor: getProcessor(peer),
+        };
         table.recordDigest(create(GatewayDigestSchema, { member, isStoreReachable: isConnected(peer) }));
     }
     return RelaySelector.create(table);
@@ -115,6 +130,19 @@
     }
 });
 
+// Guards against news that reaches many nodes late since the node that carries it to them runs on a small host.
+test("the nodes on the largest hosts of each failure domain relay, and read the store for a large fleet", () => {
+    const names = ["a", "b", "c"].flatMap(domain => Array.from({ length: 24 }, (_value, index) => `${domain}-${100 + index}`));
+    const largest = new Set(["a-119", "a-120", "b-107", "b-123", "c-110", "c-111"]);
+    const getProcessor = (name: string) => (largest.has(name) ? 1.35 : 0.24);
+    const plans = names.map(name => [name, createPlan(name, names, () => true, getProcessor)] as const);
+    assert.deepEqual(plans.filter(([, plan]) => plan.isRelaying()).map(([name]) => name), [...largest]);
+    assert.deepEqual(plans.filter(([, plan]) => !plan.isFollowingReader()).map(([name]) => name), ["a-119", "b-107"]);
+    for (const [name, plan] of plans.filter(([candidate]) => !largest.has(candidate))) {
+        assert.equal(plan.listCallees("").every(callee => largest.has(callee.name)), true, name);
+    }
+});
+
 test("a node reads the store itself while an exchange with its relay is overdue", async () => {
     const clock = VirtualClock.create();
     const table = PeerTable.create({ name: "a-99", failureDomain: "a", address: "x:1", incarnation: 1 }, clock, silenceMilliseconds);
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -36,6 +36,8 @@
     address: string;
     /** Start time of its process, in Unix milliseconds; 0 while unknown. */
     incarnation: number;
+    /** Processor time that its host gives it, in cores; undefined or 0 if it does not say. */
+    processor?: number | undefined;
     /** Time of the last contact with this node or with a relay; -Infinity before the first. */
     lastSeenAt: number;
     /** Whether the last contact was with this node and not with a relay. */
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -113,6 +113,7 @@
             failureDomain: settings.failureDomain,
             address: formatAddress(settings.peersListen),
             incarnation: clock.getWallTime(),
+            processor: settings.limits.processor,
         };
         return PeerTable.create(identity, clock, settings.timing.peerSilence);
     });
