Call other relays while an exchange with the own relay is overdue

What callers saw: a node that the store turns away had a configuration in force 3.3 s after the first node, so that it served a key or a route that had been taken away (CONFIG).

Cause: a node of a large fleet calls one relay. When that relay is late or lost, the node calls another one only once the first counts as unreachable, after 2 s without a word and on top of the exchange that waited for it. A node that reads the store itself meanwhile loses nothing; one that the store turns away hears from nobody.

Why this works: once an exchange is overdue (1.25 s) the node calls the domain's other relays and the readers too, until its relay is heard again. The new test failed before.

--- a/src/gossip/relaySelector.ts
+++ b/src/gossip/relaySelector.ts
@@ -112,7 +112,10 @@
         return selectReaders(connected.length > 0 ? connected : relays);
     }
 
-    /** Returns the peers that this node calls: its relay, or, as a relay, the other relays and the holder of the duty lease. */
+    /**
+     * Returns the peers that this node calls: its relay, or, as a relay, the other relays and the holder of the duty lease. While an
+     * exchange with its relay is overdue, it calls the other relays of its failure domain and the readers too.
+     */
     listCallees(leaseHolder: string): GatewayPeer[] {
         const { identity } = this.table;
         const peers = this.table.listPeers();
@@ -129,7 +132,9 @@
             return [...callees, ...this.listUnreachablePeers(1, this.listNominalRelays()), ...this.listUnreachablePeers(1)];
         }
         const relay = domainRelays[hashToNumber(identity.name) % Math.max(1, domainRelays.length)];
-        return peers.filter(peer => peer.name === relay);
+        const isOverdue = peers.some(peer => peer.name === relay && peer.lastSeenAt > -Infinity && !this.isFollowable(peer));
+        const substitutes = isOverdue ? [...domainRelays, ...this.listReaders()] : [];
+        return peers.filter(peer => peer.name === relay || substitutes.includes(peer.name));
     }
 
     /** Returns whether this node calls the peer: the node whose name sorts first does, and either one while the other is unreachable. */
--- a/src/gossip/relays.test.ts
+++ b/src/gossip/relays.test.ts
@@ -166,6 +166,30 @@
     assert.equal(plan.isFollowingReader(), true);
 });
 
+// Guards against a node that the store refuses and that waits for a relay which is overdue until it counts as unreachable.
+test("a node calls other relays and the readers while an exchange with its relay is overdue", async () => {
+    const clock = VirtualClock.create();
+    const names = ["a", "b", "c"].flatMap(domain => Array.from({ length: 24 }, (_value, index) => `${domain}-${100 + index}`));
+    const table = PeerTable.create({ name: "c-123", failureDomain: "c", address: "x:1", incarnation: 1 }, clock, silenceMilliseconds);
+    const plan = RelaySelector.create(table);
+    const receiveDigests = (isHeard: (name: string) => boolean) =>
+        names.filter(name => name !== "c-123" && isHeard(name)).forEach(name => {
+            const member = { name, failureDomain: name.charAt(0), address: "y:1", incarnation: 1n };
+            table.recordDigest(create(GatewayDigestSchema, { member, isStoreReachable: true }));
+        });
+    const listCallees = () => plan.listCallees("").map(callee => callee.name);
+    receiveDigests(() => true);
+    const [relay = "", ...others] = listCallees();
+    assert.deepEqual(others, []);
+    await clock.runUntil(1_000);
+    receiveDigests(name => name !== relay);
+    assert.deepEqual(listCallees(), [relay]);
+    await clock.runUntil(1_400);
+    assert.deepEqual(listCallees(), ["a-100", "b-100", "c-100", "c-101"]);
+    receiveDigests(name => name === relay);
+    assert.deepEqual(listCallees(), [relay]);
+});
+
 // Guards against nodes of a large fleet that wait for news from one another after a silence, while none of them is told by a reader.
 test("a node reads the store itself for six seconds after an exchange with a peer has timed out", async () => {
     const clock = VirtualClock.create();
