Keep each node to its part of a team's usage cap while counts come late

What callers saw: a team got more than its limit over all nodes (QUOTA); others of the service then waited for its calls.

Cause: a limit is divided by what nodes tell one another. What all of them admit before they hear of it is covered by constants for 1.5 s. Counts were dated from their arrival, so that one that had waited in a queue or passed through a relay's sum looked as fresh as a direct one, and nothing bounded what a node admits while the others cannot know it. With 70 nodes a hot team fills its window within a second or two.

Why this works: counts carry their age, which includes the time that a digest was under way at most. The time for which uncounted units are allowed for is twice the mean age, at least what it was. While it is well beyond the usual, a node that has admitted more than one and a half times an equal part of the room since the others last counted its units takes its own demand for everyone's, and divides the limit by that. With counts of the usual age nothing changes.

--- a/src/gossip/fleetSummaryAggregator.ts
+++ b/src/gossip/fleetSummaryAggregator.ts
@@ -72,8 +72,8 @@
         return true;
     }
 
-    /** Merges a peer's own figures, or its summary if the peer is a relay. */
-    applyDigest(peer: GatewayPeer, digest: GatewayDigest): void {
+    /** Merges a peer's own figures, or its summary if the peer is a relay. The digest was at most `age` milliseconds under way. */
+    applyDigest(peer: GatewayPeer, digest: GatewayDigest, age: number): void {
         const { summary } = digest;
         if (summary !== undefined) {
             this.recordRelayedPeerStates(digest);
@@ -84,7 +84,7 @@
         if (summary === undefined) {
             this.removeSourcesExcept(source => source !== groupSourcePrefix + peer.name);
             this.removeFromGroups([peer.name]);
-            this.recordSourceSums(peer.name, digest, 1);
+            this.recordSourceSums(peer.name, digest, 1, age);
             return;
         }
         if (!summary.isWholeFleet) {
@@ -93,17 +93,17 @@
             this.removeSourcesExcept(source => !covered.has(source));
             this.removeFromGroups(covered);
             this.nodesByGroup.set(groupSourcePrefix + peer.name, covered);
-            this.recordSourceSums(groupSourcePrefix + peer.name, summary, countCoveredNodes(summary));
+            this.recordSourceSums(groupSourcePrefix + peer.name, summary, countCoveredNodes(summary), age);
             return;
         }
         // While views differ, each of two relays may treat the other as an ordinary node; count only the peer's own figures then.
         if (this.dependencies.plan.isRelaying()) {
-            this.recordSourceSums(peer.name, digest, 1);
+            this.recordSourceSums(peer.name, digest, 1, age);
             return;
         }
         this.wholeFleetReceivedAt = this.dependencies.clock.getMonotonicTime();
         this.removeSourcesExcept(source => source === wholeFleetSource);
-        this.recordSourceSums(wholeFleetSource, summary, countCoveredNodes(summary));
+        this.recordSourceSums(wholeFleetSource, summary, countCoveredNodes(summary), age);
     }
 
     /** Returns whether this node's relay sends it the totals of all others: relays whose views differ may take this node for a relay too. */
@@ -155,9 +155,15 @@
         };
     }
 
-    private recordSourceSums(source: string, sums: Pick<GatewayDigest, "loads" | "demands" | "works">, nodes: number): void {
+    private recordSourceSums(
+        source: string,
+        sums: Pick<GatewayDigest, "loads" | "demands" | "works">,
+        nodes: number,
+        digestAge: number,
+    ): void {
         const { caps, work, loads } = this.dependencies;
-        for (const { team, demand, passed, recent, leaving, ageMilliseconds: age, ...counted } of sums.demands) {
+        for (const { team, demand, passed, recent, leaving, ageMilliseconds, ...counted } of sums.demands) {
+            const age = ageMilliseconds + digestAge;
             const figures = { demand, passed, recent, leaving, age, nodes: counted.nodes === 0 ? nodes : counted.nodes };
             caps.recordPeerDemand({ name: team, ...figures }, source);
         }
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -131,14 +131,15 @@
                 service,
                 promptTokensPerMillisecond: speed,
             })),
+            exchangeMilliseconds: Math.round(peer?.exchangeTime ?? 0),
             summary: peer === undefined ? undefined : dependencies.sums.createSummary(peer),
         };
     }
 
-    applyDigest(peer: GatewayPeer, digest: GatewayDigest): void {
+    applyDigest(peer: GatewayPeer, digest: GatewayDigest, age: number): void {
         const { dependencies } = this;
         dependencies.store.recordEra(Number(digest.storeEra));
-        dependencies.sums.applyDigest(peer, digest);
+        dependencies.sums.applyDigest(peer, digest, age);
         this.applyPlacements(peer, digest);
         this.applyLeavingEndpoints(digest, peer.name);
         digest.suspects.forEach(suspect => this.applySuspect(suspect, peer.name));
--- a/src/gossip/gossipExchange.ts
+++ b/src/gossip/gossipExchange.ts
@@ -19,8 +19,8 @@
 export interface DigestHandler {
     /** Creates the digest for one peer; undefined stands for a node whose name is not known yet. */
     createDigest(peer: GatewayPeer | undefined): GatewayDigestInit;
-    /** Merges a peer's digest. */
-    applyDigest(peer: GatewayPeer, digest: GatewayDigest): void;
+    /** Merges a peer's digest, which was at most `age` milliseconds under way. */
+    applyDigest(peer: GatewayPeer, digest: GatewayDigest, age: number): void;
     /** Returns the configuration and endpoints that a peer lacks according to its digest; undefined if it lacks nothing. */
     createStateFor(digest: GatewayDigest): SharedStateInit | undefined;
     /** Applies the newer configuration or endpoints that the node named by `source` sent. */
@@ -105,7 +105,7 @@
 
     /** Merges a peer's digest and returns this node's digest, with the state that the peer lacks. */
     handleExchange(digest: GatewayDigest): GatewayExchangeResponseInit {
-        this.applyDigest(digest);
+        this.applyDigest(digest, digest.exchangeMilliseconds);
         this.digestHandler.recordConfirmation(digest, this.clock.getMonotonicTime());
         const peer = this.table.findPeer(digest.member?.name ?? "");
         return { digest: this.digestHandler.createDigest(peer), state: this.digestHandler.createStateFor(digest) };
@@ -158,7 +158,8 @@
             }
             return;
         }
-        this.logSlowExchange(peer, exchanged.val.digest, this.clock.getMonotonicTime() - startedAt);
+        peer.exchangeTime = this.clock.getMonotonicTime() - startedAt;
+        this.logSlowExchange(peer, exchanged.val.digest, peer.exchangeTime);
         await this.finishExchange(address, startedAt, exchanged.val.digest, exchanged.val.state);
     }
 
@@ -194,7 +195,7 @@
         digest: GatewayDigest,
         state: SharedState | undefined,
     ): Promise<void> {
-        this.applyDigest(digest);
+        this.applyDigest(digest, this.clock.getMonotonicTime() - startedAt);
         if (state !== undefined) {
             this.digestHandler.applyState(state, digest.member?.name ?? "");
         }
@@ -205,7 +206,7 @@
         }
     }
 
-    private applyDigest(digest: GatewayDigest): void {
+    private applyDigest(digest: GatewayDigest, age: number): void {
         const wasUnreachable = this.table.recordDigest(digest);
         const peer = this.table.findPeer(digest.member?.name ?? "");
         if (peer === undefined) {
@@ -214,6 +215,6 @@
         if (wasUnreachable) {
             this.log.log(LogEvents.PeerChanged, { peer: peer.name, state: "heard", incarnation: peer.incarnation });
         }
-        this.digestHandler.applyDigest(peer, digest);
+        this.digestHandler.applyDigest(peer, digest, age);
     }
 }
--- a/src/gossip/peerTable.ts
+++ b/src/gossip/peerTable.ts
@@ -56,6 +56,7 @@
                 lastSeenAt: -Infinity,
                 lastFailedAt: -Infinity,
                 failuresInRow: 0,
+                exchangeTime: 0,
                 isLeaving: false,
                 isStoreReachable: false,
                 holdsLease: false,
--- a/src/gossip/types.ts
+++ b/src/gossip/types.ts
@@ -45,6 +45,8 @@
     /** Time of the last failed exchange; -Infinity before the first. */
     lastFailedAt: number;
     failuresInRow: number;
+    /** Time that the last exchange which this node began with it took, in milliseconds; 0 before the first. */
+    exchangeTime: number;
     /** Last digest that this node received from it; undefined before the first. */
     digest: GatewayDigest | undefined;
     /** Sequence number of the last placement update that this node has sent to it. */
--- a/src/quotas/hotTeam.test.ts
+++ b/src/quotas/hotTeam.test.ts
@@ -24,6 +24,8 @@
     readonly cut?: { readonly from: number; readonly until: number; };
     /** Time at which all nodes of a failure domain restart. */
     readonly restartAt?: number;
+    /** Time that each digest waits until it is handled while the team is hot. */
+    readonly digestDelay?: number;
 }
 
 const disruptions: Record<string, Disruption> = {
@@ -103,6 +105,7 @@
         if (now === restartAt) {
             fleet.nodes.forEach((node, index) => node.failureDomain === "b" ? fleet.replaceNode(index) : undefined);
         }
+        fleet.digestDelay = now >= hotFrom ? disruption.digestDelay ?? 0 : 0;
         fleet.runDueExchanges(stepMilliseconds);
         const factor = now >= hotFrom && now < hotUntil ? factorWhenHot : 1;
         due += rate * usualShare * factor * stepMilliseconds / 1_000 / meanUnits;
@@ -170,6 +173,24 @@
     }
 }
 
+// Guards against a team that gets more than its limit since counts reach the nodes late, as on hosts that are short of processor time.
+for (
+    const [nodes, rate, factor, digestDelay] of [
+        [70, 100_000, hotFactor, 300],
+        [70, 220_000, hotFactor, 300],
+        [70, 100_000, 12, 150],
+        [70, 220_000, 12, 150],
+    ] as const
+) {
+    test(`${nodes} nodes whose digests wait ${digestDelay} ms keep ${rate} units a second of a team that asks for ${factor} times its usual`, async () => {
+        const asked = await replayHotTeam(nodes, rate, true, { digestDelay }, Repeat.Never, factor);
+        const allowed = countAllowed(rate);
+        const windows = countWindows(asked);
+        const fullest = Math.max(...windows.values());
+        assert.equal(fullest <= allowed * (1 + overage) + slack, true, `${fullest / allowed} of the limit in a window`);
+    });
+}
+
 // Pattern: a team whose lowered limit leaves it little room asks for about as much as it may, in few and partly large calls.
 test("a team that asks for three quarters of what its window may hold is hardly refused while room is left, and keeps its limit", async () => {
     const rate = 60_000;
--- a/src/quotas/sharedRateLimiter.ts
+++ b/src/quotas/sharedRateLimiter.ts
@@ -58,6 +58,14 @@
 const spendingMilliseconds = 3_000;
 /** Time in which counts and demand reach all nodes of a large fleet, in milliseconds. */
 const propagationMilliseconds = 1_500;
+/** Time in which counts reach all nodes, as a multiple of their mean age: some are twice as old. */
+const propagationAgeFactor = 2;
+/** Multiple of the usual time from which counts are late: what nodes admit before they hear of it is then no longer covered. */
+const latePropagationFactor = 1.25;
+/** Factor on an equal part of a limit that a node may admit before the others hear of it: callers are spread unevenly. */
+const unevenDemandFactor = 1.5;
+/** Least number of calls by which a node judges whether it goes beyond its part: fewer come together by chance. */
+const leastJudgedCalls = 3;
 /** Time for which a division of a limit is reused, in milliseconds. */
 const divisionAgeLimitMilliseconds = 100;
 
@@ -256,11 +264,19 @@
             const lasting = isCurrent
                 ? computeLastingDemand(requested, bucket.classOffset, recentTimeConstantMilliseconds / millisecondsPerSecond)
                 : total;
-            const unheard = Math.max(0, lasting - leaving) * propagationMilliseconds / millisecondsPerSecond;
+            const propagation = Math.max(propagationMilliseconds, others.age * propagationAgeFactor);
+            const unheard = Math.max(0, lasting - leaving) * propagation / millisecondsPerSecond;
             const calm = isCurrent ? this.computeAllowed(limit, calmOverageShare, calmSlackShare) - unheard : 0;
             const target = Math.max(bucket.allowed, calm);
+            const isBeyondPart = propagation > propagationMilliseconds * latePropagationFactor
+                && this.isBeyondPart(bucket, target - passed, propagation, now);
+            if (isBeyondPart) {
+                const own = computeRecent(bucket, now).reduce((sum, units) => sum + units, 0);
+                const factor = Math.max(1, own * this.nodeCount / unevenDemandFactor / Math.max(total, Number.EPSILON));
+                requested.forEach((units, index) => (requested[index] = units * factor));
+            }
             const served = bucket.dated?.division.countServed(requested) ?? 0;
-            const unreported = Math.max(0, served - leaving) * propagationMilliseconds / millisecondsPerSecond;
+            const unreported = Math.max(0, served - leaving) * propagation / millisecondsPerSecond;
             const division = UsageDivision.create(
                 requested,
                 leaving + (target - passed - unreported) * millisecondsPerSecond / spendingMilliseconds,
@@ -268,12 +284,20 @@
             );
             // Few and large calls leave the window unevenly, so that its mean tells better what leaves it than the next second.
             const growth = lasting - Math.max(leaving, passed * millisecondsPerSecond / this.options.window);
-            const isRunningOut = growth * this.options.window / millisecondsPerSecond > target - passed;
+            const isRunningOut = isBeyondPart || growth * this.options.window / millisecondsPerSecond > target - passed;
             bucket.dated = { division, target, isRunningOut, requested: total, at: now };
         }
         return bucket.dated;
     }
 
+    /** Returns whether this node has admitted more than its part of the room that is left since the others last counted its units. */
+    private isBeyondPart(bucket: RateBucket, left: number, propagation: number, now: number): boolean {
+        const uncounted = bucket.admissions.filter(admission => now - admission.at < propagation);
+        const units = uncounted.reduce((sum, admission) => sum + admission.units, 0);
+        const part = Math.max(0, left + units) / this.nodeCount * unevenDemandFactor;
+        return uncounted.length >= leastJudgedCalls && units > part;
+    }
+
     private computeAllowed(limit: SharedRateLimit, overageShare: number, slackShare: number): number {
         const { window, overage, slack } = this.options;
         const withoutOverage = limit.rate * window / millisecondsPerSecond + limit.burst;
--- a/src/testing/gossipFleet.ts
+++ b/src/testing/gossipFleet.ts
@@ -70,17 +70,18 @@
             unreachableServices: this.unreachableServices,
             demands,
             loads: this.loads.listLocalLoads(),
+            exchangeMilliseconds: Math.round(peer.exchangeTime),
             summary: this.sums.createSummary(peer),
         });
     }
 
-    applyDigest(digest: GatewayDigest): void {
+    applyDigest(digest: GatewayDigest, age: number): void {
         this.table.recordDigest(digest);
         const confirmedAt = this.clock.getMonotonicTime() - (digest.storeAgeMilliseconds ?? Infinity);
         this.follower.recordConfirmation({ confirmedAt, revisions: noRevisions });
         const peer = this.table.findPeer(digest.member?.name ?? "");
         if (peer !== undefined) {
-            this.sums.applyDigest(peer, digest);
+            this.sums.applyDigest(peer, digest, age);
         }
     }
 }
@@ -90,6 +91,8 @@
     readonly nodes: GossipTestNode[] = [];
     /** Failure domain whose nodes and the others do not reach one another; undefined for none. */
     cutOffDomain: string | undefined;
+    /** Time that a digest waits until it is handled, in milliseconds, as on hosts that are short of processor time. */
+    digestDelay = 0;
 
     constructor(
         readonly clock: VirtualClock,
@@ -149,7 +152,18 @@
             caller.table.recordFailure(peer);
             return;
         }
-        callee.applyDigest(caller.createDigest(callee.name));
-        caller.applyDigest(callee.createDigest(caller.name));
+        if (this.digestDelay === 0) {
+            callee.applyDigest(caller.createDigest(callee.name), 0);
+            caller.applyDigest(callee.createDigest(caller.name), 0);
+            return;
+        }
+        const request = caller.createDigest(callee.name);
+        void this.clock.sleep(this.digestDelay).then(async () => {
+            callee.applyDigest(request, request.exchangeMilliseconds);
+            const response = callee.createDigest(caller.name);
+            await this.clock.sleep(this.digestDelay);
+            peer.exchangeTime = 2 * this.digestDelay;
+            caller.applyDigest(response, peer.exchangeTime);
+        });
     }
 }
