Tell the placements of the same parts at the same endpoint once in a digest

Cause: a relay tells every node of its group each placement of a prompt that any node made. At 450 requests a second the work of encoding, decoding and applying them grows with nodes times requests, although most requests share few parts.

Why this works: placements of the same parts at the same endpoint since the last digest are added up, with the number of their requests, so that the rate at which a part is used stays known.

--- a/src/fleet/promptCache.ts
+++ b/src/fleet/promptCache.ts
@@ -26,14 +26,14 @@
         return new PromptCache(capacityTokens);
     }
 
-    /** Records that the endpoint processes or has just used a part. The time is in monotonic milliseconds. */
-    recordPart(part: PromptPart, now: number): void {
+    /** Records that the endpoint processes or has just used a part, for a number of requests. The time is in monotonic milliseconds. */
+    recordPart(part: PromptPart, now: number, uses = 1): void {
         const known = this.partsById.get(part.id);
         if (known !== undefined) {
             this.partsById.delete(part.id);
             this.totalTokens -= known.tokens;
         }
-        this.partsById.set(part.id, { tokens: part.tokens, uses: countUses(known, now) + 1, usedAt: now });
+        this.partsById.set(part.id, { tokens: part.tokens, uses: countUses(known, now) + uses, usedAt: now });
         this.totalTokens += part.tokens;
         this.evictLeastRecentlyUsed();
     }
--- a/src/gossip/gatewayDigestHandler.ts
+++ b/src/gossip/gatewayDigestHandler.ts
@@ -362,7 +362,7 @@
         }
         const placements = news.listUpdatesSince(peer.sentPlacementSequence, { peer: peer.name, isRelay: plan.isRelay(peer) });
         peer.sentPlacementSequence = news.getLatestSequence();
-        return placements.map(placement => ({ endpoint: placement.endpointId, parts: [...placement.parts] }));
+        return placements.map(({ endpointId, parts, uses }) => ({ endpoint: endpointId, parts: [...parts], uses }));
     }
 
     private applyPlacements(peer: GatewayPeer, digest: GatewayDigest): void {
@@ -372,9 +372,10 @@
         const now = clock.getMonotonicTime();
         for (const placement of digest.placements) {
             const endpoint = directory.findEndpoint(placement.endpoint);
-            placement.parts.forEach(part => endpoint?.cache.recordPart(part, now));
+            const uses = Math.max(1, placement.uses);
+            placement.parts.forEach(part => endpoint?.cache.recordPart(part, now, uses));
             if (isRelaying) {
-                news.addUpdate({ endpointId: placement.endpoint, parts: placement.parts }, source);
+                news.addUpdate({ endpointId: placement.endpoint, parts: placement.parts, uses }, source);
             }
         }
     }
--- a/src/placement/placementUpdates.ts
+++ b/src/placement/placementUpdates.ts
@@ -8,6 +8,8 @@
 export interface PlacedPromptParts {
     readonly endpointId: string;
     readonly parts: readonly PromptPart[];
+    /** Number of requests that placed these parts there. */
+    readonly uses: number;
 }
 
 /** Origin of a placement update, or the receiver of one. */
@@ -43,7 +45,7 @@
         if (shared.length === 0) {
             return;
         }
-        this.addUpdate({ endpointId: endpoint.entry.id, parts: shared }, localSource);
+        this.addUpdate({ endpointId: endpoint.entry.id, parts: shared, uses: 1 }, localSource);
     }
 
     /** Adds a placement to send to peers; a relay also adds the placements that it receives. */
@@ -60,12 +62,23 @@
         return this.sequence;
     }
 
-    /** Returns the placements after a sequence number, except those that the receiver sent itself or receives from another relay. */
+    /**
+     * Returns the placements after a sequence number, except those that the receiver sent itself or receives from another relay. Those of
+     * the same parts at the same endpoint are added up: most requests share few parts, and a relay tells every node of all placements.
+     */
     listUpdatesSince(sequence: number, receiver: PlacementUpdateSource): PlacedPromptParts[] {
-        return this.entries
-            .filter(entry =>
-                entry.sequence > sequence && entry.source.peer !== receiver.peer && !(receiver.isRelay && entry.source.isRelay)
-            )
-            .map(entry => entry.placed);
+        const placedByKey = new Map<string, PlacedPromptParts>();
+        for (const { sequence: placedAt, placed, source } of this.entries) {
+            if (placedAt > sequence && source.peer !== receiver.peer && !(receiver.isRelay && source.isRelay)) {
+                const key = formatKey(placed);
+                const uses = (placedByKey.get(key)?.uses ?? 0) + placed.uses;
+                placedByKey.set(key, { ...placed, uses });
+            }
+        }
+        return [...placedByKey.values()];
     }
 }
+
+function formatKey({ endpointId, parts }: PlacedPromptParts): string {
+    return `${endpointId}\n${parts.map(part => part.id).join(" ")}`;
+}
