Ask for the age of the endpoints in small fleets too

What callers saw: a request reached an endpoint after the time in which its leaving must be known, on a fleet of a few nodes (DRAIN). An endpoint that has exited by then loses it.

Cause: before it sends a request, a node of a large fleet reads the endpoints again if what it knows of them is old. A node of a small one did not ask: each node reads the store in turns and tells the others of changes. Its own watch may be silent for up to its turn, 5.4 s with nine nodes, and a second, and what its peers tell may be late as well.

Evidence: the new test (a node of a small fleet whose watch is silent and that hears of no peer) fails before: requests go to an endpoint that has left for longer than the limit. The users' case on the register has no record; that it is this one is not shown.

Why this works: the age is asked for whatever the size of the fleet. In a calm small fleet it stays below the limit, since some node's turn ends every 0.3 of the limit and digests follow within half a second; a renewal is answered at once since it is a read and not a wait.

--- a/src/gateway/staleDirectory.test.ts
+++ b/src/gateway/staleDirectory.test.ts
@@ -31,12 +31,12 @@
 });
 
 /**
- * Lets the gateway take itself for a node of a large fleet, whose relay says nothing, and lets its next watch of the endpoints fall silent
- * after its first answer, as one on a silent connection. Later ones work.
+ * Lets the gateway take itself for a node of a large fleet, whose relay says nothing, or of a small one, whose peers say nothing, and lets
+ * its next watch of the endpoints fall silent after its first answer, as one on a silent connection. Later ones work.
  */
-async function silenceNextWatch(context: TestContext): Promise<void> {
+async function silenceNextWatch(context: TestContext, isFleetLarge = true): Promise<void> {
     const { container } = gateway.node;
-    context.mock.method(container.get(Keys.RelayPlan), "hasRelays", () => true);
+    context.mock.method(container.get(Keys.RelayPlan), "hasRelays", () => isFleetLarge);
     const store = container.get(Keys.Store) as PlatformStore;
     const watchObjects = store.watchObjects.bind(store);
     let isSilenced = false;
@@ -60,18 +60,29 @@
 }
 
 // Guards against requests that are sent to an endpoint which has left for longer than a change may take, by what the node knew before.
-test("a node whose relay and whose watch are silent reads the endpoints again before it sends by old knowledge", async context => {
-    await silenceNextWatch(context);
-    const [leaving] = platform.callWorkers as [RoutedWorker];
-    leaving.isDraining = true;
-    platform.publishWorker(leaving);
-    await sleep(applyLimitMilliseconds);
-    for (let call = 0; call < callCount; call += 1) {
-        assert.equal((await gateway.sendCall("/lookup/1")).status, 200);
-    }
-    assert.equal(leaving.runs.length, 0);
-    assert.equal(countRuns(platform.callWorkers), callCount);
-});
+for (
+    const [isFleetLarge, node] of [[true, "a node whose relay and whose watch are silent"], [
+        false,
+        "a node of a small fleet whose watch is silent",
+    ]] as const
+) {
+    test(`${node} reads the endpoints again before it sends by old knowledge`, async context => {
+        await silenceNextWatch(context, isFleetLarge);
+        const [leaving] = platform.callWorkers as [RoutedWorker];
+        const runsBefore = platform.callWorkers.map(worker => worker.runs.length);
+        leaving.isDraining = true;
+        platform.publishWorker(leaving);
+        await sleep(applyLimitMilliseconds);
+        for (let call = 0; call < callCount; call += 1) {
+            assert.equal((await gateway.sendCall("/lookup/1")).status, 200);
+        }
+        assert.equal(leaving.runs.length, runsBefore[0]);
+        assert.equal(countRuns(platform.callWorkers) - runsBefore.reduce((sum, runs) => sum + runs, 0), callCount);
+        leaving.isDraining = false;
+        platform.publishWorker(leaving);
+        await waitUntil(() => gateway.node.container.get(Keys.Directory).findEndpoint(leaving.id)?.isUsable() === true);
+    });
+}
 
 // Guards against requests that all wait while nothing can be read: they may wait once in a while, and share that.
 test("a node that cannot read the store goes on by what it knows, and its requests seldom wait", async context => {
--- a/src/node/bindings/gatewayBindings.ts
+++ b/src/node/bindings/gatewayBindings.ts
@@ -199,13 +199,11 @@
 
 function createDirectoryFreshness(context: ResolutionContext, applyLimit: number): DirectoryFreshness {
     const clock = context.get(Keys.Clock);
-    const plan = context.get(Keys.RelayPlan);
     const follower = context.get(Keys.StoreFollower);
     const peers = context.get(Keys.Peers);
     const { endpoints } = context.get(Keys.Watches);
     const source = {
-        // In a small fleet every node reads the store, in turns that tell the others of each change.
-        getAge: () => plan.hasRelays() ? Math.min(follower.getAge(), clock.getMonotonicTime() - endpoints.getConfirmedAt()) : 0,
+        getAge: () => Math.min(follower.getAge(), clock.getMonotonicTime() - endpoints.getConfirmedAt()),
         isReadable: () => endpoints.isSynchronized() || peers.listReachablePeers().some(peer => peer.isStoreReachable),
         renew: () => endpoints.renewWatch(),
     };
