Date what a caller knows back by the time that its digest was under way

Cause: the same as with counts of usage: what a peer says of its knowledge was dated from when it was read here, so that a digest that waited in the queue of a busy node made that node's knowledge look younger than it is, by up to a second. The node that calls knows better, and had it right.

The new test failed before.

Why this works: the caller states how long its last exchange with this node took, and the age is counted from that much earlier.

--- a/src/gossip/gossipExchange.test.ts
+++ b/src/gossip/gossipExchange.test.ts
@@ -16,6 +16,24 @@
 const intervalMilliseconds = 500;
 const member = { name: "peer", failureDomain: "x", address: "127.0.0.1:2", incarnation: 1n };
 
+const idleClient: GossipClient = {
+    exchangeDigests: () => new Promise(() => {}),
+    sendState: () => Promise.resolve(Ok(undefined)),
+    stop: () => {},
+};
+
+function createHandler(recordConfirmation: DigestHandler["recordConfirmation"] = () => {}): DigestHandler {
+    return {
+        createDigest: () => create(GatewayDigestSchema, {}),
+        applyDigest: () => {},
+        createStateFor: () => undefined,
+        applyState: () => {},
+        recordConfirmation,
+        getLoopDelay: () => 0,
+        getLeaseHolder: () => "",
+    };
+}
+
 /** What happened in a series of exchanges with one peer. */
 interface ExchangeSeries {
     readonly startedAt: readonly number[];
@@ -49,15 +67,7 @@
         sendState: () => Promise.resolve(Ok(undefined)),
         stop: () => {},
     };
-    const handler: DigestHandler = {
-        createDigest: () => create(GatewayDigestSchema, {}),
-        applyDigest: () => {},
-        createStateFor: () => undefined,
-        applyState: () => {},
-        recordConfirmation: () => {},
-        getLoopDelay: () => 0,
-        getLeaseHolder: () => "",
-    };
+    const handler = createHandler();
     const log = SilentEventLog.create();
     const gossip = GossipExchange.create(table, client, handler, RelaySelector.create(table), clock, intervalMilliseconds, log);
     let silences = 0;
@@ -97,3 +107,17 @@
 test("a peer that has never answered is not reported to have gone silent", async () => {
     assert.equal((await runExchanges(10_000, () => false)).silences, 0);
 });
+
+// Guards against old knowledge that looks young because the digest that brought it waited until a busy node read it.
+test("what a caller knows of the store is dated back by the time that its last exchange with this node took", async () => {
+    const clock = VirtualClock.create();
+    await clock.runUntil(5_000);
+    const table = PeerTable.create({ name: "node", failureDomain: "x", address: "127.0.0.1:1", incarnation: 1 }, clock, 2_000);
+    const sentAt: number[] = [];
+    const handler = createHandler((_digest, time) => void sentAt.push(time));
+    const plan = RelaySelector.create(table);
+    const gossip = GossipExchange.create(table, idleClient, handler, plan, clock, intervalMilliseconds, SilentEventLog.create());
+    gossip.handleExchange(create(GatewayDigestSchema, { member, exchangeMilliseconds: 700 }));
+    gossip.handleExchange(create(GatewayDigestSchema, { member }));
+    assert.deepEqual(sentAt, [4_300, 5_000]);
+});
--- a/src/gossip/gossipExchange.ts
+++ b/src/gossip/gossipExchange.ts
@@ -105,8 +105,10 @@
 
     /** Merges a peer's digest and returns this node's digest, with the state that the peer lacks. */
     handleExchange(digest: GatewayDigest): GatewayExchangeResponseInit {
+        // The digest may have waited here until it was read, as the one before did.
+        const sentAt = this.clock.getMonotonicTime() - digest.exchangeMilliseconds;
         this.applyDigest(digest, digest.exchangeMilliseconds);
-        this.digestHandler.recordConfirmation(digest, this.clock.getMonotonicTime());
+        this.digestHandler.recordConfirmation(digest, sentAt);
         const peer = this.table.findPeer(digest.member?.name ?? "");
         return { digest: this.digestHandler.createDigest(peer), state: this.digestHandler.createStateFor(digest) };
     }
