--- a/src/quotas/sharedRateLimiter.ts
+++ b/src/quotas/sharedRateLimiter.ts
@@ -271,6 +271,7 @@
             const isBeyondPart = propagation > propagationMilliseconds * latePropagationFactor
                 && this.isBeyondPart(bucket, target - passed, propagation, now);
             if (isBeyondPart) {
+                // What the others ask for now is not known yet, so this node's own demand stands for everyone's.
                 const own = computeRecent(bucket, now).reduce((sum, units) => sum + units, 0);
                 const factor = Math.max(1, own * this.nodeCount / unevenDemandFactor / Math.max(total, Number.EPSILON));
                 requested.forEach((units, index) => (requested[index] = units * factor));
