End the watch that a test silences whatever its age

Traced: the set-up renewed the store's connections, which ends only watches that have run for a second. A watch of the gateway under test lasts 1.2 s, so at some moments the running one was younger, went on, and no next one began.

The set-up now ends the running watch itself, whatever its age. What the tests check is unchanged: requests while the next watch is silent.

--- a/src/gateway/staleDirectory.test.ts
+++ b/src/gateway/staleDirectory.test.ts
@@ -49,9 +49,8 @@
         }
         yield* watchObjects(prefix, afterRevision, signal);
     });
-    // Connections are renewed but for very young watches.
     await sleep(settledMilliseconds);
-    store.renewConnections();
+    container.get(Keys.Watches).endpoints.renewWatch();
     await waitUntil(() => isSilenced);
 }
 
