Name what a newcomer would stop at: reliance on peers, relay candidates, ages of counts

The type of a relay candidate repeated three fields of a peer's identity and is now picked from it; a flag of the watch scheduler says that the node relies on peers; one name, computeCountAge, for the age of counts in both classes; two methods got their line.

--- a/src/fleet/endpointFollower.ts
+++ b/src/fleet/endpointFollower.ts
@@ -121,6 +121,7 @@
         });
     }
 
+    /** Moves revisions whose changes have had time to reach every node from the young ones to the propagated one. */
     private removeOlderRevisions(): void {
         const oldest = this.clock.getMonotonicTime() - watchPropagationMilliseconds;
         while (this.youngRevisions[0] !== undefined && this.youngRevisions[0].at < oldest) {
--- a/src/gossip/relaySelector.ts
+++ b/src/gossip/relaySelector.ts
@@ -1,5 +1,5 @@
 import { hashToNumber } from "../common/hashing.js";
-import { PeerTable } from "./peerTable.js";
+import { PeerIdentity, PeerTable } from "./peerTable.js";
 import { GatewayPeer } from "./types.js";
 
 /** Largest fleet in which every two nodes exchange digests directly; a node's exchanges cost little up to this size. */
@@ -33,12 +33,7 @@
 }
 
 /** A node that can be selected as a relay. */
-interface RelayCandidate {
-    readonly name: string;
-    readonly failureDomain: string;
-    /** Processor time that its host gives it, in cores; undefined or 0 if it does not say. */
-    readonly processor?: number | undefined;
-}
+type RelayCandidate = Pick<PeerIdentity, "name" | "failureDomain" | "processor">;
 
 /**
  * Selects the peers with which a node exchanges digests. In a small fleet these are all peers. In a larger one, a few nodes of
--- a/src/gossip/watchScheduler.ts
+++ b/src/gossip/watchScheduler.ts
@@ -53,8 +53,8 @@
         const spacing = this.applyLimit * turnShareOfApplyLimit * (isUrgent ? 1 : unhurriedTurnFactor);
         const readers = this.plan.listReaders();
         if (!readers.includes(identity.name)) {
-            const isTold = !isUrgent || this.follower.isFollowing();
-            return isTold ? maximumWaitMilliseconds : this.applyLimit * ownWaitShareOfApplyLimit;
+            const reliesOnPeers = !isUrgent || this.follower.isFollowing();
+            return reliesOnPeers ? maximumWaitMilliseconds : this.applyLimit * ownWaitShareOfApplyLimit;
         }
         const period = Math.max(1, readers.length) * spacing;
         const precedingNodes = readers.filter(name => name < identity.name).length;
--- a/src/quotas/sharedRateLimiter.ts
+++ b/src/quotas/sharedRateLimiter.ts
@@ -199,7 +199,7 @@
         const isWithinShare = bucket.available >= units && passed + units <= Math.max(units, bucket.allowed);
         if (!isFarBelowLimit && !isWithinShare) {
             const wait = Math.max(minimumRetryAfterSeconds, (units - bucket.available) / rate);
-            return { wait, passed, allowed: bucket.allowed, countAge: this.getCountAge(bucket, now) };
+            return { wait, passed, allowed: bucket.allowed, countAge: this.computeCountAge(bucket, now) };
         }
         return undefined;
     }
@@ -237,7 +237,7 @@
             wait: Math.max(minimumRetryAfterSeconds, wait),
             passed,
             allowed: bucket.allowed,
-            countAge: this.getCountAge(bucket, now),
+            countAge: this.computeCountAge(bucket, now),
         };
     }
 
@@ -323,7 +323,8 @@
         return isFirstUse ? 0 : Math.max(0, this.nodeCount - 1 - listed);
     }
 
-    private getCountAge(bucket: RateBucket, now: number): number {
+    /** Returns the mean age of the other nodes' counts of admitted units, in milliseconds. */
+    private computeCountAge(bucket: RateBucket, now: number): number {
         return bucket.peers.computeSum(this.getLocalUsage(bucket, now), () => true).age;
     }
 
